--- /dev/null
+++ b/components/agent/src/doorkeeper.rs
@@ -0,0 +1,310 @@
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use compact_str::CompactString;
+use config::{AgentSettings, ConfigCell, Digest};
+use event_listener::Event;
+use futures_lite::FutureExt;
+use kernel::{BoxFuture, Clock, Registry, Service};
+use protocol::{Door, Load, Progress, Refusal, RunId, Ticket};
+use requests::{Admit, Begin, Limit, LimitRange, RunEnd, RunTable, Settled};
+use smol::Timer;
+use wire::Client;
+
+use crate::config_follower::ConfigFollower;
+use crate::engine::{Engine, LoadReport};
+
+/// Time between two looks at the upstream.
+const WATCH_EVERY: Duration = Duration::from_millis(250);
+/// Crashes told to entries.
+const CRASHES_TOLD: usize = 16;
+
+/// What the agent knows about its upstream, and who may enter.
+struct State {
+    limit: Limit,
+    runs: RunTable,
+    in_flight: HashMap<RunId, u64>,
+    crashes: Vec<u64>,
+    incarnation: Option<u64>,
+    reachable: bool,
+    serving: Option<Digest>,
+    wanted: Option<Digest>,
+    ordering: bool,
+    progress: Option<Progress>,
+}
+
+/// Decides which runs may start at the upstream.
+pub struct Doorkeeper {
+    state: Mutex<State>,
+    cell: Arc<ConfigCell>,
+    clock: Clock,
+    engine: Engine,
+    settings: AgentSettings,
+    leaving: AtomicBool,
+    idle: Event,
+    stopping: Event,
+}
+
+impl Doorkeeper {
+    /// Name in the registry.
+    pub const NAME: &'static str = "door";
+
+    /// The door to the upstream named in `settings`.
+    pub fn new(
+        settings: &AgentSettings,
+        config: &ConfigFollower,
+        client: Client,
+        clock: Clock,
+    ) -> Self {
+        let range = LimitRange { cold: 1, warm: 1 };
+        Doorkeeper {
+            state: Mutex::new(State {
+                limit: Limit::new(range),
+                runs: RunTable::new(fastrand::u64(1..)),
+                in_flight: HashMap::new(),
+                crashes: Vec::new(),
+                incarnation: None,
+                reachable: false,
+                serving: None,
+                wanted: None,
+                ordering: false,
+                progress: None,
+            }),
+            cell: config.cell().clone(),
+            clock,
+            engine: Engine::new(settings.upstream, client),
+            settings: settings.clone(),
+            leaving: AtomicBool::new(false),
+            idle: Event::new(),
+            stopping: Event::new(),
+        }
+    }
+
+    /// Whether runs are accepted now.
+    pub fn door(&self) -> Door {
+        if self.leaving.load(Ordering::Relaxed) {
+            return Door::Leaving;
+        }
+        let Some(c) = self.cell.get() else {
+            return Door::Starting;
+        };
+        if !c.declaration.in_service(&self.settings.node.failure_domain) {
+            return Door::OutOfService;
+        }
+        let state = self.state();
+        let serves = match c.declaration.model_of(&self.settings.service) {
+            Some(_) => state.wanted.is_some() && state.serving == state.wanted,
+            None => c.declaration.services.contains_key(&self.settings.service),
+        };
+        if state.reachable && serves && !state.ordering {
+            Door::Open
+        } else {
+            Door::Starting
+        }
+    }
+
+    /// A ticket issued now.
+    pub fn ticket(&self) -> Ticket {
+        self.state().runs.ticket(self.clock.now())
+    }
+
+    /// Load of the upstream.
+    pub fn load(&self) -> Load {
+        let state = self.state();
+        let small = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
+        Load {
+            limit: small(state.limit.current()),
+            in_flight: small(state.limit.in_flight()),
+            service_us: u32::try_from(state.limit.usual().as_micros()).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Fingerprints of requests in flight at the latest crashes.
+    pub fn crashes(&self) -> Vec<u64> {
+        self.state().crashes.clone()
+    }
+
+    /// Progress of the model.
+    pub fn progress(&self) -> Option<Progress> {
+        let state = self.state();
+        state.progress.clone().map(|p| Progress {
+            serving: state.serving,
+            ..p
+        })
+    }
+
+    /// Asks to start a run.
+    pub fn begin(&self, id: &RunId, ticket: Ticket, fingerprint: u64) -> Begin {
+        if self.door() != Door::Open {
+            return Begin::Refuse(Refusal::Closed);
+        }
+        let now = self.clock.now();
+        let mut state = self.state();
+        // Looked at again under the lock: an order may have closed the door since.
+        if state.ordering {
+            return Begin::Refuse(Refusal::Closed);
+        }
+        if state.limit.begin() == Admit::Full {
+            return Begin::Refuse(Refusal::Full);
+        }
+        let begin = state.runs.begin(now, id, ticket);
+        match begin {
+            Begin::Run => drop(state.in_flight.insert(id.clone(), fingerprint)),
+            Begin::Refuse(_) | Begin::Duplicate => state.limit.end(RunEnd::Cancelled),
+        }
+        begin
+    }
+
+    /// Records the end of a run.
+    pub fn end(&self, id: &RunId, how: RunEnd) {
+        let mut state = self.state();
+        if how == RunEnd::Failed {
+            let fingerprints: Vec<u64> = state.in_flight.values().copied().collect();
+            state.crashes.extend(fingerprints);
+            let excess = state.crashes.len().saturating_sub(CRASHES_TOLD);
+            state.crashes.drain(..excess);
+        }
+        if state.in_flight.remove(id).is_some() {
+            state.limit.end(how);
+        }
+        if state.in_flight.is_empty() {
+            self.idle.notify(usize::MAX);
+        }
+    }
+
+    /// Changes the record of runs.
+    pub fn with_runs<T>(&self, change: impl FnOnce(&mut RunTable) -> T) -> T {
+        change(&mut self.state().runs)
+    }
+
+    /// Tells what became of a run; voids it when it has not started.
+    pub fn settle(&self, id: &RunId, ticket: Ticket) -> Settled {
+        let now = self.clock.now();
+        self.state().runs.settle(now, id, ticket)
+    }
+
+    /// Notes that the upstream refused a connection or broke one.
+    pub fn unreachable(&self) {
+        let mut state = self.state();
+        state.reachable = false;
+        state.serving = None;
+        state.limit.reset();
+    }
+
+    /// Closes the door for an order and waits until no run is in flight.
+    pub async fn close_for_order(&self) {
+        self.state().ordering = true;
+        self.wait_idle().await;
+    }
+
+    /// Ends the closure; the door opens when the engine reports `wanted`.
+    pub fn order_done(&self, wanted: Digest) {
+        let mut state = self.state();
+        state.wanted = Some(wanted);
+        state.ordering = false;
+    }
+
+    /// Digest that the engine reported last.
+    pub fn serving(&self) -> Option<Digest> {
+        self.state().serving
+    }
+
+    /// Publishes progress of the model.
+    pub fn set_progress(&self, progress: Progress) {
+        self.state().progress = Some(progress);
+    }
+
+    /// Reads the engine's word now.
+    pub async fn look(&self) {
+        let report = self.engine.load().await;
+        let range = self.range();
+        let mut state = self.state();
+        if let Some(range) = range {
+            state.limit.set_range(range);
+        }
+        match report {
+            Ok(Some(report)) => note_report(&mut state, report),
+            Ok(None) => state.reachable = true,
+            Err(e) => {
+                if state.reachable {
+                    log::warn!("door: upstream does not answer: {e}");
+                }
+                state.reachable = false;
+                state.serving = None;
+                state.limit.reset();
+            }
+        }
+    }
+
+    fn range(&self) -> Option<LimitRange> {
+        let c = self.cell.get()?;
+        let s = c.declaration.services.get(&self.settings.service)?;
+        Some(LimitRange {
+            cold: s.cold_limit,
+            warm: s.limit,
+        })
+    }
+
+    async fn wait_idle(&self) {
+        loop {
+            let idle = self.idle.listen();
+            if self.state().in_flight.is_empty() {
+                return;
+            }
+            idle.await;
+        }
+    }
+
+    async fn watch(self: Arc<Self>) {
+        loop {
+            self.look().await;
+            Timer::after(WATCH_EVERY).await;
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn note_report(state: &mut State, report: LoadReport) {
+    if state.incarnation != Some(report.incarnation) {
+        if state.incarnation.is_some() {
+            log::warn!("door: upstream has restarted");
+        }
+        state.incarnation = Some(report.incarnation);
+        state.limit.reset();
+    }
+    state.reachable = true;
+    state.serving = report.serving.map(|s| s.content);
+}
+
+/// Label of the running process on the audit trail.
+pub(crate) fn actor(settings: &AgentSettings) -> CompactString {
+    CompactString::from(format!("agent on {}", settings.node.vm))
+}
+
+impl Service for Doorkeeper {
+    fn name(&self) -> &'static str {
+        Self::NAME
+    }
+
+    fn start(&self, peers: &Registry) -> anyhow::Result<()> {
+        let own: Arc<Doorkeeper> = peers.find(Self::NAME)?;
+        smol::spawn(own.watch().or(self.stopping.listen())).detach();
+        Ok(())
+    }
+
+    /// Closes the door and waits for the runs in flight.
+    fn stop(&self, limit: Duration) -> BoxFuture<'_, ()> {
+        self.leaving.store(true, Ordering::Relaxed);
+        Box::pin(async move {
+            if wire::within(limit, self.wait_idle()).await.is_none() {
+                log::warn!("door: runs were still in flight at the drain limit");
+            }
+            self.stopping.notify(usize::MAX);
+        })
+    }
+}
--- /dev/null
+++ b/components/agent/src/inbound.rs
@@ -0,0 +1,195 @@
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use anyhow::Context;
+use async_channel::Sender;
+use config::{AgentSettings, Digest};
+use http_types::{Body, Method, Request, Response, StatusCode};
+use kernel::{BoxFuture, Registry, Service};
+use protocol::{Door, Heartbeat, HeartbeatReply, RunRequest, Settle, SettleReply, paths};
+use requests::Settled;
+use serde::de::DeserializeOwned;
+use smol::Task;
+use smol::net::TcpListener;
+use telemetry::MetricsPage;
+use wire::{Client, Handler, Problem, Server, ServerLimits, read_limited};
+
+use crate::chunk_body::ChunkBody;
+use crate::config_follower::ConfigFollower;
+use crate::doorkeeper::Doorkeeper;
+use crate::runner::Runner;
+use crate::weights_service::WeightsService;
+
+/// Longest message from an entry, in bytes.
+const MESSAGE_LIMIT: usize = 2 << 20;
+
+/// The agent's HTTP interface.
+pub struct Inbound {
+    settings: AgentSettings,
+    client: Client,
+    metrics: Arc<MetricsPage>,
+    running: Mutex<Option<(Sender<()>, Task<()>)>>,
+}
+
+impl Inbound {
+    /// Name in the registry.
+    pub const NAME: &'static str = "inbound";
+
+    /// The interface of the agent described by `settings`.
+    pub fn new(settings: &AgentSettings, client: Client, metrics: Arc<MetricsPage>) -> Self {
+        Inbound {
+            settings: settings.clone(),
+            client,
+            metrics,
+            running: Mutex::new(None),
+        }
+    }
+}
+
+impl Service for Inbound {
+    fn name(&self) -> &'static str {
+        Self::NAME
+    }
+
+    fn start(&self, peers: &Registry) -> anyhow::Result<()> {
+        let door: Arc<Doorkeeper> = peers.find(Doorkeeper::NAME)?;
+        let handler = Arc::new(InboundHandler {
+            settings: self.settings.clone(),
+            config: peers.find(ConfigFollower::NAME)?,
+            weights: peers.find(WeightsService::NAME)?,
+            runner: Runner::new(door.clone(), self.client.clone(), self.settings.upstream),
+            door,
+            metrics: self.metrics.clone(),
+        });
+        let addr = self.settings.node.listen;
+        let listener = smol::block_on(TcpListener::bind(addr))
+            .with_context(|| format!("inbound: cannot listen on {addr}; change node.listen"))?;
+        let (server, close) = Server::new(handler, ServerLimits::default());
+        let task = smol::spawn(server.run(listener, self.settings.node.drain));
+        log::info!("inbound: listening on {addr}");
+        *self.running.lock().unwrap_or_else(PoisonError::into_inner) = Some((close, task));
+        Ok(())
+    }
+
+    fn stop(&self, limit: Duration) -> BoxFuture<'_, ()> {
+        let running = self
+            .running
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .take();
+        Box::pin(async move {
+            if let Some((close, task)) = running {
+                close.close();
+                let _ = wire::within(limit, task).await;
+            }
+        })
+    }
+}
+
+struct InboundHandler {
+    settings: AgentSettings,
+    config: Arc<ConfigFollower>,
+    door: Arc<Doorkeeper>,
+    weights: Arc<WeightsService>,
+    runner: Runner,
+    metrics: Arc<MetricsPage>,
+}
+
+impl Handler for InboundHandler {
+    async fn handle(&self, mut request: Request, _peer: SocketAddr) -> Response {
+        let path = request.url().path().to_owned();
+        match (request.method(), path.as_str()) {
+            (Method::Post, paths::RUN) => match message::<RunRequest>(&mut request).await {
+                Ok(run) => self.runner.run(run).await,
+                Err(p) => p.into(),
+            },
+            (Method::Post, paths::HEARTBEAT) => match message::<Heartbeat>(&mut request).await {
+                Ok(h) => self.heartbeat(&h),
+                Err(p) => p.into(),
+            },
+            (Method::Post, paths::SETTLE) => match message::<Settle>(&mut request).await {
+                Ok(s) => self.settle(&s),
+                Err(p) => p.into(),
+            },
+            (Method::Get, "/healthz") => Response::new(StatusCode::Ok),
+            (Method::Get, "/readyz") => self.ready(),
+            (Method::Get, "/metrics") => self.metrics.render().into(),
+            (Method::Get, p) => self.weights(p),
+            _ => not_found(&path),
+        }
+    }
+}
+
+impl InboundHandler {
+    fn heartbeat(&self, heartbeat: &Heartbeat) -> Response {
+        self.config.note(heartbeat);
+        encoded(&HeartbeatReply {
+            vm: self.settings.node.vm.clone(),
+            ticket: self.door.ticket(),
+            door: self.door.door(),
+            load: self.door.load(),
+            revision: self.config.cell().revision(),
+            progress: self.door.progress(),
+            crashes: self.door.crashes(),
+        })
+    }
+
+    fn settle(&self, settle: &Settle) -> Response {
+        encoded(&match self.door.settle(&settle.id, settle.ticket) {
+            Settled::Voided => SettleReply::Voided,
+            Settled::Running => SettleReply::Running,
+            Settled::Answered(a) => SettleReply::Answered((*a).clone()),
+            Settled::Unknown => SettleReply::Unknown,
+        })
+    }
+
+    fn ready(&self) -> Response {
+        match self.door.door() {
+            Door::Open => Response::new(StatusCode::Ok),
+            _ => Response::new(StatusCode::ServiceUnavailable),
+        }
+    }
+
+    fn weights(&self, path: &str) -> Response {
+        if let Some(digest) = digest_in(path, paths::CHUNK) {
+            return match self.weights.chunk(&digest) {
+                Some(chunk) => bytes(vec![chunk]),
+                None => not_found(path),
+            };
+        }
+        match digest_in(path, paths::MODEL).and_then(|d| self.weights.model(&d)) {
+            Some(chunks) => bytes(chunks),
+            None => not_found(path),
+        }
+    }
+}
+
+fn digest_in(path: &str, prefix: &str) -> Option<Digest> {
+    path.strip_prefix(prefix)?.parse().ok()
+}
+
+fn bytes(chunks: Vec<Arc<[u8]>>) -> Response {
+    let body = ChunkBody::new(chunks);
+    let len = body.len();
+    let mut res = Response::new(StatusCode::Ok);
+    res.set_body(Body::from_reader(body, Some(len)));
+    res
+}
+
+async fn message<T: DeserializeOwned>(request: &mut Request) -> Result<T, Problem> {
+    let bytes = read_limited(request, MESSAGE_LIMIT)
+        .await
+        .map_err(|e| Problem::not_run(400, "bad message", e.to_string()))?;
+    wire::decode(&bytes).map_err(|e| Problem::not_run(400, "bad message", e.to_string()))
+}
+
+fn encoded<T: serde::Serialize>(message: &T) -> Response {
+    let mut res = Response::new(StatusCode::Ok);
+    res.set_body(wire::encode(message).unwrap_or_default());
+    res
+}
+
+fn not_found(path: &str) -> Response {
+    Problem::not_run(404, "not found", format!("{path} is not here")).into()
+}
--- /dev/null
+++ b/components/agent/src/runner.rs
@@ -0,0 +1,202 @@
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+use futures_lite::AsyncRead;
+use futures_lite::io::BufReader;
+use http_types::{Body, Method, Response, StatusCode};
+use protocol::{Answer, Refusal, RunId, RunRequest, headers};
+use requests::{Begin, RunEnd};
+use wire::{Call, Client, Reply, ReplyBody, WireError};
+
+use crate::doorkeeper::Doorkeeper;
+
+/// Longest answer of a request that may not be repeated, in bytes.
+const KEPT_LIMIT: usize = 1 << 20;
+/// Longest silence of the upstream between two bytes of an answer.
+const UPSTREAM_GAP: Duration = Duration::from_secs(10);
+/// Header with the digest of the weights that answered.
+const MODEL_DIGEST: &str = "model-digest";
+
+/// Runs admitted requests at the upstream.
+pub struct Runner {
+    door: Arc<Doorkeeper>,
+    client: Client,
+    upstream: std::net::SocketAddr,
+}
+
+/// A run in flight; ends it when dropped.
+struct Run {
+    door: Arc<Doorkeeper>,
+    id: RunId,
+    begun: Instant,
+    end: RunEnd,
+}
+
+impl Run {
+    fn complete(&mut self) {
+        self.end = RunEnd::Completed(self.begun.elapsed());
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        self.door.end(&self.id, self.end);
+    }
+}
+
+impl Runner {
+    /// Runs requests at `upstream` that `door` admits.
+    pub fn new(door: Arc<Doorkeeper>, client: Client, upstream: std::net::SocketAddr) -> Self {
+        Runner {
+            door,
+            client,
+            upstream,
+        }
+    }
+
+    /// Runs one request; the reply names the run that it belongs to.
+    pub async fn run(&self, request: RunRequest) -> Response {
+        let id = request.id.clone();
+        let mut res = match self.door.begin(&id, request.ticket, request.fingerprint) {
+            Begin::Refuse(refusal) => refuse(refusal),
+            // The first copy is running or has ended; the entry settles it.
+            Begin::Duplicate => Response::new(StatusCode::Conflict),
+            Begin::Run => self.admitted(request).await,
+        };
+        res.insert_header(headers::RUN_ID, id.as_str());
+        res.insert_header(headers::LOAD, self.door.load().to_string());
+        res
+    }
+
+    async fn admitted(&self, request: RunRequest) -> Response {
+        let mut run = Run {
+            door: self.door.clone(),
+            id: request.id.clone(),
+            begun: Instant::now(),
+            end: RunEnd::Cancelled,
+        };
+        let sent = match self.call(&request) {
+            Ok(call) => self.client.send(call).await,
+            Err(e) => Err(e),
+        };
+        match sent {
+            Err(e) if e.is_unsent() => {
+                self.door.with_runs(|r| r.void(&run.id));
+                self.door.unreachable();
+                refuse(Refusal::Unreachable)
+            }
+            Err(e) => self.broken(&mut run, &e),
+            Ok(reply) if request.idempotent => self.stream(run, reply),
+            Ok(reply) => self.keep(run, reply).await,
+        }
+    }
+
+    fn call(&self, request: &RunRequest) -> Result<Call, WireError> {
+        let method = request.method.parse::<Method>().map_err(|e| WireError::Decode {
+            reason: e.to_string(),
+        })?;
+        let call = Call::new(method, self.upstream, &request.path)?
+            .header("request-id", &request.id)
+            .header("client-account", &request.account)
+            .header("priority", &request.priority.to_string())
+            .header("content-type", &request.media_type)
+            .first_within(request.left)
+            .gap(UPSTREAM_GAP)
+            .body(request.body.clone());
+        // An idle connection may be broken already, which would leave it
+        // unknown whether the request ran.
+        Ok(if request.idempotent { call } else { call.fresh() })
+    }
+
+    fn broken(&self, run: &mut Run, error: &WireError) -> Response {
+        log::warn!("run: upstream broke {}: {error}", run.id);
+        run.end = RunEnd::Failed;
+        self.door.with_runs(|r| r.lose(&run.id));
+        Response::new(StatusCode::BadGateway)
+    }
+
+    /// Passes the answer on as it arrives.
+    fn stream(&self, run: Run, reply: Reply) -> Response {
+        let mut res = answer_head(&reply);
+        let body = reply.into_body();
+        let len = body.len().and_then(|l| usize::try_from(l).ok());
+        let relay = UpstreamBody { body, run };
+        res.set_body(Body::from_reader(BufReader::new(relay), len));
+        keep_media_type(&mut res);
+        res
+    }
+
+    /// Reads the whole answer before passing it on, so that it can be asked for again.
+    async fn keep(&self, mut run: Run, reply: Reply) -> Response {
+        let mut res = answer_head(&reply);
+        let status = u16::from(reply.status());
+        let media_type = reply.header("content-type").unwrap_or_default().into();
+        match reply.bytes(KEPT_LIMIT).await {
+            Err(e) => self.broken(&mut run, &e),
+            Ok(body) => {
+                run.complete();
+                res.set_body(body.clone());
+                keep_media_type(&mut res);
+                let answer = Arc::new(Answer {
+                    status,
+                    media_type,
+                    body,
+                });
+                self.door.with_runs(|r| r.answer(&run.id, answer));
+                res
+            }
+        }
+    }
+}
+
+fn refuse(refusal: Refusal) -> Response {
+    let mut res = Response::new(StatusCode::ServiceUnavailable);
+    res.set_body(wire::encode(&refusal).unwrap_or_default());
+    res
+}
+
+fn answer_head(reply: &Reply) -> Response {
+    let mut res = Response::new(StatusCode::Ok);
+    res.insert_header(headers::UPSTREAM_STATUS, u16::from(reply.status()).to_string());
+    if let Some(t) = reply.header("content-type") {
+        res.insert_header("upstream-type", t);
+    }
+    if let Some(d) = reply.header(MODEL_DIGEST) {
+        res.insert_header(headers::MODEL_VERSION, d);
+    }
+    res
+}
+
+/// Setting a body sets a media type of its own; restore the upstream's.
+fn keep_media_type(res: &mut Response) {
+    if let Some(t) = res.remove_header("upstream-type") {
+        res.insert_header("content-type", t.last().as_str().to_owned());
+    }
+}
+
+struct UpstreamBody {
+    body: ReplyBody,
+    run: Run,
+}
+
+impl AsyncRead for UpstreamBody {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let read = Pin::new(&mut self.body).poll_read(cx, buf);
+        match &read {
+            Poll::Ready(Ok(0)) => self.run.complete(),
+            Poll::Ready(Err(e)) => {
+                log::warn!("run: upstream broke {}: {e}", self.run.id);
+                self.run.end = RunEnd::Failed;
+            }
+            _ => {}
+        }
+        read
+    }
+}
--- /dev/null
+++ b/components/config/src/lib.rs
@@ -0,0 +1,29 @@
+//! The operators' text, the settings of each process, and the configuration log.
+
+mod cell;
+mod declaration;
+mod digest;
+mod error;
+mod ids;
+mod ledger;
+mod model;
+mod parse;
+mod record;
+mod service;
+mod settings;
+mod snapshot;
+mod text;
+
+pub use cell::{ConfigCell, InForce};
+pub use declaration::{ClientAccount, Declaration, FailureDomain};
+pub use digest::Digest;
+pub use error::ConfigError;
+pub use ids::{ClientAccountId, FailureDomainId, ModelId, RegionId, ServiceId, VersionId, VmId};
+pub use ledger::{Ledger, LedgerError, Verdict};
+pub use model::Model;
+pub use parse::parse_json;
+pub use record::{Checkpoint, Proposal, Record};
+pub use service::{Fencing, Route, Service};
+pub use settings::{AgentSettings, EntrySettings, NodeSettings, PlatformSettings};
+pub use snapshot::Snapshot;
+pub use text::{RawRoute, RawService, Text};
--- /dev/null
+++ b/components/config/src/snapshot.rs
@@ -0,0 +1,28 @@
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Declaration, Digest};
+
+/// The configuration in force, as processes hand it to one another.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// Revision; higher ones supersede lower ones.
+    pub revision: u64,
+    /// Offset of the first configuration record that is not included.
+    pub as_of: u64,
+    /// The operators' text.
+    pub text: Arc<str>,
+}
+
+impl Snapshot {
+    /// Digest of the text.
+    pub fn digest(&self) -> Digest {
+        Digest::of(self.text.as_bytes())
+    }
+
+    /// The checked text; `None` when it does not pass the checks of this release.
+    pub fn declaration(&self) -> Option<Declaration> {
+        Declaration::parse("configuration", &self.text).ok()
+    }
+}
--- /dev/null
+++ b/components/entry/src/attempt.rs
@@ -0,0 +1,218 @@
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use config::VmId;
+use futures_lite::io::BufReader;
+use http_types::{Body, Response, StatusCode};
+use kernel::Clock;
+use protocol::{Answer, Refusal, RunId, RunRequest, headers};
+use requests::Arrival;
+use wire::{Client, Problem, Reply};
+
+use crate::caller_request::CallerRequest;
+use crate::exchange::{Exchanged, exchange};
+use crate::grant::{Grant, Target};
+use crate::pools::{SharedPool, lock};
+use crate::relay::{Lease, Relay};
+
+/// Most attempts at one request.
+const MAX_ATTEMPTS: usize = 4;
+/// Advised wait after a failed request that may be sent again.
+const FAILED_RETRY: Duration = Duration::from_secs(1);
+
+/// Carries requests through queue, choice, exchange and retries.
+pub struct Dispatcher {
+    client: Client,
+    clock: Clock,
+    vm: VmId,
+    process: u64,
+    next: AtomicU64,
+}
+
+enum Next {
+    Answer(Response),
+    Retry(Problem),
+}
+
+/// Removes a request from its queue when its caller goes away.
+struct Place<'a> {
+    pool: &'a SharedPool,
+    request: &'a CallerRequest,
+    id: u64,
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        lock(self.pool).cancel(&self.request.account, self.id);
+    }
+}
+
+impl Dispatcher {
+    /// The dispatcher of the entry on `vm`.
+    pub fn new(vm: VmId, client: Client, clock: Clock) -> Self {
+        Dispatcher {
+            client,
+            clock,
+            vm,
+            // Tells ids of this process from those of an earlier one on the VM.
+            process: fastrand::u64(..),
+            next: AtomicU64::new(1),
+        }
+    }
+
+    /// Answers one request.
+    pub async fn dispatch(&self, pool: &SharedPool, request: &CallerRequest) -> Response {
+        let id = self.next.fetch_add(1, Ordering::Relaxed);
+        let deadline = self.clock.now() + request.timeout;
+        let mut tried: Vec<u64> = Vec::new();
+        let mut problem = None;
+        lock(pool).earn_retry();
+        for attempt in 0..MAX_ATTEMPTS {
+            if attempt > 0 && !lock(pool).spend_retry() {
+                break;
+            }
+            let target = match self.wait(pool, request, id, deadline, &tried).await {
+                Grant::Send(target) => target,
+                Grant::Refuse(p) => return finish(problem.unwrap_or(p), request),
+            };
+            tried.push(target.key);
+            match self.run(pool, request, &target, id, attempt, deadline).await {
+                Next::Answer(response) => return response,
+                Next::Retry(p) => problem = Some(p),
+            }
+        }
+        let fallback = || Problem::not_run(503, "overloaded", "retries are used up");
+        finish(problem.unwrap_or_else(fallback), request)
+    }
+
+    async fn wait(
+        &self,
+        pool: &SharedPool,
+        request: &CallerRequest,
+        id: u64,
+        deadline: Duration,
+        tried: &[u64],
+    ) -> Grant {
+        let arrival = Arrival {
+            id,
+            account: request.account.clone(),
+            share: request.share,
+            priority: request.priority,
+            deadline,
+        };
+        let granted = lock(pool).offer(self.clock.now(), arrival, request.prefix(), tried.to_vec());
+        let place = Place { pool, request, id };
+        let grant = granted.recv().await;
+        drop(place);
+        grant.unwrap_or_else(|_| {
+            Grant::Refuse(Problem::not_run(503, "no upstream", "the service was removed"))
+        })
+    }
+
+    async fn run(
+        &self,
+        pool: &SharedPool,
+        request: &CallerRequest,
+        target: &Target,
+        id: u64,
+        attempt: usize,
+        deadline: Duration,
+    ) -> Next {
+        let mut lease = Lease::new(pool.clone(), self.clock, target.key);
+        let left = deadline.saturating_sub(self.clock.now());
+        let run = self.run_request(request, target, id, attempt, left);
+        match exchange(&self.client, target, &run, left).await {
+            Exchanged::Answering(reply, load) => {
+                lease.note_load(load);
+                Next::Answer(relay(reply, lease, &run.id))
+            }
+            Exchanged::Kept(answer) => {
+                lease.complete();
+                Next::Answer(kept(answer, &run.id))
+            }
+            Exchanged::NotRun(refusal) => {
+                self.note_refusal(pool, target, refusal);
+                let why = refusal.map_or("it cannot be reached".to_owned(), |r| r.to_string());
+                let detail = format!("{} did not run it: {why}", target.vm);
+                Next::Retry(Problem::not_run(503, "not run", detail).retry_after(FAILED_RETRY))
+            }
+            Exchanged::Unknown(cause) => {
+                lock(pool).failed(self.clock.now(), target.key);
+                let detail = format!("{} gave no answer: {cause}", target.vm);
+                let problem = Problem::unknown(502, "upstream broke", detail);
+                match request.idempotent {
+                    true => Next::Retry(problem.retry_after(FAILED_RETRY)),
+                    false => Next::Answer(finish(problem, request)),
+                }
+            }
+        }
+    }
+
+    fn note_refusal(&self, pool: &SharedPool, target: &Target, refusal: Option<Refusal>) {
+        let mut pool = lock(pool);
+        match refusal {
+            Some(Refusal::Full | Refusal::Voided | Refusal::Suspect) => {}
+            Some(Refusal::Closed | Refusal::Restarted | Refusal::Expired) => pool.closed(target.key),
+            Some(Refusal::Unreachable) | None => pool.failed(self.clock.now(), target.key),
+        }
+    }
+
+    fn run_request(
+        &self,
+        request: &CallerRequest,
+        target: &Target,
+        id: u64,
+        attempt: usize,
+        left: Duration,
+    ) -> RunRequest {
+        RunRequest {
+            id: RunId::from(format!("{}-{:x}-{id}-{attempt}", self.vm, self.process)),
+            ticket: target.ticket,
+            method: request.method.clone(),
+            path: request.path.clone(),
+            media_type: request.media_type.clone(),
+            account: request.account.clone(),
+            idempotent: request.idempotent,
+            priority: request.priority,
+            left,
+            fingerprint: request.fingerprint(),
+            suspect: false,
+            body: request.body.clone(),
+        }
+    }
+}
+
+/// An idempotent request that may have run can simply be sent again.
+fn finish(problem: Problem, request: &CallerRequest) -> Response {
+    log::debug!("dispatch: {} request ended as {}", request.service, problem.outcome);
+    problem.into()
+}
+
+fn relay(reply: Reply, lease: Lease, id: &RunId) -> Response {
+    let status = reply
+        .header(headers::UPSTREAM_STATUS)
+        .and_then(|s| s.parse::<u16>().ok())
+        .and_then(|s| StatusCode::try_from(s).ok())
+        .unwrap_or(StatusCode::BadGateway);
+    let mut res = Response::new(status);
+    let media_type = reply.header("content-type").unwrap_or("application/octet-stream");
+    let media_type = media_type.to_owned();
+    if let Some(version) = reply.header(headers::MODEL_VERSION) {
+        res.insert_header(headers::MODEL_VERSION, version);
+    }
+    let body = reply.into_body();
+    let len = body.len().and_then(|l| usize::try_from(l).ok());
+    res.set_body(Body::from_reader(BufReader::new(Relay::new(body, lease)), len));
+    res.insert_header("content-type", media_type);
+    res.insert_header("request-id", id.as_str());
+    res
+}
+
+fn kept(answer: Answer, id: &RunId) -> Response {
+    let status = StatusCode::try_from(answer.status).unwrap_or(StatusCode::BadGateway);
+    let mut res = Response::new(status);
+    res.set_body(answer.body);
+    res.insert_header("content-type", answer.media_type.as_str());
+    res.insert_header("request-id", id.as_str());
+    res
+}
--- /dev/null
+++ b/components/entry/src/caller_request.rs
@@ -0,0 +1,143 @@
+use std::time::Duration;
+
+use compact_str::CompactString;
+use config::{ClientAccountId, Declaration, ServiceId};
+use http_types::Request;
+use wire::{Problem, WireError, read_limited, within};
+
+/// Longest body of a caller's request, in bytes.
+const BODY_LIMIT: usize = 1 << 20;
+/// Longest time that a caller may take to send its body.
+const BODY_TIME: Duration = Duration::from_secs(10);
+/// Bytes of a body that count as the prefix of its prompt.
+const PREFIX_BYTES: usize = 64;
+
+/// A caller's request with every value checked.
+#[derive(Debug, Clone)]
+pub struct CallerRequest {
+    /// Service that the path names.
+    pub service: ServiceId,
+    /// HTTP method.
+    pub method: CompactString,
+    /// Path and query at the upstream.
+    pub path: CompactString,
+    /// Media type of the body.
+    pub media_type: CompactString,
+    /// Account of the caller.
+    pub account: ClientAccountId,
+    /// Share of the account.
+    pub share: u32,
+    /// Whether the request may be repeated.
+    pub idempotent: bool,
+    /// Priority.
+    pub priority: u8,
+    /// Time until the deadline.
+    pub timeout: Duration,
+    /// Whether the upstreams cache prompt prefixes.
+    pub has_model: bool,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+impl CallerRequest {
+    /// Reads and checks a caller's request against the configuration in force.
+    pub async fn read(req: &mut Request, declaration: &Declaration) -> Result<Self, Problem> {
+        let path = req.url().path().to_owned();
+        let (service_id, below) = split_path(&path);
+        let service = declaration.services.get(service_id).ok_or_else(|| {
+            let names: Vec<_> = declaration.services.keys().collect();
+            bad(404, format!("service {service_id:?} is unknown; use one of {names:?}"))
+        })?;
+        let method = req.method().to_string();
+        let route = service.route(&method, below).ok_or_else(|| {
+            bad(404, format!("{service_id} has no route {method} {below}; see the text"))
+        })?;
+        let account = header(req, "client-account")
+            .ok_or_else(|| bad(401, "header client-account is missing; name your account"))?;
+        let share = declaration
+            .client_accounts
+            .get(account)
+            .ok_or_else(|| bad(403, format!("client account {account:?} is unknown")))?
+            .share;
+        let priority = number(req, "priority", u64::from(service.priority), 0, 9)?;
+        let deadline = u64::try_from(service.deadline.as_millis()).unwrap_or(u64::MAX);
+        let timeout = number(req, "deadline-ms", deadline, 1, 3_600_000)?;
+        let query = req.url().query().map(|q| format!("?{q}")).unwrap_or_default();
+        let checked = CallerRequest {
+            service: service_id.into(),
+            method: route.method.clone(),
+            path: format!("{below}{query}").into(),
+            media_type: header(req, "content-type").unwrap_or("application/json").into(),
+            account: account.into(),
+            share,
+            idempotent: route.idempotent,
+            priority: u8::try_from(priority).unwrap_or(u8::MAX),
+            timeout: Duration::from_millis(timeout),
+            has_model: service.model.is_some(),
+            body: Vec::new(),
+        };
+        Ok(CallerRequest {
+            body: read_body(req).await?,
+            ..checked
+        })
+    }
+
+    /// Hash that recognises the same request when it is sent again.
+    pub fn fingerprint(&self) -> u64 {
+        let head = format!("{}\n{}\n{}\n{}", self.account, self.service, self.method, self.path);
+        fleet::weight(&head, &String::from_utf8_lossy(&self.body))
+    }
+
+    /// Hash of the prompt's prefix, where upstreams cache prefixes.
+    pub fn prefix(&self) -> Option<u64> {
+        let bytes = &self.body[..self.body.len().min(PREFIX_BYTES)];
+        self.has_model
+            .then(|| fleet::weight("prefix", &String::from_utf8_lossy(bytes)))
+    }
+}
+
+async fn read_body(req: &mut Request) -> Result<Vec<u8>, Problem> {
+    let declared = req.len();
+    if declared.is_some_and(|l| l > BODY_LIMIT) {
+        return Err(too_long());
+    }
+    match within(BODY_TIME, read_limited(req, BODY_LIMIT)).await {
+        None => Err(bad(408, "the body was not complete in 10 s; send it faster")),
+        Some(Err(WireError::TooLong { .. })) => Err(too_long()),
+        Some(Err(e)) => Err(bad(400, format!("the body is broken: {e}"))),
+        Some(Ok(b)) if declared.is_some_and(|l| l != b.len()) => {
+            Err(bad(400, "the body is shorter than its content-length; send it whole"))
+        }
+        Some(Ok(b)) => Ok(b),
+    }
+}
+
+fn split_path(path: &str) -> (&str, &str) {
+    let rest = path.trim_start_matches('/');
+    match rest.find('/') {
+        Some(i) => rest.split_at(i),
+        None => (rest, "/"),
+    }
+}
+
+fn header<'a>(req: &'a Request, name: &str) -> Option<&'a str> {
+    req.header(name).map(|v| v.last().as_str())
+}
+
+fn number(req: &Request, name: &str, default: u64, min: u64, max: u64) -> Result<u64, Problem> {
+    let Some(text) = header(req, name) else {
+        return Ok(default);
+    };
+    text.parse()
+        .ok()
+        .filter(|n| (min..=max).contains(n))
+        .ok_or_else(|| bad(400, format!("header {name} is {text:?}; give {min} to {max}")))
+}
+
+fn too_long() -> Problem {
+    bad(413, format!("the body is longer than {BODY_LIMIT} bytes; send a shorter one"))
+}
+
+fn bad(status: u16, detail: impl Into<String>) -> Problem {
+    Problem::not_run(status, "bad request", detail)
+}
--- /dev/null
+++ b/components/entry/src/directory.rs
@@ -0,0 +1,194 @@
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use config::{ConfigCell, NodeSettings, VmId};
+use event_listener::Event;
+use fleet::{Member, Role, subset};
+use futures_lite::FutureExt;
+use kernel::{BoxFuture, Clock, Registry, Service};
+use platform::{Listing, VmList};
+use protocol::{Heartbeat, HeartbeatReply, paths};
+use smol::Timer;
+use wire::Client;
+
+use crate::config_service::ConfigService;
+use crate::pools::{Pools, lock};
+
+/// Upstreams of one service that an entry knows.
+const SUBSET: usize = 20;
+/// Time between two readings of the list of VMs.
+const LIST_EVERY: Duration = Duration::from_secs(1);
+/// Shortest time between two heartbeats to one agent.
+const HEARTBEAT_MIN: Duration = Duration::from_millis(500);
+/// Control bytes of one heartbeat and its answer, heads included.
+const HEARTBEAT_BYTES: u64 = 620;
+/// Control bytes a second that an entry spends on heartbeats.
+const HEARTBEAT_BUDGET: u64 = 4_000;
+/// Longest wait for the answer to a heartbeat.
+const HEARTBEAT_LIMIT: Duration = Duration::from_secs(1);
+/// Time between two looks at the queues.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Knows the upstreams: the platform's list, heartbeats and the queues' clock.
+pub struct Directory {
+    pools: Arc<Pools>,
+    cell: Arc<ConfigCell>,
+    list: VmList,
+    listing: Mutex<Listing>,
+    client: Client,
+    clock: Clock,
+    settings: NodeSettings,
+    stopping: Event,
+}
+
+impl Directory {
+    /// Name in the registry.
+    pub const NAME: &'static str = "directory";
+
+    /// The directory of the entry described by `settings`.
+    pub fn new(settings: &NodeSettings, config: &ConfigService, client: Client, clock: Clock) -> Self {
+        Directory {
+            pools: Arc::new(Pools::new(settings)),
+            cell: config.cell().clone(),
+            list: VmList::new(settings.platform.vms, client.clone()),
+            listing: Mutex::default(),
+            client,
+            clock,
+            settings: settings.clone(),
+            stopping: Event::new(),
+        }
+    }
+
+    /// The pools that the directory fills.
+    pub fn pools(&self) -> &Arc<Pools> {
+        &self.pools
+    }
+
+    async fn follow_config(self: Arc<Self>) {
+        loop {
+            let changed = self.cell.listen();
+            if let Some(c) = self.cell.get() {
+                self.pools.configure(&c.declaration);
+                self.assign();
+                self.tick();
+                // Agents learn of a change at once, not at their next heartbeat.
+                self.beat_all().await;
+            }
+            changed.await;
+        }
+    }
+
+    async fn follow_list(self: Arc<Self>) {
+        loop {
+            let version = self.listing().version;
+            match self.list.read(version).await {
+                Ok(Some(listing)) => {
+                    *self.listing() = listing;
+                    self.assign();
+                }
+                Ok(None) => {}
+                Err(e) => log::warn!("directory: list of VMs not read: {e}"),
+            }
+            Timer::after(LIST_EVERY).await;
+        }
+    }
+
+    async fn beat(self: Arc<Self>) {
+        loop {
+            let pause = self.beat_all().await;
+            Timer::after(pause).await;
+        }
+    }
+
+    async fn keep_time(self: Arc<Self>) {
+        loop {
+            self.tick();
+            Timer::after(TICK).await;
+        }
+    }
+
+    fn tick(&self) {
+        let now = self.clock.now();
+        for (_, pool) in self.pools.all() {
+            lock(&pool).tick(now);
+        }
+    }
+
+    /// Gives each pool its subset of the listed upstreams.
+    fn assign(&self) {
+        let vms = self.listing().vms.clone();
+        for (service, pool) in self.pools.all() {
+            let members: Vec<&Member> = vms
+                .iter()
+                .filter(|m| m.role == Role::Upstream && m.service == service)
+                .collect();
+            let chosen = subset(&self.settings.vm, &members, SUBSET);
+            lock(&pool).set_members(&chosen);
+        }
+    }
+
+    /// Sends one heartbeat to every known agent; returns the pause to the next.
+    async fn beat_all(self: &Arc<Self>) -> Duration {
+        let mut sent: u64 = 0;
+        for (_, pool) in self.pools.all() {
+            let members: Vec<Member> = lock(&pool).members().cloned().collect();
+            for member in members {
+                sent += 1;
+                let own = self.clone();
+                let pool = pool.clone();
+                smol::spawn(async move {
+                    if let Some(reply) = own.ask(&member).await {
+                        lock(&pool).heard(own.clock.now(), reply);
+                    }
+                })
+                .detach();
+            }
+        }
+        HEARTBEAT_MIN.max(Duration::from_millis(
+            sent * HEARTBEAT_BYTES * 1000 / HEARTBEAT_BUDGET,
+        ))
+    }
+
+    async fn ask(&self, member: &Member) -> Option<HeartbeatReply> {
+        let message = Heartbeat {
+            vm: self.settings.vm.clone(),
+            addr: self.settings.listen,
+            revision: self.cell.revision(),
+        };
+        self.client
+            .exchange(member.addr, paths::HEARTBEAT, &message, HEARTBEAT_LIMIT)
+            .await
+            .map_err(|e| log::debug!("directory: heartbeat to {}: {e}", member.vm))
+            .ok()
+            .filter(|r: &HeartbeatReply| r.vm == member.vm)
+    }
+
+    /// Ids of the listed VMs.
+    pub fn vms(&self) -> Vec<VmId> {
+        self.listing().vms.iter().map(|m| m.vm.clone()).collect()
+    }
+
+    fn listing(&self) -> std::sync::MutexGuard<'_, Listing> {
+        self.listing.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Service for Directory {
+    fn name(&self) -> &'static str {
+        Self::NAME
+    }
+
+    fn start(&self, peers: &Registry) -> anyhow::Result<()> {
+        let own: Arc<Directory> = peers.find(Self::NAME)?;
+        smol::spawn(own.clone().follow_config().or(self.stopping.listen())).detach();
+        smol::spawn(own.clone().follow_list().or(self.stopping.listen())).detach();
+        smol::spawn(own.clone().beat().or(self.stopping.listen())).detach();
+        smol::spawn(own.keep_time().or(self.stopping.listen())).detach();
+        Ok(())
+    }
+
+    fn stop(&self, _limit: Duration) -> BoxFuture<'_, ()> {
+        self.stopping.notify(usize::MAX);
+        Box::pin(std::future::ready(()))
+    }
+}
--- /dev/null
+++ b/components/entry/src/exchange.rs
@@ -0,0 +1,150 @@
+use std::future::Future;
+use std::pin::pin;
+use std::time::{Duration, Instant};
+
+use futures_lite::FutureExt;
+use http_types::Method;
+use protocol::{Answer, Load, Refusal, RunRequest, Settle, SettleReply, headers, paths};
+use wire::{Call, Client, Reply, WireError};
+
+use crate::grant::Target;
+
+/// Silence after which the agent is asked, on a new connection, what became of a run.
+const PROBE_AFTER: Duration = Duration::from_secs(1);
+/// Longest wait for the answer to such a question.
+const PROBE_LIMIT: Duration = Duration::from_secs(1);
+/// Pause between two such questions while the run goes on.
+const PROBE_PAUSE: Duration = Duration::from_millis(100);
+/// Longest silence between two bytes of a streamed answer.
+const BODY_GAP: Duration = Duration::from_secs(10);
+/// Longest refusal that is read.
+const REFUSAL_LIMIT: usize = 4096;
+
+/// What became of one attempt.
+pub enum Exchanged {
+    /// The head of the upstream's answer; the body follows.
+    Answering(Reply, Option<Load>),
+    /// The whole answer, kept by the agent after the connection was lost.
+    Kept(Answer),
+    /// Proven: it did not run and never will.
+    NotRun(Option<Refusal>),
+    /// It may have run.
+    Unknown(String),
+}
+
+/// Sends a run to an agent and finds out what became of it within `limit`.
+pub async fn exchange(
+    client: &Client,
+    target: &Target,
+    run: &RunRequest,
+    limit: Duration,
+) -> Exchanged {
+    let deadline = Instant::now() + limit;
+    let call = match call(target, run, limit) {
+        Ok(call) => call,
+        Err(e) => return Exchanged::Unknown(e.to_string()),
+    };
+    let mut reply = pin!(client.send(call));
+    loop {
+        let probe = async {
+            smol::Timer::after(PROBE_AFTER).await;
+            None
+        };
+        let arrived = async { Some((&mut reply).await) }.or(probe).await;
+        match arrived {
+            Some(Ok(reply)) => return read_head(client, target, run, reply, deadline).await,
+            Some(Err(e)) if e.is_unsent() => return Exchanged::NotRun(None),
+            Some(Err(e)) => return settle(client, target, run, deadline, &e.to_string()).await,
+            None => {}
+        }
+        match ask(client, target, run).await {
+            Some(SettleReply::Running) => {}
+            Some(other) => return settled(other),
+            None if Instant::now() >= deadline => return Exchanged::Unknown("no answer".into()),
+            None => {}
+        }
+    }
+}
+
+fn call(target: &Target, run: &RunRequest, limit: Duration) -> Result<Call, WireError> {
+    Ok(Call::new(Method::Post, target.addr, paths::RUN)?
+        .body(wire::encode(run)?)
+        .first_within(limit)
+        .gap(BODY_GAP))
+}
+
+async fn read_head(
+    client: &Client,
+    target: &Target,
+    run: &RunRequest,
+    reply: Reply,
+    deadline: Instant,
+) -> Exchanged {
+    if reply.header(headers::RUN_ID) != Some(run.id.as_str()) {
+        return settle(client, target, run, deadline, "the reply belongs to another run").await;
+    }
+    let load = reply.header(headers::LOAD).and_then(|v| v.parse().ok());
+    if reply.header(headers::UPSTREAM_STATUS).is_some() {
+        return Exchanged::Answering(reply, load);
+    }
+    let bytes = reply.bytes(REFUSAL_LIMIT).await.unwrap_or_default();
+    match wire::decode::<Refusal>(&bytes) {
+        Ok(refusal) => Exchanged::NotRun(Some(refusal)),
+        Err(e) => settle(client, target, run, deadline, &e.to_string()).await,
+    }
+}
+
+/// Asks on new connections until the run is settled or the deadline has passed.
+pub async fn settle(
+    client: &Client,
+    target: &Target,
+    run: &RunRequest,
+    deadline: Instant,
+    cause: &str,
+) -> Exchanged {
+    loop {
+        match ask(client, target, run).await {
+            Some(SettleReply::Running) => {}
+            Some(other) => return settled(other),
+            // A dead agent's successor has another incarnation and knows nothing.
+            None => return Exchanged::Unknown(cause.to_owned()),
+        }
+        if Instant::now() >= deadline {
+            return Exchanged::Unknown("still running at the deadline".to_owned());
+        }
+        smol::Timer::after(PROBE_PAUSE).await;
+    }
+}
+
+fn settled(reply: SettleReply) -> Exchanged {
+    match reply {
+        SettleReply::Voided => Exchanged::NotRun(None),
+        SettleReply::Answered(answer) => Exchanged::Kept(answer),
+        SettleReply::Running | SettleReply::Unknown => {
+            Exchanged::Unknown("the agent does not know".to_owned())
+        }
+    }
+}
+
+fn ask<'a>(
+    client: &'a Client,
+    target: &'a Target,
+    run: &'a RunRequest,
+) -> impl Future<Output = Option<SettleReply>> + 'a {
+    let message = Settle {
+        id: run.id.clone(),
+        ticket: run.ticket,
+    };
+    async move {
+        let call = Call::new(Method::Post, target.addr, paths::SETTLE)
+            .ok()?
+            .body(wire::encode(&message).ok()?)
+            .connect_within(PROBE_LIMIT)
+            .first_within(PROBE_LIMIT)
+            .gap(PROBE_LIMIT)
+            .fresh();
+        let reply = client.send(call).await.ok()?;
+        let bytes = reply.bytes(2 << 20).await.ok()?;
+        wire::decode(&bytes).ok()
+    }
+}
--- /dev/null
+++ b/components/entry/src/lib.rs
@@ -0,0 +1,19 @@
+//! The entry: takes callers' requests, chooses upstreams and tells callers
+//! exactly what became of their requests.
+
+mod attempt;
+mod caller_request;
+mod config_service;
+mod directory;
+mod exchange;
+mod front;
+mod grant;
+mod operator;
+mod pool;
+mod pools;
+mod relay;
+
+pub use config_service::ConfigService;
+pub use directory::Directory;
+pub use front::Front;
+pub use pools::Pools;
--- /dev/null
+++ b/components/fleet/src/lib.rs
@@ -0,0 +1,9 @@
+//! Who is in the fleet: the platform's list, ranks and subsets.
+
+mod member;
+mod rank;
+mod subset;
+
+pub use member::{Member, Role, VmState};
+pub use rank::{rank_order, weight};
+pub use subset::subset;
--- /dev/null
+++ b/components/kernel/src/kernel.rs
@@ -0,0 +1,46 @@
+use std::any::Any;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::{KernelError, Registry, Service};
+
+/// Starts services in the order they were added and stops them in reverse.
+#[derive(Default)]
+pub struct Kernel {
+    registry: Registry,
+    services: Vec<Arc<dyn Service>>,
+}
+
+impl Kernel {
+    /// Adds a service; the order of calls is the start order.
+    pub fn add<S: Service + Any>(&mut self, service: Arc<S>) -> Result<(), KernelError> {
+        self.registry.insert(service.name(), service.clone())?;
+        self.services.push(service);
+        Ok(())
+    }
+
+    /// Starts every service; on an error the ones already started are stopped.
+    pub async fn start(&self, limit: Duration) -> anyhow::Result<()> {
+        for (i, s) in self.services.iter().enumerate() {
+            if let Err(e) = s.start(&self.registry) {
+                self.stop_first(i, limit).await;
+                return Err(e.context(format!("kernel: service {} did not start", s.name())));
+            }
+        }
+        Ok(())
+    }
+
+    /// Stops all services in reverse order; together they may take `limit`.
+    pub async fn stop(&self, limit: Duration) {
+        self.stop_first(self.services.len(), limit).await;
+    }
+
+    async fn stop_first(&self, count: usize, limit: Duration) {
+        let start = Instant::now();
+        for s in self.services[..count].iter().rev() {
+            let left = limit.saturating_sub(start.elapsed());
+            s.stop(left).await;
+            log::info!("kernel: stopped {}", s.name());
+        }
+    }
+}
--- /dev/null
+++ b/components/platform/src/lib.rs
@@ -0,0 +1,11 @@
+//! Clients of the platform: the append-only log, the list of VMs and the origin.
+
+mod error;
+mod log_client;
+mod origin;
+mod vm_list;
+
+pub use error::PlatformError;
+pub use log_client::{LogClient, Page, streams};
+pub use origin::Origin;
+pub use vm_list::{Listing, VmList};
--- /dev/null
+++ b/components/platform/src/log_client.rs
@@ -0,0 +1,129 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http_types::Method;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use wire::{Call, Client};
+
+use crate::PlatformError;
+
+/// Names of the log's streams.
+pub mod streams {
+    /// Proposals and checkpoints of the configuration.
+    pub const CONFIG: &str = "config";
+    /// Actions of the system, for the audit trail.
+    pub const AUDIT: &str = "audit";
+    /// Starts of agents; the offsets are fencing numbers.
+    pub const STARTS: &str = "starts";
+}
+
+/// Longest answer of the log that is read.
+const PAGE_LIMIT: usize = 16 << 20;
+/// Longest wait for the log beyond the wait that a read asks for.
+const LOG_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A part of a stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Page<T> {
+    /// Offset of the first record that the log still holds.
+    pub first: u64,
+    /// Offset that the next record will have.
+    pub end: u64,
+    /// Records with their offsets; ones that do not decode are left out.
+    pub records: Vec<(u64, T)>,
+}
+
+#[derive(Deserialize)]
+struct Appended {
+    offset: u64,
+}
+
+#[derive(Deserialize)]
+struct RawPage {
+    first: u64,
+    end: u64,
+    records: Vec<RawRecord>,
+}
+
+#[derive(Deserialize)]
+struct RawRecord {
+    offset: u64,
+    value: serde_json::Value,
+}
+
+/// A client of the platform's log.
+#[derive(Clone)]
+pub struct LogClient {
+    addr: SocketAddr,
+    client: Client,
+}
+
+impl LogClient {
+    /// A client of the log at `addr`.
+    pub fn new(addr: SocketAddr, client: Client) -> Self {
+        LogClient { addr, client }
+    }
+
+    /// Appends a record and returns its offset. After an error that is not
+    /// without effect the record may have been appended.
+    pub async fn append<T: Serialize>(&self, stream: &str, value: &T) -> Result<u64, PlatformError> {
+        let call = "append";
+        let body = serde_json::to_vec(value).map_err(|e| bad(call, e))?;
+        let path = format!("/streams/{stream}");
+        let request = Call::new(Method::Post, self.addr, &path)?
+            .body(body)
+            .first_within(LOG_TIMEOUT);
+        let bytes = self.answer(call, request).await?;
+        let appended: Appended = serde_json::from_slice(&bytes).map_err(|e| bad(call, e))?;
+        Ok(appended.offset)
+    }
+
+    /// Reads records from an offset; waits up to `wait` when there are none.
+    pub async fn read<T: DeserializeOwned>(
+        &self,
+        stream: &str,
+        from: u64,
+        wait: Duration,
+    ) -> Result<Page<T>, PlatformError> {
+        let call = "read";
+        let path = format!("/streams/{stream}?from={from}&wait_ms={}", wait.as_millis());
+        let request = Call::new(Method::Get, self.addr, &path)?.first_within(wait + LOG_TIMEOUT);
+        let bytes = self.answer(call, request).await?;
+        let raw: RawPage = serde_json::from_slice(&bytes).map_err(|e| bad(call, e))?;
+        let records = raw.records.into_iter().filter_map(decoded).collect();
+        Ok(Page {
+            first: raw.first,
+            end: raw.end,
+            records,
+        })
+    }
+
+    async fn answer(&self, call: &'static str, request: Call) -> Result<Vec<u8>, PlatformError> {
+        let reply = self.client.send(request).await?;
+        let status = reply.status();
+        let bytes = reply.bytes(PAGE_LIMIT).await?;
+        if !status.is_success() {
+            let status = status.into();
+            return Err(PlatformError::Refused { call, status });
+        }
+        Ok(bytes)
+    }
+}
+
+fn decoded<T: DeserializeOwned>(raw: RawRecord) -> Option<(u64, T)> {
+    match serde_json::from_value(raw.value) {
+        Ok(value) => Some((raw.offset, value)),
+        Err(e) => {
+            log::warn!("platform: record {} does not decode: {e}", raw.offset);
+            None
+        }
+    }
+}
+
+fn bad(call: &'static str, error: serde_json::Error) -> PlatformError {
+    PlatformError::BadAnswer {
+        call,
+        reason: error.to_string(),
+    }
+}
--- /dev/null
+++ b/components/platform/src/origin.rs
@@ -0,0 +1,70 @@
+use std::net::SocketAddr;
+use std::ops::Range;
+use std::time::Duration;
+
+use config::{ModelId, VersionId};
+use http_types::Method;
+use wire::{Call, Client};
+
+use crate::PlatformError;
+
+/// Longest manifest that is read.
+const MANIFEST_LIMIT: usize = 16 << 20;
+/// Longest silence of the origin.
+const ORIGIN_GAP: Duration = Duration::from_secs(5);
+
+/// A client of the origin of weights.
+#[derive(Clone)]
+pub struct Origin {
+    addr: SocketAddr,
+    client: Client,
+}
+
+impl Origin {
+    /// A client of the origin at `addr`.
+    pub fn new(addr: SocketAddr, client: Client) -> Self {
+        Origin { addr, client }
+    }
+
+    /// Reads the manifest of a model version, unverified.
+    pub async fn manifest(
+        &self,
+        model: &ModelId,
+        version: &VersionId,
+    ) -> Result<Vec<u8>, PlatformError> {
+        let path = format!("/models/{model}/{version}/manifest");
+        let call = Call::new(Method::Get, self.addr, &path)?;
+        self.read("manifest", call, 200, MANIFEST_LIMIT).await
+    }
+
+    /// Reads a range of a model version, unverified.
+    pub async fn range(
+        &self,
+        model: &ModelId,
+        version: &VersionId,
+        range: Range<u64>,
+    ) -> Result<Vec<u8>, PlatformError> {
+        let path = format!("/models/{model}/{version}/data");
+        let last = range.end.saturating_sub(1);
+        let call = Call::new(Method::Get, self.addr, &path)?
+            .header("range", &format!("bytes={}-{last}", range.start));
+        let limit = usize::try_from(range.end - range.start).unwrap_or(usize::MAX);
+        self.read("range", call, 206, limit).await
+    }
+
+    async fn read(
+        &self,
+        name: &'static str,
+        call: Call,
+        expected: u16,
+        limit: usize,
+    ) -> Result<Vec<u8>, PlatformError> {
+        let call = call.first_within(ORIGIN_GAP).gap(ORIGIN_GAP);
+        let reply = self.client.send(call).await?;
+        let status = u16::from(reply.status());
+        if status != expected {
+            return Err(PlatformError::Refused { call: name, status });
+        }
+        Ok(reply.bytes(limit).await?)
+    }
+}
--- /dev/null
+++ b/components/platform/src/vm_list.rs
@@ -0,0 +1,53 @@
+use std::net::SocketAddr;
+
+use fleet::Member;
+use http_types::Method;
+use serde::{Deserialize, Serialize};
+use wire::{Call, Client};
+
+use crate::PlatformError;
+
+/// Longest list that is read.
+const LIST_LIMIT: usize = 4 << 20;
+
+/// The list of VMs as the platform gives it.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listing {
+    /// Changes with every change of the list.
+    pub version: u64,
+    /// VMs, live and leaving.
+    pub vms: Vec<Member>,
+}
+
+/// A client of the platform's list of VMs.
+#[derive(Clone)]
+pub struct VmList {
+    addr: SocketAddr,
+    client: Client,
+}
+
+impl VmList {
+    /// A client of the list at `addr`.
+    pub fn new(addr: SocketAddr, client: Client) -> Self {
+        VmList { addr, client }
+    }
+
+    /// Reads the list if it has changed since `version`.
+    pub async fn read(&self, version: u64) -> Result<Option<Listing>, PlatformError> {
+        let call = "vms";
+        let path = format!("/vms?since={version}");
+        let reply = self.client.send(Call::new(Method::Get, self.addr, &path)?).await?;
+        let status = u16::from(reply.status());
+        let bytes = reply.bytes(LIST_LIMIT).await?;
+        match status {
+            200 => serde_json::from_slice(&bytes)
+                .map(Some)
+                .map_err(|e| PlatformError::BadAnswer {
+                    call,
+                    reason: e.to_string(),
+                }),
+            204 => Ok(None),
+            status => Err(PlatformError::Refused { call, status }),
+        }
+    }
+}
--- /dev/null
+++ b/components/protocol/src/heartbeat.rs
@@ -0,0 +1,66 @@
+use std::net::SocketAddr;
+
+use config::{Digest, VersionId, VmId};
+use serde::{Deserialize, Serialize};
+
+use crate::{Load, Ticket};
+
+/// Sent by an entry to each agent of its subset.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// The entry.
+    pub vm: VmId,
+    /// Where the entry gives the configuration.
+    pub addr: SocketAddr,
+    /// Revision in force at the entry.
+    pub revision: u64,
+}
+
+/// Whether an agent accepts runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Door {
+    /// Accepts runs.
+    Open,
+    /// Not ready: no configuration, no weights or no upstream yet.
+    Starting,
+    /// Its failure domain is out of service.
+    OutOfService,
+    /// About to stop.
+    Leaving,
+}
+
+/// Progress of a model on one VM.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Progress {
+    /// Version being fetched or served.
+    pub version: VersionId,
+    /// Chunks verified.
+    pub have: u32,
+    /// Chunks of the version.
+    pub total: u32,
+    /// Bytes drawn from the origin.
+    pub origin_bytes: u64,
+    /// Bytes drawn from peers.
+    pub peer_bytes: u64,
+    /// Digest that the engine reports.
+    pub serving: Option<Digest>,
+}
+
+/// An agent's answer to a heartbeat.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct HeartbeatReply {
+    /// The agent's VM.
+    pub vm: VmId,
+    /// A fresh ticket.
+    pub ticket: Ticket,
+    /// Whether the agent accepts runs.
+    pub door: Door,
+    /// Load of the upstream.
+    pub load: Load,
+    /// Revision in force at the agent.
+    pub revision: u64,
+    /// Progress of the service's model, if it has one.
+    pub progress: Option<Progress>,
+    /// Fingerprints of requests in flight at the upstream's latest crashes.
+    pub crashes: Vec<u64>,
+}
--- /dev/null
+++ b/components/protocol/src/run.rs
@@ -0,0 +1,43 @@
+use std::time::Duration;
+
+use compact_str::CompactString;
+use config::ClientAccountId;
+use serde::{Deserialize, Serialize};
+use serde_with::{Bytes, DurationMilliSeconds, serde_as};
+
+use crate::Ticket;
+
+/// Id of one attempt at a request, unique for all time.
+pub type RunId = CompactString;
+
+/// A request to be run by an agent's upstream.
+#[serde_as]
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct RunRequest {
+    /// Id of the attempt.
+    pub id: RunId,
+    /// Admission by the agent.
+    pub ticket: Ticket,
+    /// HTTP method.
+    pub method: CompactString,
+    /// Path and query at the upstream.
+    pub path: CompactString,
+    /// Media type of the body.
+    pub media_type: CompactString,
+    /// Account of the caller.
+    pub account: ClientAccountId,
+    /// Whether the request may be repeated.
+    pub idempotent: bool,
+    /// Priority, 0 to 9.
+    pub priority: u8,
+    /// Time left until the deadline.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub left: Duration,
+    /// Hash of the request's content, for recognising it when it is sent again.
+    pub fingerprint: u64,
+    /// Whether the request was in flight at a crash before.
+    pub suspect: bool,
+    /// Body.
+    #[serde_as(as = "Bytes")]
+    pub body: Vec<u8>,
+}
--- /dev/null
+++ b/components/requests/src/lib.rs
@@ -0,0 +1,16 @@
+//! Decisions about requests, without I/O or clocks: admission, the limit of an
+//! upstream, runs at most once, retries and quarantine.
+//!
+//! Times are durations since the start of the process.
+
+mod admission;
+mod limit;
+mod quarantine;
+mod retry_budget;
+mod run_table;
+
+pub use admission::{Admission, AdmissionLimits, Arrival, Offer, Waiting};
+pub use limit::{Admit, Limit, LimitRange, RunEnd};
+pub use quarantine::{Quarantine, Suspicion};
+pub use retry_budget::RetryBudget;
+pub use run_table::{Begin, RunTable, Settled};
--- /dev/null
+++ b/components/routing/src/candidate.rs
@@ -0,0 +1,64 @@
+use std::time::Duration;
+
+/// How far an upstream is from the entry.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Distance {
+    /// In the entry's failure domain.
+    #[default]
+    SameDomain,
+    /// In the entry's region.
+    SameRegion,
+    /// In another region.
+    OtherRegion,
+}
+
+impl Distance {
+    /// Cost of the way there and back, as service time.
+    pub fn cost(self) -> Duration {
+        match self {
+            Distance::SameDomain => Duration::ZERO,
+            Distance::SameRegion => Duration::from_millis(1),
+            Distance::OtherRegion => Duration::from_millis(4),
+        }
+    }
+}
+
+/// What an entry knows about an upstream when it chooses.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Candidate {
+    /// Hash of the VM's id.
+    pub key: u64,
+    /// Most requests in flight, as last reported.
+    pub limit: u32,
+    /// Requests of other entries in flight, as last reported.
+    pub others: u32,
+    /// Requests of this entry in flight.
+    pub outstanding: u32,
+    /// Usual service time.
+    pub service: Duration,
+    /// Distance from the entry.
+    pub distance: Distance,
+    /// Whether new work may be sent there.
+    pub open: bool,
+    /// Until when the upstream is avoided after failures.
+    pub avoid_until: Duration,
+}
+
+impl Candidate {
+    /// Requests that can be added before the limit is reached.
+    pub fn room(&self) -> u32 {
+        self.limit.saturating_sub(self.others + self.outstanding)
+    }
+
+    /// Whether a request may be sent at `now`.
+    pub fn is_available(&self, now: Duration) -> bool {
+        self.open && self.avoid_until <= now && self.room() > 0
+    }
+
+    /// Expected time to an answer; grows with the share of the limit in use.
+    pub fn expected(&self) -> Duration {
+        let used = self.others + self.outstanding + 1;
+        let load = self.service * used / self.limit.max(1);
+        self.service + load + self.distance.cost()
+    }
+}
--- /dev/null
+++ b/components/routing/src/choice.rs
@@ -0,0 +1,93 @@
+use std::time::Duration;
+
+use crate::Candidate;
+
+/// Upstreams drawn at random for one choice.
+const SAMPLES: usize = 4;
+/// Upstreams looked at in turn when no drawn one is available.
+const PROBES: usize = 32;
+/// Prefix affinity holds while the preferred upstream uses at most this share
+/// of its limit, in percent.
+const AFFINITY_PERCENT: u32 = 75;
+
+/// What a choice is made for.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Query<'a> {
+    /// Hash of the prompt's prefix, if the upstreams cache prefixes.
+    pub prefix: Option<u64>,
+    /// Keys of upstreams that were tried before.
+    pub tried: &'a [u64],
+}
+
+/// The result of a choice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Choice {
+    /// Index of the chosen upstream.
+    Upstream(usize),
+    /// Upstreams are open but none has room now.
+    Full,
+    /// No upstream is open.
+    Closed,
+}
+
+/// Chooses an upstream at `now`.
+///
+/// The cost is bounded by the samples and probes, whatever the number of candidates.
+pub fn choose(
+    now: Duration,
+    candidates: &[Candidate],
+    query: Query<'_>,
+    rng: &mut fastrand::Rng,
+) -> Choice {
+    if candidates.is_empty() {
+        return Choice::Closed;
+    }
+    if let Some(i) = preferred(now, candidates, query) {
+        return Choice::Upstream(i);
+    }
+    let best = (0..SAMPLES)
+        .map(|_| rng.usize(..candidates.len()))
+        .filter(|&i| fits(now, &candidates[i], query))
+        .min_by_key(|&i| candidates[i].expected());
+    match best {
+        Some(i) => Choice::Upstream(i),
+        None => probe(now, candidates, query, rng),
+    }
+}
+
+/// The upstream that a prefix belongs to, while its load allows it.
+fn preferred(now: Duration, candidates: &[Candidate], query: Query<'_>) -> Option<usize> {
+    let prefix = query.prefix?;
+    // Two fixed positions, so that the cost does not grow with the fleet and
+    // a full first position still has a stable second one.
+    [prefix, prefix.rotate_left(32)]
+        .into_iter()
+        .map(|p| usize::try_from(p % candidates.len() as u64).unwrap_or(0))
+        .find(|&i| {
+            let c = &candidates[i];
+            let used = (c.others + c.outstanding) * 100;
+            fits(now, c, query) && used <= c.limit * AFFINITY_PERCENT
+        })
+}
+
+fn probe(
+    now: Duration,
+    candidates: &[Candidate],
+    query: Query<'_>,
+    rng: &mut fastrand::Rng,
+) -> Choice {
+    let start = rng.usize(..candidates.len());
+    let mut open = false;
+    for step in 0..PROBES.min(candidates.len()) {
+        let i = (start + step) % candidates.len();
+        open |= candidates[i].open;
+        if fits(now, &candidates[i], query) {
+            return Choice::Upstream(i);
+        }
+    }
+    if open { Choice::Full } else { Choice::Closed }
+}
+
+fn fits(now: Duration, c: &Candidate, query: Query<'_>) -> bool {
+    c.is_available(now) && !query.tried.contains(&c.key)
+}
--- /dev/null
+++ b/components/weights/src/store.rs
@@ -0,0 +1,63 @@
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use config::Digest;
+
+use crate::WeightsError;
+
+/// Verified chunks in memory, at most `capacity` bytes.
+#[derive(Debug)]
+pub struct ChunkStore {
+    chunks: HashMap<Digest, Arc<[u8]>>,
+    bytes: u64,
+    capacity: u64,
+}
+
+impl ChunkStore {
+    /// An empty store.
+    pub fn new(capacity: u64) -> Self {
+        ChunkStore {
+            chunks: HashMap::new(),
+            bytes: 0,
+            capacity,
+        }
+    }
+
+    /// Bytes held.
+    pub fn bytes(&self) -> u64 {
+        self.bytes
+    }
+
+    /// The verified chunk with this digest.
+    pub fn get(&self, digest: &Digest) -> Option<Arc<[u8]>> {
+        self.chunks.get(digest).cloned()
+    }
+
+    /// Keeps a chunk if its bytes have the expected digest.
+    pub fn insert(&mut self, expected: Digest, bytes: Vec<u8>) -> Result<Arc<[u8]>, WeightsError> {
+        let found = Digest::of(&bytes);
+        if found != expected {
+            return Err(WeightsError::WrongDigest { expected, found });
+        }
+        if let Some(held) = self.get(&expected) {
+            return Ok(held);
+        }
+        let needed = self.bytes + bytes.len() as u64;
+        if needed > self.capacity {
+            return Err(WeightsError::NoMemory {
+                needed,
+                capacity: self.capacity,
+            });
+        }
+        self.bytes = needed;
+        let chunk: Arc<[u8]> = bytes.into();
+        self.chunks.insert(expected, chunk.clone());
+        Ok(chunk)
+    }
+
+    /// Drops every chunk that `keep` does not ask for.
+    pub fn retain(&mut self, keep: impl Fn(&Digest) -> bool) {
+        self.chunks.retain(|d, _| keep(d));
+        self.bytes = self.chunks.values().map(|c| c.len() as u64).sum();
+    }
+}
--- /dev/null
+++ b/components/wire/src/lib.rs
@@ -0,0 +1,21 @@
+//! HTTP between processes: a pooled client, a server with graceful shutdown,
+//! MessagePack bodies and problem documents. Framing is left to `async-h1`.
+
+mod body;
+mod client;
+mod codec;
+mod error;
+mod pool;
+mod problem;
+mod server;
+mod time_limit;
+
+pub use http_types;
+
+pub use body::{ReplyBody, read_limited};
+pub use client::{Call, Client, Reply};
+pub use codec::{decode, encode};
+pub use error::WireError;
+pub use problem::{Outcome, Problem};
+pub use server::{Handler, Server, ServerLimits};
+pub use time_limit::within;
--- /dev/null
+++ b/stand-ins/src/bin/trial.rs
@@ -0,0 +1,48 @@
+//! Runs the system as real processes on loopback and judges its promises.
+
+use std::process::ExitCode;
+
+use pico_args::Arguments;
+use stand_ins::trial::{process, whole_path};
+
+const HELP: &str = "\
+Usage: cargo trial -- [TRIAL] [--json]
+
+Trials
+  (none)      the whole path: weights, mixed load, a failure domain out and back
+
+Options
+  --json      prints one JSON object on the last line
+
+Exits with 1 when a promise is broken.
+";
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(e) => {
+            eprintln!("trial: {e:#}");
+            ExitCode::from(1)
+        }
+    }
+}
+
+fn run() -> anyhow::Result<bool> {
+    let mut args = Arguments::from_env();
+    if args.contains("--help") {
+        print!("{HELP}");
+        return Ok(true);
+    }
+    let json = args.contains("--json");
+    let name = args.subcommand()?;
+    process::build()?;
+    let report = smol::block_on(async {
+        match name.as_deref() {
+            None => whole_path::run().await,
+            Some(other) => anyhow::bail!("trial {other:?} is not known; see --help"),
+        }
+    })?;
+    report.print(json);
+    Ok(report.holds())
+}
--- /dev/null
+++ b/stand-ins/src/engine.rs
@@ -0,0 +1,435 @@
+//! A model engine: continuous batching as a token rate, a cold start, load
+//! orders with or without fencing, and its own record of what it served.
+
+use std::collections::HashSet;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use config::{Digest, ModelId, VersionId};
+use futures_lite::AsyncRead;
+use futures_lite::io::BufReader;
+use http_types::{Body, Method, Request, Response};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use smol::Timer;
+use wire::{Call, Client, Handler};
+
+use crate::faults::{Fate, FaultSwitch};
+use crate::http;
+
+/// A prompt with this word crashes the engine.
+pub const CRASH_WORD: &str = "CRASH";
+/// Tokens written at a time.
+const BURST: u32 = 4;
+/// Factor by which a cold engine is slower.
+const COLD_SLOWNESS: u32 = 3;
+/// Prompt prefixes kept in the cache.
+const PREFIXES: usize = 64;
+/// Bytes of a prompt that count as its prefix.
+const PREFIX_BYTES: usize = 64;
+
+/// How an engine behaves.
+#[derive(Debug, Clone)]
+pub struct EngineSpec {
+    /// Refuses orders with an old fencing number.
+    pub fenced: bool,
+    /// Requests that a cold engine bears.
+    pub cold_slots: usize,
+    /// Requests that a warm engine bears.
+    pub slots: usize,
+    /// Time from the start of a request to its first token, without a cached prefix.
+    pub prefill: Duration,
+    /// Time between two tokens of a request while the batch is small.
+    pub token: Duration,
+    /// How long a crash lasts.
+    pub restart: Duration,
+}
+
+/// What a caller sends.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Prompt {
+    /// Text of the prompt.
+    pub prompt: String,
+    /// Tokens to generate.
+    pub max_tokens: u32,
+    /// Whether the answer comes as a stream of lines.
+    #[serde(default)]
+    pub stream: bool,
+}
+
+/// What an engine keeps of itself.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct EngineRecord {
+    /// Requests begun.
+    pub runs: u64,
+    /// Requests completed.
+    pub completed: u64,
+    /// Requests cancelled by their callers.
+    pub cancelled: u64,
+    /// Tokens generated.
+    pub tokens: u64,
+    /// Requests begun beyond what the engine bore.
+    pub cold_overruns: u64,
+    /// Requests begun with incomplete, mixed or no weights.
+    pub partial_weights: u64,
+    /// Most requests in flight.
+    pub peak: usize,
+    /// Prompts whose prefix was in the cache.
+    pub prefix_hits: u64,
+    /// Crashes.
+    pub crashes: u64,
+    /// Times of the starts, in milliseconds since 1970.
+    pub starts: Vec<u64>,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct LoadOrder {
+    fence: u64,
+    model: ModelId,
+    version: VersionId,
+    source: SocketAddr,
+    path: String,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+struct Serving {
+    model: ModelId,
+    version: VersionId,
+    content: Digest,
+}
+
+struct State {
+    serving: Option<Serving>,
+    loading: bool,
+    fence: u64,
+    incarnation: u64,
+    down: bool,
+    running: usize,
+    since_cold: usize,
+    prefixes: HashSet<u64>,
+    record: EngineRecord,
+}
+
+/// The engine.
+pub struct Engine {
+    spec: EngineSpec,
+    state: Mutex<State>,
+    faults: FaultSwitch,
+    client: Client,
+}
+
+/// Milliseconds since 1970.
+pub fn epoch_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(now.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// The text that any engine answers a prompt with.
+pub fn answer_text(prompt: &str) -> String {
+    Digest::of(prompt.as_bytes()).to_string()
+}
+
+impl Engine {
+    /// An engine without weights.
+    pub fn new(spec: EngineSpec) -> Self {
+        Engine {
+            spec,
+            state: Mutex::new(State {
+                serving: None,
+                loading: false,
+                fence: 0,
+                incarnation: fastrand::u64(1..),
+                down: false,
+                running: 0,
+                since_cold: 0,
+                prefixes: HashSet::new(),
+                record: EngineRecord::default(),
+            }),
+            faults: FaultSwitch::default(),
+            client: Client::default(),
+        }
+    }
+
+    async fn generate(self: &Arc<Self>, mut req: Request) -> Response {
+        let fate = self.faults.fate().await;
+        if fate == Fate::Refused || self.lock().down {
+            return http::broken();
+        }
+        let prompt: Prompt = match http::read(&mut req).await {
+            Ok(prompt) => prompt,
+            Err(res) => return res,
+        };
+        let Some(mut run) = self.begin(&prompt) else {
+            return http::status(503);
+        };
+        if prompt.prompt.contains(CRASH_WORD) {
+            self.crash();
+        }
+        if fate == Fate::AnswerLost {
+            return http::broken();
+        }
+        let digest = run.digest;
+        let mut res = match prompt.stream {
+            true => {
+                let mut res = http::status(200);
+                res.set_body(Body::from_reader(BufReader::new(run), None));
+                res
+            }
+            false => {
+                let mut bytes = Vec::new();
+                if futures_lite::AsyncReadExt::read_to_end(&mut run, &mut bytes).await.is_err() {
+                    return http::broken();
+                }
+                http::json(&json!({ "text": answer_text(&prompt.prompt), "tokens": prompt.max_tokens }))
+            }
+        };
+        if let Some(digest) = digest {
+            res.insert_header("model-digest", digest.to_string());
+        }
+        res
+    }
+
+    fn begin(self: &Arc<Self>, prompt: &Prompt) -> Option<Generation> {
+        if self.faults.take_cold() {
+            self.lock().since_cold = 0;
+        }
+        let mut state = self.lock();
+        let prefix: String = prompt.prompt.chars().take(PREFIX_BYTES).collect();
+        let key = Digest::of(prefix.as_bytes()).prefix();
+        let hit = state.prefixes.contains(&key);
+        if state.prefixes.len() >= PREFIXES {
+            state.prefixes.clear();
+        }
+        state.prefixes.insert(key);
+        let bears = self.bears(&state);
+        state.running += 1;
+        let running = state.running;
+        let serving = state.serving.clone();
+        let loading = state.loading;
+        let record = &mut state.record;
+        record.runs += 1;
+        record.prefix_hits += u64::from(hit);
+        record.peak = record.peak.max(running);
+        record.starts.push(epoch_ms());
+        record.cold_overruns += u64::from(running > bears);
+        record.partial_weights += u64::from(loading || serving.is_none());
+        let prefill = match hit {
+            true => self.spec.prefill / 4,
+            false => self.spec.prefill,
+        };
+        Some(Generation {
+            engine: self.clone(),
+            incarnation: state.incarnation,
+            digest: serving.map(|s| s.content),
+            line: answer_text(&prompt.prompt),
+            left: prompt.max_tokens,
+            timer: Timer::after(prefill),
+            pending: Vec::new(),
+            ended: false,
+        })
+    }
+
+    /// Requests that the engine bears; grows with each one completed since it was cold.
+    fn bears(&self, state: &State) -> usize {
+        (self.spec.cold_slots + state.since_cold).min(self.spec.slots)
+    }
+
+    /// Time for the next tokens of one request.
+    fn pace(&self) -> Duration {
+        let state = self.lock();
+        let bears = self.bears(&state);
+        // Beyond what it bears the batch slows everyone down.
+        let crowd = u32::try_from(state.running.div_ceil(bears)).unwrap_or(u32::MAX);
+        let cold = match bears < self.spec.slots {
+            true => COLD_SLOWNESS,
+            false => 1,
+        };
+        self.spec.token * BURST * cold * crowd.saturating_mul(crowd)
+    }
+
+    fn crash(self: &Arc<Self>) {
+        {
+            let mut state = self.lock();
+            state.down = true;
+            state.incarnation = fastrand::u64(1..);
+            state.serving = None;
+            state.loading = false;
+            state.since_cold = 0;
+            state.prefixes.clear();
+            state.record.crashes += 1;
+        }
+        let own = self.clone();
+        smol::spawn(async move {
+            Timer::after(own.spec.restart).await;
+            own.lock().down = false;
+        })
+        .detach();
+    }
+
+    async fn order(self: &Arc<Self>, mut req: Request) -> Response {
+        let fate = self.faults.fate().await;
+        if fate == Fate::Refused || self.lock().down {
+            return http::broken();
+        }
+        let order: LoadOrder = match http::read(&mut req).await {
+            Ok(order) => order,
+            Err(res) => return res,
+        };
+        let incarnation = {
+            let mut state = self.lock();
+            if self.spec.fenced && order.fence < state.fence {
+                return http::status(409);
+            }
+            state.fence = order.fence.max(state.fence);
+            state.serving = None;
+            state.loading = true;
+            state.incarnation
+        };
+        let own = self.clone();
+        smol::spawn(async move { own.load_weights(order, incarnation).await }).detach();
+        match fate {
+            Fate::AnswerLost => http::broken(),
+            _ => http::status(202),
+        }
+    }
+
+    async fn load_weights(&self, order: LoadOrder, incarnation: u64) {
+        let content = self.read_weights(&order).await;
+        let mut state = self.lock();
+        if state.incarnation != incarnation {
+            return;
+        }
+        state.loading = false;
+        state.serving = content.map(|content| Serving {
+            model: order.model,
+            version: order.version,
+            content,
+        });
+        state.since_cold = 0;
+        state.prefixes.clear();
+    }
+
+    async fn read_weights(&self, order: &LoadOrder) -> Option<Digest> {
+        let call = Call::new(Method::Get, order.source, &order.path).ok()?.fresh();
+        let reply = self.client.send(call).await.ok()?;
+        if !reply.status().is_success() {
+            return None;
+        }
+        let bytes = reply.bytes(1 << 30).await.ok()?;
+        Some(Digest::of(&bytes))
+    }
+
+    fn load(&self) -> Response {
+        let state = self.lock();
+        if state.down {
+            return http::broken();
+        }
+        http::json(&json!({
+            "incarnation": state.incarnation,
+            "running": state.running,
+            "serving": state.serving,
+        }))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// One request being generated; its bytes are the streamed answer.
+struct Generation {
+    engine: Arc<Engine>,
+    incarnation: u64,
+    digest: Option<Digest>,
+    line: String,
+    left: u32,
+    timer: Timer,
+    pending: Vec<u8>,
+    ended: bool,
+}
+
+impl Generation {
+    fn step(&mut self) -> io::Result<()> {
+        if self.engine.lock().incarnation != self.incarnation {
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
+        if self.left == 0 {
+            self.ended = true;
+            let mut state = self.engine.lock();
+            state.record.completed += 1;
+            state.since_cold += 1;
+            return Ok(());
+        }
+        let count = self.left.min(BURST);
+        self.left -= count;
+        self.engine.lock().record.tokens += u64::from(count);
+        self.pending = format!("{} {}\n", self.line, self.left).into_bytes();
+        self.timer = Timer::after(self.engine.pace());
+        Ok(())
+    }
+}
+
+impl AsyncRead for Generation {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            if !self.pending.is_empty() {
+                let count = self.pending.len().min(buf.len());
+                buf[..count].copy_from_slice(&self.pending[..count]);
+                self.pending.drain(..count);
+                return Poll::Ready(Ok(count));
+            }
+            if self.ended {
+                return Poll::Ready(Ok(0));
+            }
+            if std::future::Future::poll(Pin::new(&mut self.timer), cx).is_pending() {
+                return Poll::Pending;
+            }
+            if let Err(e) = self.step() {
+                return Poll::Ready(Err(e));
+            }
+        }
+    }
+}
+
+impl Drop for Generation {
+    fn drop(&mut self) {
+        let mut state = self.engine.lock();
+        state.running -= 1;
+        if !self.ended {
+            state.record.cancelled += 1;
+        }
+    }
+}
+
+/// Serves one engine.
+pub struct EngineHandler(pub Arc<Engine>);
+
+impl Handler for EngineHandler {
+    async fn handle(&self, mut req: Request, _peer: SocketAddr) -> Response {
+        let segments = http::segments(&req);
+        let parts: Vec<&str> = segments.iter().map(String::as_str).collect();
+        match (req.method(), parts.as_slice()) {
+            (Method::Post, ["faults"]) => match http::read(&mut req).await {
+                Ok(faults) => self.0.faults.set(faults),
+                Err(res) => res,
+            },
+            (Method::Get, ["record"]) => http::json(&self.0.lock().record),
+            (Method::Get, ["load"]) => self.0.load(),
+            (Method::Post, ["orders"]) => self.0.order(req).await,
+            (Method::Post, ["crash"]) => {
+                self.0.crash();
+                http::status(204)
+            }
+            (Method::Post, _) => self.0.generate(req).await,
+            _ => http::status(404),
+        }
+    }
+}
--- /dev/null
+++ b/stand-ins/src/faults.rs
@@ -0,0 +1,90 @@
+//! Faults, switched by `POST /faults` on every stand-in.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use http_types::Response;
+use serde::{Deserialize, Serialize};
+use smol::Timer;
+
+use crate::http;
+
+/// Faults in effect. Fields that a stand-in has no use for are ignored.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Refuses every call with 503.
+    pub down: bool,
+    /// Delays every call, in milliseconds.
+    pub slow_ms: u64,
+    /// Next calls that take effect but whose answers are lost.
+    pub lose_answers: u32,
+    /// Next answers whose bytes are corrupted.
+    pub corrupt: u32,
+    /// Accepts calls and never answers.
+    pub silent: bool,
+    /// The upstream is cold again, without a word.
+    pub cold: bool,
+}
+
+/// What the current call has to suffer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fate {
+    /// It is served.
+    Served,
+    /// It is refused.
+    Refused,
+    /// It is served, but its answer is lost.
+    AnswerLost,
+}
+
+/// The switchboard of one stand-in.
+#[derive(Debug, Default)]
+pub struct FaultSwitch {
+    faults: Mutex<Faults>,
+}
+
+impl FaultSwitch {
+    /// Replaces the faults in effect.
+    pub fn set(&self, faults: Faults) -> Response {
+        *self.lock() = faults;
+        http::status(204)
+    }
+
+    /// Decides the fate of one call; waits where calls are slow or silent.
+    pub async fn fate(&self) -> Fate {
+        let slow = self.lock().slow_ms;
+        if slow > 0 {
+            Timer::after(Duration::from_millis(slow)).await;
+        }
+        while self.lock().silent {
+            Timer::after(Duration::from_millis(20)).await;
+        }
+        let mut faults = self.lock();
+        if faults.down {
+            return Fate::Refused;
+        }
+        if faults.lose_answers > 0 {
+            faults.lose_answers -= 1;
+            return Fate::AnswerLost;
+        }
+        Fate::Served
+    }
+
+    /// Whether the next answer is corrupted.
+    pub fn take_corrupt(&self) -> bool {
+        let mut faults = self.lock();
+        let corrupt = faults.corrupt > 0;
+        faults.corrupt = faults.corrupt.saturating_sub(1);
+        corrupt
+    }
+
+    /// Whether the upstream was told to be cold again.
+    pub fn take_cold(&self) -> bool {
+        std::mem::take(&mut self.lock().cold)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Faults> {
+        self.faults.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/stand-ins/src/http.rs
@@ -0,0 +1,93 @@
+//! Helpers shared by the stand-ins' HTTP interfaces.
+
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+
+use futures_lite::{AsyncBufRead, AsyncRead};
+use http_types::{Body, Request, Response, StatusCode};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use smol::net::TcpListener;
+use wire::{Handler, Server, ServerLimits, read_limited};
+
+/// Longest body that a stand-in reads, in bytes.
+const BODY_LIMIT: usize = 16 << 20;
+
+/// Serves until the process is ended.
+pub async fn serve<H: Handler>(addr: SocketAddr, handler: Arc<H>) -> anyhow::Result<()> {
+    let listener = TcpListener::bind(addr).await?;
+    let (server, _close) = Server::new(handler, ServerLimits::default());
+    server.run(listener, std::time::Duration::ZERO).await;
+    Ok(())
+}
+
+/// A JSON answer.
+pub fn json(value: &impl Serialize) -> Response {
+    let mut res = Response::new(StatusCode::Ok);
+    res.set_body(serde_json::to_vec(value).unwrap_or_default());
+    res.insert_header("content-type", "application/json");
+    res
+}
+
+/// An empty answer with a status.
+pub fn status(code: u16) -> Response {
+    Response::new(StatusCode::try_from(code).unwrap_or(StatusCode::InternalServerError))
+}
+
+/// An answer whose connection breaks after the head.
+pub fn broken() -> Response {
+    let mut res = Response::new(StatusCode::Ok);
+    res.set_body(Body::from_reader(Broken, Some(1)));
+    res
+}
+
+/// Reads a JSON body.
+pub async fn read<T: DeserializeOwned>(req: &mut Request) -> Result<T, Response> {
+    let bytes = read_limited(req, BODY_LIMIT).await.map_err(|_| status(400))?;
+    serde_json::from_slice(&bytes).map_err(|e| {
+        let mut res = status(400);
+        res.set_body(e.to_string());
+        res
+    })
+}
+
+/// A parameter of the query.
+pub fn param(req: &Request, name: &str) -> Option<u64> {
+    req.url()
+        .query_pairs()
+        .find(|(k, _)| k == name)
+        .and_then(|(_, v)| v.parse().ok())
+}
+
+/// Segments of the path.
+pub fn segments(req: &Request) -> Vec<String> {
+    req.url()
+        .path()
+        .split('/')
+        .filter(|s| !s.is_empty())
+        .map(str::to_owned)
+        .collect()
+}
+
+struct Broken;
+
+impl AsyncRead for Broken {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+        _: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()))
+    }
+}
+
+impl AsyncBufRead for Broken {
+    fn poll_fill_buf(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
+        Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()))
+    }
+
+    fn consume(self: Pin<&mut Self>, _: usize) {}
+}
--- /dev/null
+++ b/stand-ins/src/origin.rs
@@ -0,0 +1,152 @@
+//! The origin of weights behind one rate-limited link.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::ops::Range;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use http_types::{Method, Request, Response};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use smol::Timer;
+use weights::Manifest;
+use wire::Handler;
+
+use crate::faults::{Fate, FaultSwitch};
+use crate::http;
+
+/// A model version to be made up.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct NewModel {
+    /// Size of the weights in bytes.
+    pub size: u64,
+    /// Size of a chunk in bytes.
+    pub chunk_size: u64,
+    /// Seed of the bytes.
+    pub seed: u64,
+}
+
+struct Held {
+    data: Arc<[u8]>,
+    manifest: Vec<u8>,
+}
+
+struct State {
+    models: HashMap<String, Held>,
+    free_at: Instant,
+    bytes: u64,
+}
+
+/// The origin.
+pub struct Origin {
+    state: Mutex<State>,
+    faults: FaultSwitch,
+    bytes_per_s: f64,
+}
+
+impl Origin {
+    /// An origin whose link carries `bytes_per_s`.
+    pub fn new(bytes_per_s: u64) -> Self {
+        Origin {
+            state: Mutex::new(State {
+                models: HashMap::new(),
+                free_at: Instant::now(),
+                bytes: 0,
+            }),
+            faults: FaultSwitch::default(),
+            bytes_per_s: bytes_per_s as f64,
+        }
+    }
+
+    fn make(&self, model: &str, version: &str, new: &NewModel) -> Response {
+        let mut data = vec![0; usize::try_from(new.size).unwrap_or(0)];
+        fastrand::Rng::with_seed(new.seed).fill(&mut data);
+        let Ok(manifest) = Manifest::of(model, version, new.chunk_size, data.as_slice()) else {
+            return http::status(400);
+        };
+        let answer = http::json(&json!({
+            "manifest": manifest.digest(),
+            "content": manifest.content,
+            "size": manifest.size,
+        }));
+        let held = Held {
+            data: data.into(),
+            manifest: manifest.to_bytes(),
+        };
+        self.lock().models.insert(format!("{model}/{version}"), held);
+        answer
+    }
+
+    fn manifest(&self, model: &str, version: &str) -> Response {
+        match self.lock().models.get(&format!("{model}/{version}")) {
+            Some(held) => held.manifest.clone().into(),
+            None => http::status(404),
+        }
+    }
+
+    async fn data(&self, model: &str, version: &str, req: &Request) -> Response {
+        if self.faults.fate().await == Fate::Refused {
+            return http::status(503);
+        }
+        let data = match self.lock().models.get(&format!("{model}/{version}")) {
+            Some(held) => held.data.clone(),
+            None => return http::status(404),
+        };
+        let Some(range) = range(req, data.len()) else {
+            return http::status(416);
+        };
+        self.send(range.len()).await;
+        let mut bytes = data[range].to_vec();
+        if self.faults.take_corrupt() {
+            bytes[0] ^= 1;
+        }
+        let mut res = http::status(206);
+        res.set_body(bytes);
+        res
+    }
+
+    /// Waits until the link has carried `count` bytes more.
+    async fn send(&self, count: usize) {
+        let until = {
+            let mut state = self.lock();
+            state.bytes += count as u64;
+            let took = Duration::from_secs_f64(count as f64 / self.bytes_per_s);
+            state.free_at = state.free_at.max(Instant::now()) + took;
+            state.free_at
+        };
+        Timer::at(until).await;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn range(req: &Request, len: usize) -> Option<Range<usize>> {
+    let value = req.header("range")?.last().as_str();
+    let (first, last) = value.strip_prefix("bytes=")?.split_once('-')?;
+    let (first, last): (usize, usize) = (first.parse().ok()?, last.parse().ok()?);
+    (first <= last && last < len).then_some(first..last + 1)
+}
+
+impl Handler for Origin {
+    async fn handle(&self, mut req: Request, _peer: SocketAddr) -> Response {
+        let segments = http::segments(&req);
+        let parts: Vec<&str> = segments.iter().map(String::as_str).collect();
+        match (req.method(), parts.as_slice()) {
+            (Method::Post, ["faults"]) => match http::read(&mut req).await {
+                Ok(faults) => self.faults.set(faults),
+                Err(res) => res,
+            },
+            (Method::Get, ["record"]) => http::json(&json!({ "bytes": self.lock().bytes })),
+            (Method::Post, ["models", m, v]) => match http::read(&mut req).await {
+                Ok(new) => self.make(m, v, &new),
+                Err(res) => res,
+            },
+            (Method::Get, ["models", m, v, "manifest"]) => self.manifest(m, v),
+            (Method::Get, ["models", m, v, "data"]) => self.data(m, v, &req).await,
+            _ => http::status(404),
+        }
+    }
+}
--- /dev/null
+++ b/stand-ins/src/plain.rs
@@ -0,0 +1,112 @@
+//! A plain service; it records each run of each order.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use http_types::{Method, Request, Response};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use smol::Timer;
+use wire::Handler;
+
+use crate::engine::epoch_ms;
+use crate::faults::{Fate, FaultSwitch};
+use crate::http;
+
+/// What a caller sends to a plain service.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Order {
+    /// Id of the order; two runs with one id are a double run.
+    pub order: String,
+}
+
+/// What a plain service keeps of itself.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct PlainRecord {
+    /// Runs of each order.
+    pub runs: HashMap<String, u32>,
+    /// Most requests in flight.
+    pub peak: usize,
+    /// Times of the starts, in milliseconds since 1970.
+    pub starts: Vec<u64>,
+}
+
+/// The service.
+pub struct Plain {
+    record: Mutex<PlainRecord>,
+    in_flight: Mutex<usize>,
+    faults: FaultSwitch,
+    service: Duration,
+    incarnation: u64,
+    reports: bool,
+}
+
+impl Plain {
+    /// A service that takes `service` for each request; `reports` its load or not.
+    pub fn new(service: Duration, reports: bool) -> Self {
+        Plain {
+            record: Mutex::default(),
+            in_flight: Mutex::default(),
+            faults: FaultSwitch::default(),
+            service,
+            incarnation: fastrand::u64(1..),
+            reports,
+        }
+    }
+
+    async fn run(&self, mut req: Request) -> Response {
+        let fate = self.faults.fate().await;
+        if fate == Fate::Refused {
+            return http::status(503);
+        }
+        let order: Order = match http::read(&mut req).await {
+            Ok(order) => order,
+            Err(res) => return res,
+        };
+        {
+            let mut in_flight = self.in_flight.lock().unwrap_or_else(PoisonError::into_inner);
+            *in_flight += 1;
+            let mut record = self.lock();
+            record.peak = record.peak.max(*in_flight);
+            record.starts.push(epoch_ms());
+            *record.runs.entry(order.order.clone()).or_default() += 1;
+        }
+        Timer::after(self.service).await;
+        *self.in_flight.lock().unwrap_or_else(PoisonError::into_inner) -= 1;
+        match fate {
+            Fate::AnswerLost => http::broken(),
+            _ => http::json(&json!({ "done": order.order })),
+        }
+    }
+
+    fn load(&self) -> Response {
+        let running = *self.in_flight.lock().unwrap_or_else(PoisonError::into_inner);
+        match self.reports {
+            true => http::json(&json!({ "incarnation": self.incarnation, "running": running })),
+            false => http::status(404),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, PlainRecord> {
+        self.record.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Handler for Plain {
+    async fn handle(&self, mut req: Request, _peer: SocketAddr) -> Response {
+        let segments = http::segments(&req);
+        let parts: Vec<&str> = segments.iter().map(String::as_str).collect();
+        match (req.method(), parts.as_slice()) {
+            (Method::Post, ["faults"]) => match http::read(&mut req).await {
+                Ok(faults) => self.faults.set(faults),
+                Err(res) => res,
+            },
+            (Method::Get, ["record"]) => http::json(&*self.lock()),
+            (Method::Get, ["load"]) => self.load(),
+            (Method::Post, _) => self.run(req).await,
+            _ => http::status(404),
+        }
+    }
+}
--- /dev/null
+++ b/stand-ins/src/trial/caller.rs
@@ -0,0 +1,165 @@
+//! Callers: one request each, judged by what the caller saw.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use http_types::Method;
+use wire::{Call, Client, Outcome, Problem, Reply};
+
+use crate::engine::{Prompt, answer_text};
+use crate::plain::Order;
+
+/// Longest answer that a caller reads, in bytes.
+const BODY: usize = 4 << 20;
+/// How much longer than its deadline a caller waits.
+const PATIENCE: Duration = Duration::from_secs(2);
+
+/// What a caller asks for.
+#[derive(Debug, Clone)]
+pub enum Ask {
+    /// Tokens from an engine.
+    Generate(Prompt),
+    /// An order at a plain service.
+    Order(Order),
+}
+
+/// A request of one caller.
+#[derive(Debug, Clone)]
+pub struct Request {
+    /// Service and route.
+    pub path: String,
+    /// Account.
+    pub account: String,
+    /// Deadline.
+    pub deadline: Duration,
+    /// Further headers.
+    pub headers: Vec<(String, String)>,
+    /// What is asked for.
+    pub ask: Ask,
+}
+
+/// How a request ended for its caller.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum End {
+    /// The whole right answer.
+    Answered,
+    /// Told that it was not run.
+    NotRun,
+    /// Told that it may have run.
+    Unknown,
+    /// Told that it failed.
+    Failed,
+    /// No answer, or one that broke off visibly.
+    Broken(String),
+    /// A complete answer that is not the caller's.
+    Wrong(String),
+}
+
+/// A request's end with its times.
+#[derive(Debug, Clone)]
+pub struct Seen {
+    /// How it ended.
+    pub end: End,
+    /// Time to the head of the answer.
+    pub head: Duration,
+    /// Time to the end of the answer.
+    pub total: Duration,
+    /// Whether a refusal said when to come back.
+    pub retry_after: bool,
+}
+
+/// Sends a request and judges the answer.
+pub async fn send(client: &Client, entry: SocketAddr, request: &Request) -> Seen {
+    let begun = Instant::now();
+    let mut seen = Seen {
+        end: End::Broken(String::new()),
+        head: Duration::ZERO,
+        total: Duration::ZERO,
+        retry_after: false,
+    };
+    let sent = match call(entry, request) {
+        Ok(call) => client.send(call).await,
+        Err(e) => Err(e),
+    };
+    seen.head = begun.elapsed();
+    seen.end = match sent {
+        Err(e) => End::Broken(e.to_string()),
+        Ok(reply) => {
+            seen.retry_after = reply.header("retry-after").is_some();
+            judge(reply, &request.ask).await
+        }
+    };
+    seen.total = begun.elapsed();
+    seen
+}
+
+fn call(entry: SocketAddr, request: &Request) -> Result<Call, wire::WireError> {
+    let body = match &request.ask {
+        Ask::Generate(p) => serde_json::to_vec(p),
+        Ask::Order(o) => serde_json::to_vec(o),
+    };
+    let mut call = Call::new(Method::Post, entry, &request.path)?
+        .header("content-type", "application/json")
+        .header("client-account", &request.account)
+        .header("deadline-ms", &request.deadline.as_millis().to_string())
+        .first_within(request.deadline + PATIENCE)
+        .gap(request.deadline + PATIENCE)
+        .body(body.unwrap_or_default());
+    for (name, value) in &request.headers {
+        call = call.header(name, value);
+    }
+    Ok(call)
+}
+
+async fn judge(reply: Reply, ask: &Ask) -> End {
+    let status = u16::from(reply.status());
+    let body = match reply.bytes(BODY).await {
+        Ok(body) => body,
+        Err(e) => return End::Broken(e.to_string()),
+    };
+    if status == 200 {
+        return match is_right(&body, ask) {
+            true => End::Answered,
+            false => End::Wrong(String::from_utf8_lossy(&body).into_owned()),
+        };
+    }
+    match serde_json::from_slice::<Problem>(&body).map(|p| p.outcome) {
+        Ok(Outcome::NotRun) => End::NotRun,
+        Ok(Outcome::Unknown) => End::Unknown,
+        Ok(Outcome::Failed) => End::Failed,
+        Err(_) => End::Wrong(format!("status {status} without a problem document")),
+    }
+}
+
+fn is_right(body: &[u8], ask: &Ask) -> bool {
+    match ask {
+        Ask::Order(o) => {
+            let value: serde_json::Value = serde_json::from_slice(body).unwrap_or_default();
+            value["done"] == o.order
+        }
+        Ask::Generate(p) if p.stream => is_right_stream(body, p),
+        Ask::Generate(p) => {
+            let value: serde_json::Value = serde_json::from_slice(body).unwrap_or_default();
+            value["text"] == answer_text(&p.prompt) && value["tokens"] == p.max_tokens
+        }
+    }
+}
+
+fn is_right_stream(body: &[u8], prompt: &Prompt) -> bool {
+    let text = String::from_utf8_lossy(body);
+    let expected = answer_text(&prompt.prompt);
+    let mut left = u32::MAX;
+    for line in text.lines() {
+        let Some((own, rest)) = line.split_once(' ') else {
+            return false;
+        };
+        let Ok(now) = rest.parse::<u32>() else {
+            return false;
+        };
+        if own != expected || now >= left {
+            return false;
+        }
+        left = now;
+    }
+    left == 0
+}
--- /dev/null
+++ b/stand-ins/src/trial/fleet.rs
@@ -0,0 +1,405 @@
+//! A fleet of real processes: the platform's stand-ins, entries, agents and upstreams.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+use anyhow::{Context, bail, ensure};
+use config::{
+    AgentSettings, Digest, EntrySettings, NodeSettings, PlatformSettings, Text, VmId,
+};
+use fleet::{Member, Role, VmState};
+use serde::Deserialize;
+use serde_json::Value;
+use smol::Timer;
+use wire::Client;
+
+use crate::origin::NewModel;
+use crate::trial::control;
+use crate::trial::process::Process;
+
+/// Longest wait for a process to answer.
+const START_LIMIT: Duration = Duration::from_secs(20);
+/// Pause between two looks.
+const POLL: Duration = Duration::from_millis(25);
+/// Longest graceful shutdown of a process.
+const DRAIN: Duration = Duration::from_secs(10);
+
+/// What a fleet consists of.
+#[derive(Debug, Clone)]
+pub struct FleetSpec {
+    /// File of the operators' text.
+    pub text: PathBuf,
+    /// Entries.
+    pub entries: usize,
+    /// Upstreams of each service, spread over the failure domains in turn.
+    pub upstreams: Vec<(String, usize)>,
+    /// Size of the model in bytes.
+    pub model_size: u64,
+    /// Size of a chunk in bytes.
+    pub chunk_size: u64,
+    /// Rate of the origin's link in bytes a second.
+    pub origin_rate: u64,
+    /// Further arguments of the engines.
+    pub engine_args: Vec<String>,
+    /// Further arguments of the plain services.
+    pub plain_args: Vec<String>,
+}
+
+/// One of our processes and, for an agent, the upstream beside it.
+pub struct Node {
+    /// VM.
+    pub member: Member,
+    /// The entry or agent.
+    pub process: Process,
+    /// The upstream's address.
+    pub upstream: Option<SocketAddr>,
+    /// The upstream's process.
+    pub upstream_process: Option<Process>,
+    /// Settings file.
+    pub settings: PathBuf,
+}
+
+/// The weights that the engines shall serve.
+#[derive(Debug, Clone, Deserialize)]
+pub struct MadeModel {
+    /// Digest of the manifest.
+    pub manifest: Digest,
+    /// Digest of the weights.
+    pub content: Digest,
+    /// Size in bytes.
+    pub size: u64,
+}
+
+/// A running fleet.
+pub struct Fleet {
+    /// Client of everything.
+    pub client: Client,
+    /// Addresses of the platform.
+    pub platform: PlatformSettings,
+    /// Entries.
+    pub entries: Vec<Node>,
+    /// Agents with their upstreams.
+    pub agents: Vec<Node>,
+    /// Text as it was last applied.
+    pub text: Text,
+    /// Revision in force.
+    pub revision: u64,
+    dir: PathBuf,
+    stand_ins: Vec<Process>,
+    spec: FleetSpec,
+}
+
+/// Finds a loopback address that is free now.
+pub fn free_addr() -> anyhow::Result<SocketAddr> {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+    Ok(listener.local_addr()?)
+}
+
+impl Fleet {
+    /// Starts every process; nothing is applied yet.
+    pub async fn start(spec: FleetSpec) -> anyhow::Result<Self> {
+        let json = std::fs::read_to_string(&spec.text)
+            .with_context(|| format!("{} cannot be read", spec.text.display()))?;
+        let text: Text = config::parse_json(&spec.text.display().to_string(), &json)?;
+        let dir = std::env::temp_dir().join(format!("turmerichold-trial-{}", std::process::id()));
+        std::fs::create_dir_all(&dir)?;
+        let platform = PlatformSettings {
+            log: free_addr()?,
+            vms: free_addr()?,
+            origin: free_addr()?,
+        };
+        let mut fleet = Fleet {
+            client: Client::default(),
+            platform,
+            entries: Vec::new(),
+            agents: Vec::new(),
+            text,
+            revision: 0,
+            dir,
+            stand_ins: Vec::new(),
+            spec,
+        };
+        fleet.start_platform().await?;
+        fleet.start_nodes().await?;
+        Ok(fleet)
+    }
+
+    /// Where the processes' output is kept.
+    pub fn dir(&self) -> &Path {
+        &self.dir
+    }
+
+    /// Addresses of the entries.
+    pub fn entry_addrs(&self) -> Vec<SocketAddr> {
+        self.entries.iter().map(|e| e.member.addr).collect()
+    }
+
+    /// Makes weights at the origin and puts them into the text.
+    pub async fn make_model(&mut self, seed: u64) -> anyhow::Result<MadeModel> {
+        let (id, model) = self.text.models.iter_mut().next().context("no model")?;
+        let new = NewModel {
+            size: self.spec.model_size,
+            chunk_size: self.spec.chunk_size,
+            seed,
+        };
+        let path = format!("/models/{id}/{}", model.version);
+        let made = control::post(&self.client, self.platform.origin, &path, &new).await?;
+        let made: MadeModel = serde_json::from_slice(&made)?;
+        model.size = made.size;
+        model.manifest = made.manifest;
+        Ok(made)
+    }
+
+    /// Applies the text as it is now.
+    pub async fn apply(&mut self) -> anyhow::Result<()> {
+        let text = serde_json::to_string_pretty(&self.text)?;
+        let entry = self.entries[0].member.addr;
+        let id = format!("trial-{}-{}", std::process::id(), self.revision);
+        let (status, body) =
+            control::apply(&self.client, entry, self.revision, &id, &text).await?;
+        ensure!(status == 200, "apply answered {status}: {body}");
+        self.revision += 1;
+        Ok(())
+    }
+
+    /// Waits until every engine reports the weights; returns how many do.
+    pub async fn await_replicas(&self, content: Digest, limit: Duration) -> anyhow::Result<usize> {
+        let engines: Vec<SocketAddr> = self.engines().filter_map(|n| n.upstream).collect();
+        let begun = Instant::now();
+        loop {
+            let mut ready = 0;
+            for addr in &engines {
+                let load: Value = control::get(&self.client, *addr, "/load").await?;
+                ready += usize::from(load["serving"]["content"] == content.to_string());
+            }
+            if ready == engines.len() || begun.elapsed() > limit {
+                return Ok(ready);
+            }
+            Timer::after(POLL).await;
+        }
+    }
+
+    /// Waits until every entry has `open` upstreams of each service open.
+    pub async fn await_open(&self, limit: Duration) -> anyhow::Result<bool> {
+        let begun = Instant::now();
+        while begun.elapsed() < limit {
+            if self.all_open().await {
+                return Ok(true);
+            }
+            Timer::after(POLL).await;
+        }
+        Ok(false)
+    }
+
+    async fn all_open(&self) -> bool {
+        for entry in self.entry_addrs() {
+            let status: Value = match control::get(&self.client, entry, "/status").await {
+                Ok(status) => status,
+                Err(_) => return false,
+            };
+            for (service, count) in &self.spec.upstreams {
+                let upstreams = status["services"][service]["upstreams"].as_array();
+                let open = upstreams.into_iter().flatten().filter(|u| u["open"] == true).count();
+                if open < (*count).min(20) {
+                    return false;
+                }
+            }
+        }
+        true
+    }
+
+    /// Nodes whose upstream is an engine.
+    pub fn engines(&self) -> impl Iterator<Item = &Node> {
+        self.agents.iter().filter(|n| self.is_engine(&n.member.service))
+    }
+
+    /// Nodes whose upstream is a plain service.
+    pub fn plains(&self) -> impl Iterator<Item = &Node> {
+        self.agents.iter().filter(|n| !self.is_engine(&n.member.service))
+    }
+
+    /// Whether a service runs on engines.
+    pub fn is_engine(&self, service: &str) -> bool {
+        self.text.services.get(service).is_some_and(|s| s.model.is_some())
+    }
+
+    /// Stops our processes by signal; returns those that did not stop well.
+    pub async fn stop(&mut self) -> anyhow::Result<Vec<String>> {
+        let mut bad = Vec::new();
+        for node in self.entries.iter_mut().chain(&mut self.agents) {
+            if !node.process.stop(DRAIN + Duration::from_secs(2)).await? {
+                bad.push(node.process.name.clone());
+            }
+        }
+        Ok(bad)
+    }
+
+    async fn start_platform(&mut self) -> anyhow::Result<()> {
+        let p = self.platform.clone();
+        let rate = self.spec.origin_rate.to_string();
+        self.stand_in("log", "log", p.log, &[])?;
+        self.stand_in("vms", "vms", p.vms, &[])?;
+        self.stand_in("origin", "origin", p.origin, &["--bytes-per-s".into(), rate])?;
+        for addr in [p.log, p.vms, p.origin] {
+            self.await_listening(addr).await?;
+        }
+        Ok(())
+    }
+
+    fn stand_in(
+        &mut self,
+        kind: &str,
+        name: &str,
+        addr: SocketAddr,
+        more: &[String],
+    ) -> anyhow::Result<()> {
+        let process = self.stand_in_process(kind, name, addr, more)?;
+        self.stand_ins.push(process);
+        Ok(())
+    }
+
+    fn stand_in_process(
+        &self,
+        kind: &str,
+        name: &str,
+        addr: SocketAddr,
+        more: &[String],
+    ) -> anyhow::Result<Process> {
+        let mut args = vec![kind.to_owned(), "--listen".to_owned(), addr.to_string()];
+        args.extend_from_slice(more);
+        Process::start("stand-in", name, &args, &self.dir)
+    }
+
+    async fn start_nodes(&mut self) -> anyhow::Result<()> {
+        let domains: Vec<(String, String)> = self
+            .text
+            .failure_domains
+            .iter()
+            .map(|(id, d)| (id.to_string(), d.region.to_string()))
+            .collect();
+        for i in 0..self.spec.entries {
+            let (domain, region) = &domains[i % domains.len()];
+            let node = self.start_entry(&format!("entry-{i}"), domain, region)?;
+            self.entries.push(node);
+        }
+        for (service, count) in self.spec.upstreams.clone() {
+            for i in 0..count {
+                let (domain, region) = &domains[i % domains.len()];
+                let node = self.start_agent(&service, &format!("{service}-{i}"), domain, region)?;
+                self.agents.push(node);
+            }
+        }
+        for node in self.entries.iter().chain(&self.agents) {
+            self.await_listening(node.member.addr).await?;
+            control::post(&self.client, self.platform.vms, "/vms", &node.member).await?;
+        }
+        Ok(())
+    }
+
+    fn start_entry(&self, vm: &str, domain: &str, region: &str) -> anyhow::Result<Node> {
+        let member = member(vm, Role::Entry, domain, region, "")?;
+        let settings = EntrySettings {
+            node: self.node_settings(&member),
+        };
+        self.start_node(member, "entry", serde_json::to_string(&settings)?, None)
+    }
+
+    fn start_agent(
+        &self,
+        service: &str,
+        vm: &str,
+        domain: &str,
+        region: &str,
+    ) -> anyhow::Result<Node> {
+        let member = member(vm, Role::Upstream, domain, region, service)?;
+        let upstream = free_addr()?;
+        let settings = AgentSettings {
+            node: self.node_settings(&member),
+            service: service.into(),
+            upstream,
+            memory_bytes: 4 * self.spec.model_size,
+        };
+        let (kind, args) = match self.is_engine(service) {
+            true => ("engine", &self.spec.engine_args),
+            false => ("plain", &self.spec.plain_args),
+        };
+        let name = format!("{vm}-upstream");
+        let process = self.stand_in_process(kind, &name, upstream, args)?;
+        let settings = serde_json::to_string(&settings)?;
+        self.start_node(member, "agent", settings, Some((upstream, process)))
+    }
+
+    fn start_node(
+        &self,
+        member: Member,
+        role: &str,
+        settings: String,
+        upstream: Option<(SocketAddr, Process)>,
+    ) -> anyhow::Result<Node> {
+        let path = self.dir.join(format!("{}.json", member.vm));
+        std::fs::write(&path, settings)?;
+        let args = [role, "--settings", &path.display().to_string()].map(str::to_owned);
+        let process = Process::start("turmerichold", &member.vm, &args, &self.dir)?;
+        let (upstream, upstream_process) = upstream.unzip();
+        Ok(Node {
+            member,
+            process,
+            upstream,
+            upstream_process,
+            settings: path,
+        })
+    }
+
+    fn node_settings(&self, member: &Member) -> NodeSettings {
+        NodeSettings {
+            vm: member.vm.clone(),
+            listen: member.addr,
+            failure_domain: member.failure_domain.clone(),
+            region: member.region.clone(),
+            platform: self.platform.clone(),
+            drain: DRAIN,
+        }
+    }
+
+    async fn await_listening(&self, addr: SocketAddr) -> anyhow::Result<()> {
+        let begun = Instant::now();
+        while begun.elapsed() < START_LIMIT {
+            if smol::net::TcpStream::connect(addr).await.is_ok() {
+                return Ok(());
+            }
+            Timer::after(POLL).await;
+        }
+        bail!("{addr} does not answer; see the logs in {}", self.dir.display())
+    }
+
+    /// Reads the record of an upstream.
+    pub async fn record<T: serde::de::DeserializeOwned>(&self, node: &Node) -> anyhow::Result<T> {
+        let addr = node.upstream.context("the node has no upstream")?;
+        control::get(&self.client, addr, "/record").await
+    }
+
+    /// Upstream nodes by VM.
+    pub fn by_vm(&self) -> BTreeMap<VmId, &Node> {
+        self.agents.iter().map(|n| (n.member.vm.clone(), n)).collect()
+    }
+}
+
+fn member(
+    vm: &str,
+    role: Role,
+    domain: &str,
+    region: &str,
+    service: &str,
+) -> anyhow::Result<Member> {
+    Ok(Member {
+        vm: vm.into(),
+        role,
+        addr: free_addr()?,
+        failure_domain: domain.into(),
+        region: region.into(),
+        service: service.into(),
+        state: VmState::Live,
+    })
+}
--- /dev/null
+++ b/stand-ins/src/trial/mod.rs
@@ -0,0 +1,9 @@
+//! Trials: real processes on loopback, judged by the stand-ins' own records.
+
+pub mod caller;
+pub mod control;
+pub mod fleet;
+pub mod process;
+pub mod report;
+pub mod tally;
+pub mod whole_path;
--- /dev/null
+++ b/stand-ins/src/trial/process.rs
@@ -0,0 +1,107 @@
+//! Child processes of a trial.
+
+use std::fs::File;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use anyhow::Context;
+use rustix::process::{Pid, Signal, kill_process};
+use smol::Timer;
+
+/// Pause between two looks at a process that is to end.
+const POLL: Duration = Duration::from_millis(10);
+
+/// A running process; killed when dropped.
+pub struct Process {
+    /// Name in reports.
+    pub name: String,
+    child: Child,
+}
+
+impl Process {
+    /// Starts a program beside the current one; its output goes to a file in `dir`.
+    pub fn start(program: &str, name: &str, args: &[String], dir: &Path) -> anyhow::Result<Self> {
+        let log = File::create(dir.join(format!("{name}.log")))?;
+        let child = Command::new(binary(program)?)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()
+            .with_context(|| format!("{program} for {name} did not start"))?;
+        Ok(Process {
+            name: name.to_owned(),
+            child,
+        })
+    }
+
+    /// Id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) -> anyhow::Result<()> {
+        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        kill_process(pid.context("the process has no id")?, signal)?;
+        Ok(())
+    }
+
+    /// Kills the process at once.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Asks the process to stop and waits; false when it outlived the limit or failed.
+    pub async fn stop(&mut self, limit: Duration) -> anyhow::Result<bool> {
+        self.signal(Signal::TERM)?;
+        let begun = Instant::now();
+        while begun.elapsed() < limit {
+            if let Some(status) = self.child.try_wait()? {
+                return Ok(status.success());
+            }
+            Timer::after(POLL).await;
+        }
+        Ok(false)
+    }
+
+    /// Processor time used so far and resident memory in bytes.
+    pub fn usage(&self) -> Option<(Duration, u64)> {
+        let proc = PathBuf::from("/proc").join(self.child.id().to_string());
+        let stat = std::fs::read_to_string(proc.join("stat")).ok()?;
+        let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
+        let ticks: u64 = fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?;
+        let status = std::fs::read_to_string(proc.join("status")).ok()?;
+        let rss = status.lines().find_map(|l| l.strip_prefix("VmRSS:"))?;
+        let kib: u64 = rss.split_whitespace().next()?.parse().ok()?;
+        // Linux reports processor time in ticks of 10 ms.
+        Some((Duration::from_millis(ticks * 10), kib * 1024))
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn binary(program: &str) -> anyhow::Result<PathBuf> {
+    let own = std::env::current_exe()?;
+    let dir = own.parent().context("the program has no directory")?;
+    Ok(dir.join(program))
+}
+
+/// Builds the programs that trials start, in the profile of the current one.
+pub fn build() -> anyhow::Result<()> {
+    let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
+    let mut command = Command::new(cargo);
+    command.args(["build", "--quiet", "--package", "turmerichold", "--package", "stand-ins"]);
+    if !cfg!(debug_assertions) {
+        command.arg("--release");
+    }
+    let status = command.status().context("cargo cannot be run")?;
+    anyhow::ensure!(status.success(), "the build failed");
+    Ok(())
+}
--- /dev/null
+++ b/stand-ins/src/vms.rs
@@ -0,0 +1,95 @@
+//! The platform's lagging list of VMs.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use fleet::Member;
+use http_types::{Method, Request, Response};
+use platform::Listing;
+use wire::Handler;
+
+use crate::faults::{Fate, FaultSwitch};
+use crate::http;
+
+#[derive(Default)]
+struct State {
+    shown: Listing,
+    pending: Vec<(Instant, Change)>,
+}
+
+enum Change {
+    Put(Box<Member>),
+    Remove(String),
+}
+
+/// The list; changes show after a lag.
+pub struct Vms {
+    state: Mutex<State>,
+    faults: FaultSwitch,
+    lag: Duration,
+}
+
+impl Vms {
+    /// An empty list whose changes show after `lag`.
+    pub fn new(lag: Duration) -> Self {
+        Vms {
+            state: Mutex::default(),
+            faults: FaultSwitch::default(),
+            lag,
+        }
+    }
+
+    fn change(&self, change: Change) -> Response {
+        self.lock().pending.push((Instant::now() + self.lag, change));
+        http::status(204)
+    }
+
+    fn list(&self, since: u64) -> Response {
+        let mut state = self.lock();
+        let now = Instant::now();
+        while state.pending.first().is_some_and(|(due, _)| *due <= now) {
+            let (_, change) = state.pending.remove(0);
+            state.shown.version += 1;
+            let vms = &mut state.shown.vms;
+            match change {
+                Change::Put(m) => {
+                    vms.retain(|v| v.vm != m.vm);
+                    vms.push(*m);
+                }
+                Change::Remove(id) => vms.retain(|v| v.vm != id),
+            }
+        }
+        match state.shown.version == since && since > 0 {
+            true => http::status(204),
+            false => http::json(&state.shown),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Handler for Vms {
+    async fn handle(&self, mut req: Request, _peer: SocketAddr) -> Response {
+        let segments = http::segments(&req);
+        let parts: Vec<&str> = segments.iter().map(String::as_str).collect();
+        match (req.method(), parts.as_slice()) {
+            (Method::Post, ["faults"]) => match http::read(&mut req).await {
+                Ok(faults) => self.faults.set(faults),
+                Err(res) => res,
+            },
+            (Method::Post, ["vms"]) => match http::read(&mut req).await {
+                Ok(member) => self.change(Change::Put(Box::new(member))),
+                Err(res) => res,
+            },
+            (Method::Delete, ["vms", id]) => self.change(Change::Remove((*id).to_owned())),
+            (Method::Get, ["vms"]) => match self.faults.fate().await {
+                Fate::Refused => http::status(503),
+                _ => self.list(http::param(&req, "since").unwrap_or(0)),
+            },
+            _ => http::status(404),
+        }
+    }
+}
