--- a/components/agent/src/config_follower.rs
+++ b/components/agent/src/config_follower.rs
@@ -57,7 +57,9 @@
 }
 
 async fn fetch(client: &Client, addr: SocketAddr) -> Result<Option<Snapshot>, WireError> {
-    let reply = client.send(Call::new(Method::Get, addr, paths::SNAPSHOT)?).await?;
+    let reply = client
+        .send(Call::new(Method::Get, addr, paths::SNAPSHOT)?)
+        .await?;
     if u16::from(reply.status()) != 200 {
         return Ok(None);
     }
--- a/components/agent/src/runner.rs
+++ b/components/agent/src/runner.rs
@@ -95,9 +95,12 @@
     }
 
     fn call(&self, request: &RunRequest) -> Result<Call, WireError> {
-        let method = request.method.parse::<Method>().map_err(|e| WireError::Decode {
-            reason: e.to_string(),
-        })?;
+        let method = request
+            .method
+            .parse::<Method>()
+            .map_err(|e| WireError::Decode {
+                reason: e.to_string(),
+            })?;
         let call = Call::new(method, self.upstream, &request.path)?
             .header("request-id", &request.id)
             .header("client-account", &request.account)
@@ -108,7 +111,11 @@
             .body(request.body.clone());
         // An idle connection may be broken already, which would leave it
         // unknown whether the request ran.
-        Ok(if request.idempotent { call } else { call.fresh() })
+        Ok(if request.idempotent {
+            call
+        } else {
+            call.fresh()
+        })
     }
 
     fn broken(&self, run: &mut Run, error: &WireError) -> Response {
@@ -160,7 +167,10 @@
 
 fn answer_head(reply: &Reply) -> Response {
     let mut res = Response::new(StatusCode::Ok);
-    res.insert_header(headers::UPSTREAM_STATUS, u16::from(reply.status()).to_string());
+    res.insert_header(
+        headers::UPSTREAM_STATUS,
+        u16::from(reply.status()).to_string(),
+    );
     if let Some(t) = reply.header("content-type") {
         res.insert_header("upstream-type", t);
     }
--- a/components/agent/src/weights_service.rs
+++ b/components/agent/src/weights_service.rs
@@ -131,7 +131,8 @@
     }
 
     fn is_superseded(&self, model: &Model) -> bool {
-        self.wanted().is_none_or(|(_, m)| m.manifest != model.manifest)
+        self.wanted()
+            .is_none_or(|(_, m)| m.manifest != model.manifest)
     }
 
     async fn manifest(&self, id: &ModelId, model: &Model) -> anyhow::Result<Arc<Manifest>> {
@@ -233,7 +234,11 @@
             .insert(fetch.digest, bytes)
             .map(drop)
             .map_err(|e| {
-                log::error!("weights: chunk {} from {:?}: {e}", fetch.index, fetch.source);
+                log::error!(
+                    "weights: chunk {} from {:?}: {e}",
+                    fetch.index,
+                    fetch.source
+                );
                 FetchError::Corrupt
             })
     }
@@ -343,7 +348,9 @@
     }
 
     fn manifests(&self) -> MutexGuard<'_, HashMap<Digest, Arc<Manifest>>> {
-        self.manifests.lock().unwrap_or_else(PoisonError::into_inner)
+        self.manifests
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     fn drawn(&self) -> MutexGuard<'_, Drawn> {
--- a/components/config/src/declaration.rs
+++ b/components/config/src/declaration.rs
@@ -66,7 +66,10 @@
             .values()
             .any(|d| d.region == self.origin_region)
         {
-            let problem = format!("is {:?}, the region of no failure domain", self.origin_region);
+            let problem = format!(
+                "is {:?}, the region of no failure domain",
+                self.origin_region
+            );
             let remedy = "name a region of failure_domains";
             return Err(ConfigError::new("origin_region", problem, remedy));
         }
@@ -88,7 +91,11 @@
 
     fn check_references(&self) -> Result<(), ConfigError> {
         for (id, service) in &self.services {
-            if let Some(m) = service.model.as_ref().filter(|m| !self.models.contains_key(*m)) {
+            if let Some(m) = service
+                .model
+                .as_ref()
+                .filter(|m| !self.models.contains_key(*m))
+            {
                 let path = format!("services.{id}.model");
                 let problem = format!("names the unknown model {m:?}");
                 return Err(ConfigError::new(path, problem, "add it to models"));
@@ -113,7 +120,11 @@
             match ready {
                 Some((id, _)) => done.insert(id),
                 None => {
-                    let left: Vec<_> = self.services.keys().filter(|id| !done.contains(id)).collect();
+                    let left: Vec<_> = self
+                        .services
+                        .keys()
+                        .filter(|id| !done.contains(id))
+                        .collect();
                     let problem = format!("services depend on each other in a circle: {left:?}");
                     let remedy = "remove one of the dependencies";
                     return Err(ConfigError::new("services", problem, remedy));
--- a/components/config/src/digest.rs
+++ b/components/config/src/digest.rs
@@ -4,7 +4,9 @@
 use serde_with::{DeserializeFromStr, SerializeDisplay};
 
 /// A BLAKE3 digest, written as 64 hexadecimal digits.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, SerializeDisplay, DeserializeFromStr)]
+#[derive(
+    Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, SerializeDisplay, DeserializeFromStr,
+)]
 pub struct Digest([u8; 32]);
 
 impl Digest {
--- /dev/null
+++ b/components/config/tests/declaration.rs
@@ -0,0 +1,150 @@
+//! Reading and checking of texts and settings.
+
+mod fixture;
+
+use config::{AgentSettings, Declaration, parse_json};
+use fixture::raw_text;
+use serde_json::{Value, json};
+use testkit::check_seeds;
+
+fn error_of(change: impl FnOnce(&mut Value)) -> String {
+    let mut text = raw_text(4);
+    change(&mut text);
+    Declaration::parse("fleet.json", &text.to_string())
+        .expect_err("the text must be refused")
+        .to_string()
+}
+
+#[test]
+fn examples_are_valid() {
+    for file in ["lippula.json", "crumbs-cuppa.json"] {
+        let path = format!("{}/../../examples/{file}", env!("CARGO_MANIFEST_DIR"));
+        let json = std::fs::read_to_string(path).unwrap();
+
+        let declaration = Declaration::parse(file, &json).unwrap();
+
+        assert_eq!(declaration.failure_domains.len(), 3, "{file}");
+        assert_eq!(declaration.client_accounts.len(), 10, "{file}");
+    }
+}
+
+#[test]
+fn errors_name_file_path_value_and_remedy() {
+    let limit = error_of(|t| t["services"]["menu-helper"]["limit"] = json!("many"));
+    assert!(
+        limit.starts_with("fleet.json: services.menu-helper.limit:"),
+        "{limit}"
+    );
+    assert!(
+        limit.contains("\"many\"") && limit.contains("give a value"),
+        "{limit}"
+    );
+
+    let unknown = error_of(|t| t["services"]["menu-helper"]["limits"] = json!(3));
+    assert!(
+        unknown.contains("limits") && unknown.contains("remove the field"),
+        "{unknown}"
+    );
+
+    let missing = error_of(|t| {
+        drop(
+            t["services"]["rota-desk"]
+                .as_object_mut()
+                .unwrap()
+                .remove("queue"),
+        )
+    });
+    assert!(
+        missing.contains("queue") && missing.contains("add the field"),
+        "{missing}"
+    );
+}
+
+#[test]
+fn values_out_of_range_are_refused() {
+    let cases: [(&str, Value, &str); 6] = [
+        ("limit", json!(0), "cold_limit"),
+        ("cold_limit", json!(0), "at least 1"),
+        ("deadline_ms", json!(0), "1 to 3600000"),
+        ("priority", json!(10), "0 to 9"),
+        ("routes", json!([]), "at least one route"),
+        ("model", json!("soup"), "add it to models"),
+    ];
+    for (field, value, remedy) in cases {
+        let error = error_of(|t| t["services"]["menu-helper"][field] = value);
+        assert!(
+            error.contains(&format!("services.menu-helper.{field}")),
+            "{error}"
+        );
+        assert!(error.contains(remedy), "{error}");
+    }
+}
+
+#[test]
+fn routes_are_checked() {
+    let method = error_of(|t| t["services"]["rota-desk"]["routes"][0]["method"] = json!("BREW"));
+    assert!(
+        method.contains("services.rota-desk.routes[0].method"),
+        "{method}"
+    );
+
+    let path = error_of(|t| t["services"]["rota-desk"]["routes"][0]["path"] = json!("swaps?x"));
+    assert!(path.contains("begin with a slash"), "{path}");
+}
+
+#[test]
+fn dependencies_are_checked() {
+    let unknown = error_of(|t| t["services"]["rota-desk"]["depends_on"] = json!(["diary"]));
+    assert!(unknown.contains("unknown service \"diary\""), "{unknown}");
+
+    let circle = error_of(|t| {
+        t["services"]["rota-desk"]["depends_on"] = json!(["menu-helper"]);
+        t["services"]["menu-helper"]["depends_on"] = json!(["rota-desk"]);
+    });
+    assert!(circle.contains("in a circle"), "{circle}");
+}
+
+#[test]
+fn unknown_failure_domains_are_not_in_service() {
+    let declaration = Declaration::parse("t", &raw_text(4).to_string()).unwrap();
+
+    assert!(declaration.in_service("fife-a"));
+    assert!(!declaration.in_service("fife-b"));
+}
+
+#[test]
+fn settings_with_unknown_or_missing_fields_are_refused() {
+    let settings = json!({
+        "node": {
+            "vm": "vm-1", "listen": "127.0.0.1:1", "failure_domain": "fife-a", "region": "fife",
+            "platform": { "log": "127.0.0.1:2", "vms": "127.0.0.1:3", "origin": "127.0.0.1:4" },
+            "drain_ms": 1000
+        },
+        "service": "menu-helper", "upstream": "127.0.0.1:5", "memory_bytes": 1024
+    });
+    let read = |v: &Value| parse_json::<AgentSettings>("agent.json", &v.to_string());
+    assert!(read(&settings).is_ok());
+
+    let mut missing = settings.clone();
+    missing["node"]["platform"]
+        .as_object_mut()
+        .unwrap()
+        .remove("log");
+    let error = read(&missing).unwrap_err().to_string();
+    assert!(error.starts_with("agent.json: node.platform"), "{error}");
+
+    let mut wrong = settings;
+    wrong["upstream"] = json!("nowhere");
+    let error = read(&wrong).unwrap_err().to_string();
+    assert!(error.starts_with("agent.json: upstream:"), "{error}");
+}
+
+#[test]
+fn arbitrary_bytes_never_panic() {
+    check_seeds(500, |u| {
+        let bytes: Vec<u8> = u.arbitrary()?;
+        let text = String::from_utf8_lossy(&bytes);
+        let _ = Declaration::parse("fuzz", &text);
+        Ok(())
+    });
+}
--- a/components/entry/src/attempt.rs
+++ b/components/entry/src/attempt.rs
@@ -76,7 +76,10 @@
                 Grant::Refuse(p) => return finish(problem.unwrap_or(p), request),
             };
             tried.push(target.key);
-            match self.run(pool, request, &target, id, attempt, deadline).await {
+            match self
+                .run(pool, request, &target, id, attempt, deadline)
+                .await
+            {
                 Next::Answer(response) => return response,
                 Next::Retry(p) => problem = Some(p),
             }
@@ -105,7 +108,11 @@
         let grant = granted.recv().await;
         drop(place);
         grant.unwrap_or_else(|_| {
-            Grant::Refuse(Problem::not_run(503, "no upstream", "the service was removed"))
+            Grant::Refuse(Problem::not_run(
+                503,
+                "no upstream",
+                "the service was removed",
+            ))
         })
     }
 
@@ -152,7 +159,9 @@
         let mut pool = lock(pool);
         match refusal {
             Some(Refusal::Full | Refusal::Voided | Refusal::Suspect) => {}
-            Some(Refusal::Closed | Refusal::Restarted | Refusal::Expired) => pool.closed(target.key),
+            Some(Refusal::Closed | Refusal::Restarted | Refusal::Expired) => {
+                pool.closed(target.key)
+            }
             Some(Refusal::Unreachable) | None => pool.failed(self.clock.now(), target.key),
         }
     }
@@ -184,7 +193,11 @@
 
 /// An idempotent request that may have run can simply be sent again.
 fn finish(problem: Problem, request: &CallerRequest) -> Response {
-    log::debug!("dispatch: {} request ended as {}", request.service, problem.outcome);
+    log::debug!(
+        "dispatch: {} request ended as {}",
+        request.service,
+        problem.outcome
+    );
     problem.into()
 }
 
@@ -195,14 +208,19 @@
         .and_then(|s| StatusCode::try_from(s).ok())
         .unwrap_or(StatusCode::BadGateway);
     let mut res = Response::new(status);
-    let media_type = reply.header("content-type").unwrap_or("application/octet-stream");
+    let media_type = reply
+        .header("content-type")
+        .unwrap_or("application/octet-stream");
     let media_type = media_type.to_owned();
     if let Some(version) = reply.header(headers::MODEL_VERSION) {
         res.insert_header(headers::MODEL_VERSION, version);
     }
     let body = reply.into_body();
     let len = body.len().and_then(|l| usize::try_from(l).ok());
-    res.set_body(Body::from_reader(BufReader::new(Relay::new(body, lease)), len));
+    res.set_body(Body::from_reader(
+        BufReader::new(Relay::new(body, lease)),
+        len,
+    ));
     res.insert_header("content-type", media_type);
     res.insert_header("request-id", id.as_str());
     res
--- a/components/entry/src/caller_request.rs
+++ b/components/entry/src/caller_request.rs
@@ -46,11 +46,17 @@
         let (service_id, below) = split_path(&path);
         let service = declaration.services.get(service_id).ok_or_else(|| {
             let names: Vec<_> = declaration.services.keys().collect();
-            bad(404, format!("service {service_id:?} is unknown; use one of {names:?}"))
+            bad(
+                404,
+                format!("service {service_id:?} is unknown; use one of {names:?}"),
+            )
         })?;
         let method = req.method().to_string();
         let route = service.route(&method, below).ok_or_else(|| {
-            bad(404, format!("{service_id} has no route {method} {below}; see the text"))
+            bad(
+                404,
+                format!("{service_id} has no route {method} {below}; see the text"),
+            )
         })?;
         let account = header(req, "client-account")
             .ok_or_else(|| bad(401, "header client-account is missing; name your account"))?;
@@ -62,12 +68,18 @@
         let priority = number(req, "priority", u64::from(service.priority), 0, 9)?;
         let deadline = u64::try_from(service.deadline.as_millis()).unwrap_or(u64::MAX);
         let timeout = number(req, "deadline-ms", deadline, 1, 3_600_000)?;
-        let query = req.url().query().map(|q| format!("?{q}")).unwrap_or_default();
+        let query = req
+            .url()
+            .query()
+            .map(|q| format!("?{q}"))
+            .unwrap_or_default();
         let checked = CallerRequest {
             service: service_id.into(),
             method: route.method.clone(),
             path: format!("{below}{query}").into(),
-            media_type: header(req, "content-type").unwrap_or("application/json").into(),
+            media_type: header(req, "content-type")
+                .unwrap_or("application/json")
+                .into(),
             account: account.into(),
             share,
             idempotent: route.idempotent,
@@ -84,7 +96,10 @@
 
     /// Hash that recognises the same request when it is sent again.
     pub fn fingerprint(&self) -> u64 {
-        let head = format!("{}\n{}\n{}\n{}", self.account, self.service, self.method, self.path);
+        let head = format!(
+            "{}\n{}\n{}\n{}",
+            self.account, self.service, self.method, self.path
+        );
         fleet::weight(&head, &String::from_utf8_lossy(&self.body))
     }
 
@@ -102,12 +117,16 @@
         return Err(too_long());
     }
     match within(BODY_TIME, read_limited(req, BODY_LIMIT)).await {
-        None => Err(bad(408, "the body was not complete in 10 s; send it faster")),
+        None => Err(bad(
+            408,
+            "the body was not complete in 10 s; send it faster",
+        )),
         Some(Err(WireError::TooLong { .. })) => Err(too_long()),
         Some(Err(e)) => Err(bad(400, format!("the body is broken: {e}"))),
-        Some(Ok(b)) if declared.is_some_and(|l| l != b.len()) => {
-            Err(bad(400, "the body is shorter than its content-length; send it whole"))
-        }
+        Some(Ok(b)) if declared.is_some_and(|l| l != b.len()) => Err(bad(
+            400,
+            "the body is shorter than its content-length; send it whole",
+        )),
         Some(Ok(b)) => Ok(b),
     }
 }
@@ -131,11 +150,19 @@
     text.parse()
         .ok()
         .filter(|n| (min..=max).contains(n))
-        .ok_or_else(|| bad(400, format!("header {name} is {text:?}; give {min} to {max}")))
+        .ok_or_else(|| {
+            bad(
+                400,
+                format!("header {name} is {text:?}; give {min} to {max}"),
+            )
+        })
 }
 
 fn too_long() -> Problem {
-    bad(413, format!("the body is longer than {BODY_LIMIT} bytes; send a shorter one"))
+    bad(
+        413,
+        format!("the body is longer than {BODY_LIMIT} bytes; send a shorter one"),
+    )
 }
 
 fn bad(status: u16, detail: impl Into<String>) -> Problem {
--- a/components/entry/src/config_service.rs
+++ b/components/entry/src/config_service.rs
@@ -86,7 +86,11 @@
     pub async fn apply(&self, proposal: Proposal) -> Applied {
         let id = proposal.id.clone();
         let start = Instant::now();
-        match self.log.append(streams::CONFIG, &Record::Proposal(proposal)).await {
+        match self
+            .log
+            .append(streams::CONFIG, &Record::Proposal(proposal))
+            .await
+        {
             Ok(_) => {}
             Err(e) if e.is_without_effect() => return Applied::NotAppended(e.to_string()),
             Err(e) => log::warn!("config: append of {id} got no answer: {e}"),
@@ -136,7 +140,10 @@
     /// Appends a summary now and then, so that the log may forget old records.
     async fn checkpoint(&self, snapshot: Snapshot) {
         {
-            let mut last = self.checkpointed.lock().unwrap_or_else(PoisonError::into_inner);
+            let mut last = self
+                .checkpointed
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner);
             if snapshot.as_of < *last + CHECKPOINT_EVERY {
                 return;
             }
--- a/components/entry/src/directory.rs
+++ b/components/entry/src/directory.rs
@@ -14,8 +14,6 @@
 use crate::config_service::ConfigService;
 use crate::pools::{Pools, lock};
 
-/// Upstreams of one service that an entry knows.
-const SUBSET: usize = 20;
 /// Time between two readings of the list of VMs.
 const LIST_EVERY: Duration = Duration::from_secs(1);
 /// Shortest time between two heartbeats to one agent.
@@ -46,7 +44,12 @@
     pub const NAME: &'static str = "directory";
 
     /// The directory of the entry described by `settings`.
-    pub fn new(settings: &NodeSettings, config: &ConfigService, client: Client, clock: Clock) -> Self {
+    pub fn new(
+        settings: &NodeSettings,
+        config: &ConfigService,
+        client: Client,
+        clock: Clock,
+    ) -> Self {
         Directory {
             pools: Arc::new(Pools::new(settings)),
             cell: config.cell().clone(),
@@ -117,13 +120,14 @@
     /// Gives each pool its subset of the listed upstreams.
     fn assign(&self) {
         let vms = self.listing().vms.clone();
+        let entries: Vec<&Member> = vms.iter().filter(|m| m.role == Role::Entry).collect();
         for (service, pool) in self.pools.all() {
-            let members: Vec<&Member> = vms
+            let upstreams: Vec<&Member> = vms
                 .iter()
                 .filter(|m| m.role == Role::Upstream && m.service == service)
                 .collect();
-            let chosen = subset(&self.settings.vm, &members, SUBSET);
-            lock(&pool).set_members(&chosen);
+            let known = subset(&self.settings.vm, &entries, &upstreams);
+            lock(&pool).set_members(&known);
         }
     }
 
--- a/components/entry/src/exchange.rs
+++ b/components/entry/src/exchange.rs
@@ -81,7 +81,14 @@
     deadline: Instant,
 ) -> Exchanged {
     if reply.header(headers::RUN_ID) != Some(run.id.as_str()) {
-        return settle(client, target, run, deadline, "the reply belongs to another run").await;
+        return settle(
+            client,
+            target,
+            run,
+            deadline,
+            "the reply belongs to another run",
+        )
+        .await;
     }
     let load = reply.header(headers::LOAD).and_then(|v| v.parse().ok());
     if reply.header(headers::UPSTREAM_STATUS).is_some() {
--- a/components/entry/src/operator.rs
+++ b/components/entry/src/operator.rs
@@ -108,7 +108,9 @@
 
     async fn read_audit(&self) -> Result<Vec<serde_json::Value>, platform::PlatformError> {
         let log = self.config.log();
-        let changes = log.read::<Record>(streams::CONFIG, 0, Duration::ZERO).await?;
+        let changes = log
+            .read::<Record>(streams::CONFIG, 0, Duration::ZERO)
+            .await?;
         let actions = log
             .read::<serde_json::Value>(streams::AUDIT, 0, Duration::ZERO)
             .await?;
--- a/components/entry/src/pool.rs
+++ b/components/entry/src/pool.rs
@@ -297,7 +297,9 @@
             tried: &waiter.tried,
         };
         let Choice::Upstream(i) = choose(now, &self.candidates, query, &mut self.rng) else {
-            let _ = waiter.grant.try_send(Grant::Refuse(overloaded(CLOSED_RETRY)));
+            let _ = waiter
+                .grant
+                .try_send(Grant::Refuse(overloaded(CLOSED_RETRY)));
             return;
         };
         let Some(target) = self.target(i) else {
--- a/components/entry/src/pools.rs
+++ b/components/entry/src/pools.rs
@@ -39,7 +39,10 @@
     /// All pools with the names of their services.
     pub fn all(&self) -> Vec<(ServiceId, SharedPool)> {
         let pools = self.pools.read().unwrap_or_else(PoisonError::into_inner);
-        pools.iter().map(|(id, p)| (id.clone(), p.clone())).collect()
+        pools
+            .iter()
+            .map(|(id, p)| (id.clone(), p.clone()))
+            .collect()
     }
 
     /// Takes over the configuration in force.
--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -5,5 +5,5 @@
 mod subset;
 
 pub use member::{Member, Role, VmState};
-pub use rank::{rank_order, weight};
+pub use rank::{id_hash, mix, rank_order, weight};
 pub use subset::subset;
--- a/components/platform/src/log_client.rs
+++ b/components/platform/src/log_client.rs
@@ -67,7 +67,11 @@
 
     /// Appends a record and returns its offset. After an error that is not
     /// without effect the record may have been appended.
-    pub async fn append<T: Serialize>(&self, stream: &str, value: &T) -> Result<u64, PlatformError> {
+    pub async fn append<T: Serialize>(
+        &self,
+        stream: &str,
+        value: &T,
+    ) -> Result<u64, PlatformError> {
         let call = "append";
         let body = serde_json::to_vec(value).map_err(|e| bad(call, e))?;
         let path = format!("/streams/{stream}");
--- a/components/platform/src/vm_list.rs
+++ b/components/platform/src/vm_list.rs
@@ -36,7 +36,10 @@
     pub async fn read(&self, version: u64) -> Result<Option<Listing>, PlatformError> {
         let call = "vms";
         let path = format!("/vms?since={version}");
-        let reply = self.client.send(Call::new(Method::Get, self.addr, &path)?).await?;
+        let reply = self
+            .client
+            .send(Call::new(Method::Get, self.addr, &path)?)
+            .await?;
         let status = u16::from(reply.status());
         let bytes = reply.bytes(LIST_LIMIT).await?;
         match status {
--- /dev/null
+++ b/components/protocol/tests/messages.rs
@@ -0,0 +1,112 @@
+//! Messages between processes survive encoding; arbitrary bytes never panic.
+
+use std::time::Duration;
+
+use config::Snapshot;
+use protocol::{
+    Answer, Door, Heartbeat, HeartbeatReply, Load, Progress, Refusal, RunRequest, Settle,
+    SettleReply, Ticket,
+};
+use testkit::check_seeds;
+
+fn run() -> RunRequest {
+    RunRequest {
+        id: "entry-1-2".into(),
+        ticket: ticket(),
+        method: "POST".into(),
+        path: "/orders?x=1".into(),
+        media_type: "application/json".into(),
+        account: "parents".into(),
+        idempotent: false,
+        priority: 3,
+        left: Duration::from_millis(1500),
+        fingerprint: 99,
+        suspect: true,
+        body: vec![0, 1, 255],
+    }
+}
+
+fn ticket() -> Ticket {
+    Ticket {
+        incarnation: u64::MAX,
+        issued_ms: 5,
+    }
+}
+
+fn reply() -> HeartbeatReply {
+    HeartbeatReply {
+        vm: "vm-1".into(),
+        ticket: ticket(),
+        door: Door::OutOfService,
+        load: Load {
+            limit: 4,
+            in_flight: 3,
+            service_us: 2,
+        },
+        revision: 8,
+        progress: Some(Progress {
+            version: "1".into(),
+            have: 1,
+            total: 2,
+            origin_bytes: 3,
+            peer_bytes: 4,
+            serving: None,
+        }),
+        crashes: vec![1, 2],
+    }
+}
+
+#[test]
+fn messages_survive_encoding() {
+    let bytes = wire::encode(&run()).unwrap();
+    let back: RunRequest = wire::decode(&bytes).unwrap();
+    assert_eq!(format!("{back:?}"), format!("{:?}", run()));
+
+    let bytes = wire::encode(&reply()).unwrap();
+    let back: HeartbeatReply = wire::decode(&bytes).unwrap();
+    assert_eq!(format!("{back:?}"), format!("{:?}", reply()));
+
+    let answered = SettleReply::Answered(Answer {
+        status: 200,
+        media_type: "a/b".into(),
+        body: vec![9; 300],
+    });
+    let bytes = wire::encode(&answered).unwrap();
+    assert_eq!(wire::decode::<SettleReply>(&bytes).unwrap(), answered);
+
+    let snapshot = Snapshot {
+        revision: 3,
+        as_of: 9,
+        text: "{}".into(),
+    };
+    let bytes = wire::encode(&snapshot).unwrap();
+    assert_eq!(wire::decode::<Snapshot>(&bytes).unwrap(), snapshot);
+}
+
+#[test]
+fn a_load_survives_its_header() {
+    let load = reply().load;
+
+    assert_eq!(load.to_string().parse::<Load>().unwrap(), load);
+    assert!("1 2".parse::<Load>().is_err());
+    assert!("1 2 x".parse::<Load>().is_err());
+}
+
+#[test]
+fn arbitrary_bytes_never_panic() {
+    check_seeds(2000, |u| {
+        let mut bytes = wire::encode(&run()).unwrap();
+        for _ in 0..u.int_in_range(1..=8)? {
+            let i = u.choose_index(bytes.len())?;
+            bytes[i] = u.arbitrary()?;
+        }
+        let _ = wire::decode::<RunRequest>(&bytes);
+        let _ = wire::decode::<HeartbeatReply>(&bytes);
+        let _ = wire::decode::<Heartbeat>(&bytes);
+        let _ = wire::decode::<Settle>(&bytes);
+        let _ = wire::decode::<SettleReply>(&bytes);
+        let _ = wire::decode::<Refusal>(&bytes);
+        let _ = wire::decode::<Snapshot>(&bytes);
+        Ok(())
+    });
+}
--- a/components/requests/src/admission.rs
+++ b/components/requests/src/admission.rs
@@ -163,7 +163,10 @@
 
     /// Puts a request back that was taken but refused by its upstream.
     pub fn put_back(&mut self, waiting: Waiting) {
-        let account = self.accounts.entry(waiting.arrival.account.clone()).or_default();
+        let account = self
+            .accounts
+            .entry(waiting.arrival.account.clone())
+            .or_default();
         account.virtual_time = account
             .virtual_time
             .saturating_sub(STRIDE / u64::from(account.share.max(1)));
@@ -238,7 +241,10 @@
     /// Removes the worst request of the account that waits most for its share,
     /// provided that account waits for more than the newcomer's would.
     fn displace(&mut self, arrival: &Arrival) -> Option<u64> {
-        let own = self.accounts.get(&arrival.account).map_or(0, |a| a.waiting.len());
+        let own = self
+            .accounts
+            .get(&arrival.account)
+            .map_or(0, |a| a.waiting.len());
         let own_load = (own as u64 + 1) * STRIDE / u64::from(arrival.share.max(1));
         let (id, load) = self
             .accounts
@@ -297,13 +303,21 @@
 
 fn best(waiting: &[Waiting]) -> Option<usize> {
     (0..waiting.len()).reduce(|a, b| {
-        if goes_before(&waiting[b].arrival, &waiting[a].arrival) { b } else { a }
+        if goes_before(&waiting[b].arrival, &waiting[a].arrival) {
+            b
+        } else {
+            a
+        }
     })
 }
 
 fn worst(waiting: &[Waiting]) -> Option<usize> {
     (0..waiting.len()).reduce(|a, b| {
-        if goes_before(&waiting[a].arrival, &waiting[b].arrival) { b } else { a }
+        if goes_before(&waiting[a].arrival, &waiting[b].arrival) {
+            b
+        } else {
+            a
+        }
     })
 }
 
--- a/components/requests/src/quarantine.rs
+++ b/components/requests/src/quarantine.rs
@@ -70,7 +70,11 @@
 
     fn evict(&mut self, now: Duration) {
         self.entries.retain(|_, e| e.until > now);
-        let oldest = self.entries.iter().min_by_key(|(_, e)| e.until).map(|(f, _)| *f);
+        let oldest = self
+            .entries
+            .iter()
+            .min_by_key(|(_, e)| e.until)
+            .map(|(f, _)| *f);
         if let Some(f) = oldest.filter(|_| self.entries.len() >= CAPACITY) {
             self.entries.remove(&f);
         }
--- /dev/null
+++ b/components/requests/tests/admission.rs
@@ -0,0 +1,187 @@
+//! The queue of a service at an entry.
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use requests::{Admission, AdmissionLimits, Arrival, Offer};
+use testkit::check_seeds;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn queue(size: usize) -> Admission {
+    Admission::new(AdmissionLimits { queue: size })
+}
+
+fn arrival(id: u64, account: &str, share: u32) -> Arrival {
+    Arrival {
+        id,
+        account: account.into(),
+        share,
+        priority: 5,
+        deadline: ms(60_000),
+    }
+}
+
+fn offer_all(queue: &mut Admission, arrivals: impl IntoIterator<Item = Arrival>) {
+    for a in arrivals {
+        assert_eq!(queue.offer(ms(0), a), Offer::Wait { displaced: None });
+    }
+}
+
+/// Takes every request, one each `step`.
+fn drain(queue: &mut Admission, step: Duration) -> Vec<Arrival> {
+    let mut now = ms(0);
+    std::iter::from_fn(|| {
+        now += step;
+        queue.next(now).map(|w| w.arrival)
+    })
+    .collect()
+}
+
+#[test]
+fn a_large_account_does_not_starve_a_small_one() {
+    let mut queue = queue(2000);
+    offer_all(&mut queue, (0..1000).map(|i| arrival(i, "large", 1)));
+    offer_all(&mut queue, [arrival(5000, "small", 1)]);
+
+    let order = drain(&mut queue, ms(1));
+
+    let place = order.iter().position(|a| a.account == "small").unwrap();
+    assert!(place <= 2, "the small account came {place}th");
+}
+
+#[test]
+fn accounts_take_turns_by_their_shares() {
+    let mut queue = queue(2000);
+    offer_all(&mut queue, (0..300).map(|i| arrival(i, "three", 3)));
+    offer_all(&mut queue, (1000..1300).map(|i| arrival(i, "one", 1)));
+
+    let first: Vec<_> = drain(&mut queue, ms(1)).into_iter().take(100).collect();
+
+    let three = first.iter().filter(|a| a.account == "three").count();
+    assert!((74..=76).contains(&three), "{three} of 100");
+}
+
+#[test]
+fn within_an_account_priority_goes_before_deadline() {
+    let mut queue = queue(10);
+    let with = |id, priority, deadline| Arrival {
+        priority,
+        deadline: ms(deadline),
+        ..arrival(id, "a", 1)
+    };
+    offer_all(
+        &mut queue,
+        [with(1, 5, 9000), with(2, 5, 8000), with(3, 9, 9500)],
+    );
+
+    let order: Vec<u64> = drain(&mut queue, ms(1)).iter().map(|a| a.id).collect();
+
+    assert_eq!(order, [3, 2, 1]);
+}
+
+#[test]
+fn what_cannot_be_answered_in_time_is_refused_at_once() {
+    let mut queue = queue(1000);
+    queue.record_service(ms(100));
+    let urgent = |i| Arrival {
+        priority: 9,
+        ..arrival(i, "a", 1)
+    };
+    offer_all(&mut queue, (0..100).map(urgent));
+    // One start each 50 ms while requests wait.
+    for i in 1..=20 {
+        queue.next(ms(50 * i));
+    }
+
+    let late = Arrival {
+        deadline: ms(1000 + 500),
+        ..arrival(999, "a", 1)
+    };
+    let Offer::Refuse { retry_after } = queue.offer(ms(1000), late) else {
+        panic!("80 requests of 50 ms are ahead");
+    };
+
+    assert!(retry_after >= ms(3000), "{retry_after:?}");
+}
+
+#[test]
+fn a_full_queue_takes_from_the_account_that_waits_for_most() {
+    let mut queue = queue(10);
+    offer_all(&mut queue, (0..10).map(|i| arrival(i, "large", 1)));
+
+    let offer = queue.offer(ms(0), arrival(100, "small", 1));
+
+    assert!(matches!(offer, Offer::Wait { displaced: Some(id) } if id < 10));
+    let offer = queue.offer(ms(0), arrival(101, "large", 1));
+    assert!(matches!(offer, Offer::Refuse { .. }));
+    assert_eq!(queue.len(), 10);
+}
+
+#[test]
+fn expired_requests_leave_the_queue() {
+    let mut queue = queue(10);
+    let soon = Arrival {
+        deadline: ms(50),
+        ..arrival(1, "a", 1)
+    };
+    offer_all(&mut queue, [soon, arrival(2, "a", 1)]);
+
+    let expired: Vec<u64> = queue.expire(ms(51)).iter().map(|w| w.arrival.id).collect();
+
+    assert_eq!(expired, [1]);
+    assert_eq!(queue.len(), 1);
+}
+
+/// Every request leaves the queue exactly once: taken, displaced, expired or cancelled.
+#[test]
+fn no_request_is_lost_or_taken_twice() {
+    check_seeds(1000, |u| {
+        let mut queue = queue(u.int_in_range(1..=12)?);
+        let mut waiting: HashSet<u64> = HashSet::new();
+        let mut now = ms(0);
+        for id in 0..u.int_in_range(1..=150)? {
+            now += ms(u.int_in_range(0..=40)?);
+            let account = *u.choose(&["a", "b", "c"])?;
+            match u.int_in_range(0..=5)? {
+                0..=2 => {
+                    let a = Arrival {
+                        priority: u.int_in_range(0..=9)?,
+                        deadline: now + ms(u.int_in_range(0..=400)?),
+                        ..arrival(id, account, u.int_in_range(1..=4)?)
+                    };
+                    if let Offer::Wait { displaced } = queue.offer(now, a) {
+                        assert!(waiting.insert(id));
+                        if let Some(id) = displaced {
+                            assert!(waiting.remove(&id));
+                        }
+                    }
+                }
+                3 => {
+                    if let Some(w) = queue.next(now) {
+                        assert!(waiting.remove(&w.arrival.id));
+                        if u.arbitrary()? {
+                            waiting.insert(w.arrival.id);
+                            queue.put_back(w);
+                        }
+                    }
+                }
+                4 => {
+                    for w in queue.expire(now) {
+                        assert!(waiting.remove(&w.arrival.id));
+                    }
+                }
+                _ => {
+                    let target = u.int_in_range(0..=id)?;
+                    if queue.cancel(&account.into(), target) {
+                        assert!(waiting.remove(&target));
+                    }
+                }
+            }
+            assert_eq!(queue.len(), waiting.len());
+        }
+        Ok(())
+    });
+}
--- /dev/null
+++ b/components/requests/tests/quarantine.rs
@@ -0,0 +1,60 @@
+//! Requests that crash upstreams, and the budget for retries.
+
+use std::time::Duration;
+
+use requests::{Quarantine, RetryBudget, Suspicion};
+
+fn secs(s: u64) -> Duration {
+    Duration::from_secs(s)
+}
+
+#[test]
+fn two_crashes_put_a_request_under_quarantine() {
+    let mut quarantine = Quarantine::default();
+    assert_eq!(quarantine.check(secs(0), 1), Suspicion::Clear);
+
+    quarantine.crash(secs(0), 1);
+    assert_eq!(quarantine.check(secs(1), 1), Suspicion::Suspect);
+
+    quarantine.crash(secs(2), 1);
+    assert_eq!(
+        quarantine.check(secs(2), 1),
+        Suspicion::Quarantined { left: secs(600) }
+    );
+}
+
+#[test]
+fn suspicion_ends_with_time_or_a_good_answer() {
+    let mut quarantine = Quarantine::default();
+    quarantine.crash(secs(0), 1);
+    quarantine.crash(secs(0), 2);
+
+    quarantine.absolve(2);
+
+    assert_eq!(quarantine.check(secs(601), 1), Suspicion::Clear);
+    assert_eq!(quarantine.check(secs(1), 2), Suspicion::Clear);
+}
+
+#[test]
+fn memory_is_bounded() {
+    let mut quarantine = Quarantine::default();
+
+    for f in 0..10_000 {
+        quarantine.crash(secs(f), f);
+    }
+
+    assert_eq!(quarantine.check(secs(10_000), 9_999), Suspicion::Suspect);
+}
+
+#[test]
+fn retries_are_a_share_of_first_attempts() {
+    let mut budget = RetryBudget::default();
+    while budget.spend() {}
+
+    for _ in 0..100 {
+        budget.earn();
+    }
+
+    let retries = (0..).take_while(|_| budget.spend()).count();
+    assert_eq!(retries, 20);
+}
--- /dev/null
+++ b/components/requests/tests/run_table.rs
@@ -0,0 +1,236 @@
+//! Runs at most once, under late, repeated, lost and crossed messages.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use protocol::{Answer, Refusal, RunId, Ticket};
+use requests::{Begin, RunTable, Settled};
+use testkit::arbitrary::{Result, Unstructured};
+use testkit::check_seeds;
+
+const INCARNATION: u64 = 7;
+
+fn secs(s: u64) -> Duration {
+    Duration::from_secs(s)
+}
+
+fn table() -> RunTable {
+    RunTable::new(INCARNATION)
+}
+
+fn answer() -> Arc<Answer> {
+    Arc::new(Answer {
+        status: 200,
+        media_type: "text/plain".into(),
+        body: b"booked".to_vec(),
+    })
+}
+
+#[test]
+fn a_run_starts_once() {
+    let mut table = table();
+    let (id, ticket) = (RunId::from("a"), table.ticket(secs(1)));
+
+    assert_eq!(table.begin(secs(1), &id, ticket), Begin::Run);
+    assert_eq!(table.begin(secs(2), &id, ticket), Begin::Duplicate);
+    assert_eq!(table.settle(secs(2), &id, ticket), Settled::Running);
+}
+
+#[test]
+fn an_answer_is_kept_for_who_lost_it() {
+    let mut table = table();
+    let (id, ticket) = (RunId::from("a"), table.ticket(secs(1)));
+    table.begin(secs(1), &id, ticket);
+
+    table.answer(&id, answer());
+
+    assert_eq!(
+        table.settle(secs(5), &id, ticket),
+        Settled::Answered(answer())
+    );
+    assert_eq!(table.begin(secs(5), &id, ticket), Begin::Duplicate);
+}
+
+#[test]
+fn a_voided_run_never_starts() {
+    let mut table = table();
+    let (id, ticket) = (RunId::from("a"), table.ticket(secs(1)));
+
+    assert_eq!(table.settle(secs(2), &id, ticket), Settled::Voided);
+
+    assert_eq!(
+        table.begin(secs(3), &id, ticket),
+        Begin::Refuse(Refusal::Voided)
+    );
+}
+
+#[test]
+fn a_late_run_is_refused_by_its_ticket() {
+    let mut table = table();
+    let (id, ticket) = (RunId::from("a"), table.ticket(secs(1)));
+
+    assert_eq!(
+        table.begin(secs(12), &id, ticket),
+        Begin::Refuse(Refusal::Expired)
+    );
+}
+
+#[test]
+fn another_incarnation_knows_nothing() {
+    let mut old = table();
+    let (id, ticket) = (RunId::from("a"), old.ticket(secs(1)));
+    old.begin(secs(1), &id, ticket);
+
+    let mut new = RunTable::new(INCARNATION + 1);
+
+    assert_eq!(
+        new.begin(secs(0), &id, ticket),
+        Begin::Refuse(Refusal::Restarted)
+    );
+    assert_eq!(new.settle(secs(0), &id, ticket), Settled::Unknown);
+}
+
+#[test]
+fn a_forgotten_run_is_unknown_not_voided() {
+    let mut table = table();
+    let (id, ticket) = (RunId::from("a"), table.ticket(secs(1)));
+    table.begin(secs(1), &id, ticket);
+    table.answer(&id, answer());
+
+    let settled = table.settle(secs(500), &id, ticket);
+
+    assert_eq!(settled, Settled::Unknown);
+    assert!(table.is_empty());
+}
+
+#[test]
+fn answers_are_bounded_in_memory() {
+    let mut table = table();
+    let ticket = table.ticket(secs(1));
+    let big = Arc::new(Answer {
+        body: vec![0; 1 << 20],
+        ..(*answer()).clone()
+    });
+
+    for i in 0..40 {
+        let id = RunId::from(format!("r{i}"));
+        table.begin(secs(1), &id, ticket);
+        table.answer(&id, big.clone());
+    }
+
+    // The oldest answer made room and is unknown, which is never "not run".
+    assert_eq!(
+        table.settle(secs(2), &"r0".into(), ticket),
+        Settled::Unknown
+    );
+    assert!(matches!(
+        table.settle(secs(2), &"r39".into(), ticket),
+        Settled::Answered(_)
+    ));
+}
+
+/// A network that delivers messages late, several times, in any order or never.
+#[derive(Debug, Clone)]
+enum Message {
+    Run(RunId, Ticket),
+    Settle(RunId, Ticket),
+}
+
+#[derive(Default)]
+struct World {
+    now: Duration,
+    incarnation: u64,
+    network: Vec<Message>,
+    executed: HashMap<RunId, u32>,
+    told_not_run: HashSet<RunId>,
+    sent: u32,
+}
+
+/// For any interleaving no id runs twice, and none that was told "not run" runs.
+#[test]
+fn at_most_once_for_any_interleaving() {
+    check_seeds(3000, |u| {
+        let mut world = World::default();
+        let mut table = RunTable::new(0);
+        for _ in 0..u.int_in_range(1..=120)? {
+            advance(u, &mut world, &mut table)?;
+            for (id, count) in &world.executed {
+                assert!(*count <= 1, "{id} ran {count} times");
+                assert!(
+                    !world.told_not_run.contains(id),
+                    "{id} was told not run, and ran"
+                );
+            }
+        }
+        Ok(())
+    });
+}
+
+fn advance(u: &mut Unstructured<'_>, world: &mut World, table: &mut RunTable) -> Result<()> {
+    match u.int_in_range(0..=11)? {
+        0..=2 => {
+            world.sent += 1;
+            let id = RunId::from(format!("r{}", world.sent));
+            let message = Message::Run(id, table.ticket(world.now));
+            world.network.push(message);
+        }
+        3..=4 => {
+            if !world.network.is_empty() {
+                let (Message::Run(id, ticket) | Message::Settle(id, ticket)) =
+                    u.choose(&world.network)?.clone();
+                world.network.push(Message::Settle(id, ticket));
+            }
+        }
+        5..=8 => {
+            if !world.network.is_empty() {
+                let i = u.choose_index(world.network.len())?;
+                // Kept in the network half of the time: it arrives again.
+                let message = match u.arbitrary()? {
+                    true => world.network[i].clone(),
+                    false => world.network.swap_remove(i),
+                };
+                deliver(world, table, message);
+            }
+        }
+        9 => world.now += Duration::from_millis(u.int_in_range(0..=30_000)?),
+        10 => {
+            let known: Vec<RunId> = world.executed.keys().cloned().collect();
+            if !known.is_empty() {
+                let id = u.choose(&known)?;
+                match u.arbitrary()? {
+                    true => table.answer(id, answer()),
+                    false => table.lose(id),
+                }
+            }
+        }
+        _ => {
+            if u.ratio(1, 8)? {
+                world.incarnation += 1;
+                *table = RunTable::new(world.incarnation);
+            }
+        }
+    }
+    Ok(())
+}
+
+fn deliver(world: &mut World, table: &mut RunTable, message: Message) {
+    match message {
+        Message::Run(id, ticket) => match table.begin(world.now, &id, ticket) {
+            Begin::Run => *world.executed.entry(id).or_default() += 1,
+            Begin::Refuse(_) => {
+                // The refusal tells the entry that this copy did not run; only a
+                // voided or never started run may be told as not run.
+                if !world.executed.contains_key(&id) {
+                    world.told_not_run.insert(id);
+                }
+            }
+            Begin::Duplicate => {}
+        },
+        Message::Settle(id, ticket) => {
+            if table.settle(world.now, &id, ticket) == Settled::Voided {
+                world.told_not_run.insert(id);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/routing/tests/choice.rs
@@ -0,0 +1,162 @@
+//! Choice of an upstream.
+
+use std::time::Duration;
+
+use routing::{Candidate, Choice, Distance, Query, choose};
+use testkit::check_seeds;
+
+const NOW: Duration = Duration::from_secs(100);
+
+fn candidate(key: u64) -> Candidate {
+    Candidate {
+        key,
+        limit: 8,
+        service: Duration::from_millis(100),
+        open: true,
+        ..Candidate::default()
+    }
+}
+
+fn fleet(size: u64) -> Vec<Candidate> {
+    (0..size).map(candidate).collect()
+}
+
+fn rng() -> fastrand::Rng {
+    fastrand::Rng::with_seed(1)
+}
+
+fn pick(candidates: &[Candidate], query: Query<'_>) -> Choice {
+    choose(NOW, candidates, query, &mut rng())
+}
+
+/// Shares of 4,000 choices.
+fn shares(candidates: &[Candidate]) -> Vec<usize> {
+    let mut counts = vec![0; candidates.len()];
+    let mut rng = rng();
+    for _ in 0..4000 {
+        if let Choice::Upstream(i) = choose(NOW, candidates, Query::default(), &mut rng) {
+            counts[i] += 1;
+        }
+    }
+    counts
+}
+
+#[test]
+fn no_upstream_or_only_closed_ones() {
+    assert_eq!(pick(&[], Query::default()), Choice::Closed);
+
+    let mut closed = fleet(3);
+    closed.iter_mut().for_each(|c| c.open = false);
+    assert_eq!(pick(&closed, Query::default()), Choice::Closed);
+}
+
+#[test]
+fn full_upstreams_are_not_chosen() {
+    let mut full = fleet(3);
+    full.iter_mut().for_each(|c| c.outstanding = 8);
+    assert_eq!(pick(&full, Query::default()), Choice::Full);
+
+    full[1].outstanding = 7;
+    assert_eq!(pick(&full, Query::default()), Choice::Upstream(1));
+}
+
+#[test]
+fn the_loads_of_other_entries_count() {
+    let mut fleet = fleet(2);
+    fleet[0].others = 8;
+
+    assert_eq!(pick(&fleet, Query::default()), Choice::Upstream(1));
+}
+
+#[test]
+fn a_loaded_or_slow_upstream_gets_less() {
+    let mut fleet = fleet(4);
+    fleet[0].others = 6;
+    fleet[1].service = Duration::from_millis(400);
+
+    let shares = shares(&fleet);
+
+    assert!(
+        shares[0] < shares[2] / 4 && shares[1] < shares[2] / 4,
+        "{shares:?}"
+    );
+}
+
+#[test]
+fn near_upstreams_come_first_while_their_load_allows() {
+    let mut fleet = fleet(4);
+    fleet[3].distance = Distance::OtherRegion;
+    let near = shares(&fleet);
+    assert!(near[3] < near[0] / 10, "{near:?}");
+
+    for c in &mut fleet[..3] {
+        c.outstanding = 6;
+    }
+    let loaded = shares(&fleet);
+    assert!(loaded[3] > loaded[0], "{loaded:?}");
+}
+
+#[test]
+fn avoided_upstreams_recover_with_time() {
+    let mut fleet = fleet(1);
+    fleet[0].avoid_until = NOW + Duration::from_millis(1);
+    assert_eq!(pick(&fleet, Query::default()), Choice::Full);
+
+    fleet[0].avoid_until = NOW;
+    assert_eq!(pick(&fleet, Query::default()), Choice::Upstream(0));
+}
+
+#[test]
+fn a_prefix_keeps_its_upstream_until_that_is_loaded() {
+    let mut fleet = fleet(20);
+    let query = Query {
+        prefix: Some(0x1234_5678_9abc),
+        tried: &[],
+    };
+    let Choice::Upstream(home) = pick(&fleet, query) else {
+        panic!("all are open");
+    };
+    for _ in 0..10 {
+        assert_eq!(pick(&fleet, query), Choice::Upstream(home));
+    }
+
+    fleet[home].outstanding = 7;
+    assert_ne!(pick(&fleet, query), Choice::Upstream(home));
+}
+
+#[test]
+fn what_was_tried_is_not_tried_again() {
+    let fleet = fleet(3);
+    let query = Query {
+        prefix: Some(7),
+        tried: &[0, 2],
+    };
+
+    assert_eq!(pick(&fleet, query), Choice::Upstream(1));
+}
+
+/// A choice is never closed, full, avoided or tried; and none is missed among a subset.
+#[test]
+fn choices_are_always_allowed() {
+    check_seeds(2000, |u| {
+        let mut fleet = fleet(u.int_in_range(1..=32)?);
+        for c in &mut fleet {
+            c.open = u.ratio(1, 2)?;
+            c.outstanding = u.int_in_range(0..=9)?;
+            c.others = u.int_in_range(0..=3)?;
+            c.avoid_until = NOW + Duration::from_secs(u64::from(u.ratio(1, 4)?));
+        }
+        let tried = [u.int_in_range(0..=31)?];
+        let query = Query {
+            prefix: u.arbitrary()?,
+            tried: &tried,
+        };
+        let allowed = |c: &Candidate| c.is_available(NOW) && !tried.contains(&c.key);
+
+        match pick(&fleet, query) {
+            Choice::Upstream(i) => assert!(allowed(&fleet[i])),
+            Choice::Full | Choice::Closed => assert!(!fleet.iter().any(allowed)),
+        }
+        Ok(())
+    });
+}
--- a/components/weights/src/planner.rs
+++ b/components/weights/src/planner.rs
@@ -51,8 +51,13 @@
 
 #[derive(Debug, Clone)]
 enum Chunk {
-    Missing { not_before: Duration, asked: Option<Duration> },
-    Fetching { asked: Option<Duration> },
+    Missing {
+        not_before: Duration,
+        asked: Option<Duration>,
+    },
+    Fetching {
+        asked: Option<Duration>,
+    },
     Held,
 }
 
--- a/components/weights/src/sources.rs
+++ b/components/weights/src/sources.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 
 use config::{Digest, RegionId, VmId};
-use fleet::rank_order;
+use fleet::{id_hash, mix, rank_order};
 
 /// An agent that wants or holds the same model version.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -14,6 +14,12 @@
     pub region: RegionId,
 }
 
+impl Peer {
+    fn hash(&self) -> u64 {
+        id_hash(&self.vm)
+    }
+}
+
 /// Where a chunk can be fetched.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Source {
@@ -49,11 +55,11 @@
 
     /// Sources of a chunk in the order in which they are to be tried.
     pub fn order(&self, chunk: &Digest) -> Vec<Source> {
-        let key = chunk.to_string();
-        let mut order = self.ahead_in_region(&key, &self.own.region);
+        let key = chunk.prefix();
+        let mut order = self.ahead_in_region(key, &self.own.region);
         if self.own.region != self.origin_region {
-            order.extend(self.ranked(&key, &self.origin_region));
-            order.extend(self.other_regions(&key));
+            order.extend(self.ranked(key, &self.origin_region));
+            order.extend(self.other_regions(key));
         }
         order.push(Source::Origin);
         order
@@ -61,19 +67,20 @@
 
     /// Whether the member is the chunk's home in its region.
     pub fn is_home(&self, chunk: &Digest) -> bool {
-        self.ahead_in_region(&chunk.to_string(), &self.own.region).is_empty()
+        self.ahead_in_region(chunk.prefix(), &self.own.region)
+            .is_empty()
     }
 
     /// A number that orders chunks differently for each member.
     pub fn spread(&self, chunk: &Digest) -> u64 {
-        fleet::weight(&self.own.vm, &chunk.to_string())
+        mix(self.own.hash(), chunk.prefix())
     }
 
     /// Members of the region ranked before this one.
-    fn ahead_in_region(&self, key: &str, region: &str) -> Vec<Source> {
+    fn ahead_in_region(&self, key: u64, region: &str) -> Vec<Source> {
         let mut members: Vec<&Peer> = self.in_region(region);
         members.push(&self.own);
-        rank_order(key, &mut members, |p| &p.vm);
+        rank_order(key, &mut members, |p| p.hash());
         members
             .into_iter()
             .take_while(|p| p.vm != self.own.vm)
@@ -81,14 +88,14 @@
             .collect()
     }
 
-    fn ranked(&self, key: &str, region: &str) -> Vec<Source> {
+    fn ranked(&self, key: u64, region: &str) -> Vec<Source> {
         let mut members = self.in_region(region);
-        rank_order(key, &mut members, |p| &p.vm);
+        rank_order(key, &mut members, |p| p.hash());
         members.into_iter().cloned().map(Source::Peer).collect()
     }
 
     /// The homes of the remaining regions, one each.
-    fn other_regions(&self, key: &str) -> Vec<Source> {
+    fn other_regions(&self, key: u64) -> Vec<Source> {
         let mut regions: Vec<&RegionId> = self.peers.iter().map(|p| &p.region).collect();
         regions.sort();
         regions.dedup();
--- a/components/wire/src/client.rs
+++ b/components/wire/src/client.rs
@@ -176,7 +176,9 @@
             .await
             .ok_or_else(|| refused(format!("no answer in {} ms", call.connect.as_millis())))?
             .map_err(|e| refused(e.to_string()))?;
-        stream.set_nodelay(true).map_err(|e| refused(e.to_string()))?;
+        stream
+            .set_nodelay(true)
+            .map_err(|e| refused(e.to_string()))?;
         Ok(stream)
     }
 
@@ -194,7 +196,12 @@
         let chunked = head.header(TRANSFER_ENCODING).is_some();
         let left = match head.header(CONTENT_LENGTH) {
             Some(v) if v.iter().count() > 1 => return Err(broken("repeated content-length")),
-            Some(v) => Some(v.last().as_str().parse().map_err(|_| broken("bad length"))?),
+            Some(v) => Some(
+                v.last()
+                    .as_str()
+                    .parse()
+                    .map_err(|_| broken("bad length"))?,
+            ),
             None if chunked => None,
             None if head.status() == StatusCode::NoContent => Some(0),
             None => return Err(broken("neither content-length nor chunked coding")),
--- a/src/cmd/agent.rs
+++ b/src/cmd/agent.rs
@@ -21,7 +21,9 @@
 ";
 
 pub fn run(mut args: Arguments) -> anyhow::Result<()> {
-    let path: PathBuf = args.value_from_str("--settings").map_err(UsageError::from)?;
+    let path: PathBuf = args
+        .value_from_str("--settings")
+        .map_err(UsageError::from)?;
     finish(args)?;
     let settings = AgentSettings::load(&path)?;
     let (client, clock) = (Client::default(), Clock::default());
--- a/src/cmd/operator_client.rs
+++ b/src/cmd/operator_client.rs
@@ -34,6 +34,11 @@
             return Ok(Answer { etag, body });
         }
         let problem: Problem = serde_json::from_slice(&body).context("the answer is no problem")?;
-        anyhow::bail!("{} ({}): {}", problem.title, problem.outcome, problem.detail)
+        anyhow::bail!(
+            "{} ({}): {}",
+            problem.title,
+            problem.outcome,
+            problem.detail
+        )
     })
 }
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -53,7 +53,10 @@
     let empty = serde_json::Map::new();
     for (id, service) in state["services"].as_object().unwrap_or(&empty) {
         println!("\n{id}: {} waiting", service["waiting"]);
-        println!("  {:<16} {:<14} {:<13} {:>9} {:>9}  serving", "vm", "domain", "door", "in flight", "chunks");
+        println!(
+            "  {:<16} {:<14} {:<13} {:>9} {:>9}  serving",
+            "vm", "domain", "door", "in flight", "chunks"
+        );
         for u in service["upstreams"].as_array().into_iter().flatten() {
             print_upstream(u);
         }
--- a/stand-ins/src/bin/stand-in.rs
+++ b/stand-ins/src/bin/stand-in.rs
@@ -7,11 +7,11 @@
 use anyhow::{Context, bail, ensure};
 use pico_args::Arguments;
 use stand_ins::engine::{Engine, EngineHandler, EngineSpec};
+use stand_ins::http::serve;
 use stand_ins::log::Log;
 use stand_ins::origin::Origin;
 use stand_ins::plain::Plain;
 use stand_ins::vms::Vms;
-use stand_ins::http::serve;
 
 const HELP: &str = "\
 Usage: stand-in KIND --listen ADDRESS [OPTIONS]
@@ -34,7 +34,9 @@
         print!("{HELP}");
         return Ok(());
     }
-    let kind = args.subcommand()?.context("a kind is missing; see --help")?;
+    let kind = args
+        .subcommand()?
+        .context("a kind is missing; see --help")?;
     let addr: SocketAddr = args.value_from_str("--listen")?;
     ensure!(addr.ip().is_loopback(), "{addr} is not a loopback address");
     let mut number = |name: &'static str, default: u64| -> anyhow::Result<u64> {
--- a/stand-ins/src/engine.rs
+++ b/stand-ins/src/engine.rs
@@ -124,7 +124,9 @@
 
 /// Milliseconds since 1970.
 pub fn epoch_ms() -> u64 {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     u64::try_from(now.as_millis()).unwrap_or(u64::MAX)
 }
 
@@ -181,10 +183,15 @@
             }
             false => {
                 let mut bytes = Vec::new();
-                if futures_lite::AsyncReadExt::read_to_end(&mut run, &mut bytes).await.is_err() {
+                if futures_lite::AsyncReadExt::read_to_end(&mut run, &mut bytes)
+                    .await
+                    .is_err()
+                {
                     return http::broken();
                 }
-                http::json(&json!({ "text": answer_text(&prompt.prompt), "tokens": prompt.max_tokens }))
+                http::json(
+                    &json!({ "text": answer_text(&prompt.prompt), "tokens": prompt.max_tokens }),
+                )
             }
         };
         if let Some(digest) = digest {
@@ -314,7 +321,9 @@
     }
 
     async fn read_weights(&self, order: &LoadOrder) -> Option<Digest> {
-        let call = Call::new(Method::Get, order.source, &order.path).ok()?.fresh();
+        let call = Call::new(Method::Get, order.source, &order.path)
+            .ok()?
+            .fresh();
         let reply = self.client.send(call).await.ok()?;
         if !reply.status().is_success() {
             return None;
--- a/stand-ins/src/http.rs
+++ b/stand-ins/src/http.rs
@@ -46,7 +46,9 @@
 
 /// Reads a JSON body.
 pub async fn read<T: DeserializeOwned>(req: &mut Request) -> Result<T, Response> {
-    let bytes = read_limited(req, BODY_LIMIT).await.map_err(|_| status(400))?;
+    let bytes = read_limited(req, BODY_LIMIT)
+        .await
+        .map_err(|_| status(400))?;
     serde_json::from_slice(&bytes).map_err(|e| {
         let mut res = status(400);
         res.set_body(e.to_string());
--- a/stand-ins/src/origin.rs
+++ b/stand-ins/src/origin.rs
@@ -74,7 +74,9 @@
             data: data.into(),
             manifest: manifest.to_bytes(),
         };
-        self.lock().models.insert(format!("{model}/{version}"), held);
+        self.lock()
+            .models
+            .insert(format!("{model}/{version}"), held);
         answer
     }
 
--- a/stand-ins/src/plain.rs
+++ b/stand-ins/src/plain.rs
@@ -66,7 +66,10 @@
             Err(res) => return res,
         };
         {
-            let mut in_flight = self.in_flight.lock().unwrap_or_else(PoisonError::into_inner);
+            let mut in_flight = self
+                .in_flight
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner);
             *in_flight += 1;
             let mut record = self.lock();
             record.peak = record.peak.max(*in_flight);
@@ -74,7 +77,10 @@
             *record.runs.entry(order.order.clone()).or_default() += 1;
         }
         Timer::after(self.service).await;
-        *self.in_flight.lock().unwrap_or_else(PoisonError::into_inner) -= 1;
+        *self
+            .in_flight
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) -= 1;
         match fate {
             Fate::AnswerLost => http::broken(),
             _ => http::json(&json!({ "done": order.order })),
@@ -82,7 +88,10 @@
     }
 
     fn load(&self) -> Response {
-        let running = *self.in_flight.lock().unwrap_or_else(PoisonError::into_inner);
+        let running = *self
+            .in_flight
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
         match self.reports {
             true => http::json(&json!({ "incarnation": self.incarnation, "running": running })),
             false => http::status(404),
--- a/stand-ins/src/trial/fleet.rs
+++ b/stand-ins/src/trial/fleet.rs
@@ -6,9 +6,7 @@
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, bail, ensure};
-use config::{
-    AgentSettings, Digest, EntrySettings, NodeSettings, PlatformSettings, Text, VmId,
-};
+use config::{AgentSettings, Digest, EntrySettings, NodeSettings, PlatformSettings, Text, VmId};
 use fleet::{Member, Role, VmState};
 use serde::Deserialize;
 use serde_json::Value;
@@ -157,8 +155,7 @@
         let text = serde_json::to_string_pretty(&self.text)?;
         let entry = self.entries[0].member.addr;
         let id = format!("trial-{}-{}", std::process::id(), self.revision);
-        let (status, body) =
-            control::apply(&self.client, entry, self.revision, &id, &text).await?;
+        let (status, body) = control::apply(&self.client, entry, self.revision, &id, &text).await?;
         ensure!(status == 200, "apply answered {status}: {body}");
         self.revision += 1;
         Ok(())
@@ -201,7 +198,11 @@
             };
             for (service, count) in &self.spec.upstreams {
                 let upstreams = status["services"][service]["upstreams"].as_array();
-                let open = upstreams.into_iter().flatten().filter(|u| u["open"] == true).count();
+                let open = upstreams
+                    .into_iter()
+                    .flatten()
+                    .filter(|u| u["open"] == true)
+                    .count();
                 if open < (*count).min(20) {
                     return false;
                 }
@@ -212,17 +213,24 @@
 
     /// Nodes whose upstream is an engine.
     pub fn engines(&self) -> impl Iterator<Item = &Node> {
-        self.agents.iter().filter(|n| self.is_engine(&n.member.service))
+        self.agents
+            .iter()
+            .filter(|n| self.is_engine(&n.member.service))
     }
 
     /// Nodes whose upstream is a plain service.
     pub fn plains(&self) -> impl Iterator<Item = &Node> {
-        self.agents.iter().filter(|n| !self.is_engine(&n.member.service))
+        self.agents
+            .iter()
+            .filter(|n| !self.is_engine(&n.member.service))
     }
 
     /// Whether a service runs on engines.
     pub fn is_engine(&self, service: &str) -> bool {
-        self.text.services.get(service).is_some_and(|s| s.model.is_some())
+        self.text
+            .services
+            .get(service)
+            .is_some_and(|s| s.model.is_some())
     }
 
     /// Stops our processes by signal; returns those that did not stop well.
@@ -241,7 +249,12 @@
         let rate = self.spec.origin_rate.to_string();
         self.stand_in("log", "log", p.log, &[])?;
         self.stand_in("vms", "vms", p.vms, &[])?;
-        self.stand_in("origin", "origin", p.origin, &["--bytes-per-s".into(), rate])?;
+        self.stand_in(
+            "origin",
+            "origin",
+            p.origin,
+            &["--bytes-per-s".into(), rate],
+        )?;
         for addr in [p.log, p.vms, p.origin] {
             self.await_listening(addr).await?;
         }
@@ -371,7 +384,10 @@
             }
             Timer::after(POLL).await;
         }
-        bail!("{addr} does not answer; see the logs in {}", self.dir.display())
+        bail!(
+            "{addr} does not answer; see the logs in {}",
+            self.dir.display()
+        )
     }
 
     /// Reads the record of an upstream.
@@ -382,7 +398,10 @@
 
     /// Upstream nodes by VM.
     pub fn by_vm(&self) -> BTreeMap<VmId, &Node> {
-        self.agents.iter().map(|n| (n.member.vm.clone(), n)).collect()
+        self.agents
+            .iter()
+            .map(|n| (n.member.vm.clone(), n))
+            .collect()
     }
 }
 
--- a/stand-ins/src/trial/process.rs
+++ b/stand-ins/src/trial/process.rs
@@ -72,7 +72,8 @@
         let proc = PathBuf::from("/proc").join(self.child.id().to_string());
         let stat = std::fs::read_to_string(proc.join("stat")).ok()?;
         let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
-        let ticks: u64 = fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?;
+        let ticks: u64 =
+            fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?;
         let status = std::fs::read_to_string(proc.join("status")).ok()?;
         let rss = status.lines().find_map(|l| l.strip_prefix("VmRSS:"))?;
         let kib: u64 = rss.split_whitespace().next()?.parse().ok()?;
@@ -97,7 +98,14 @@
 pub fn build() -> anyhow::Result<()> {
     let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
     let mut command = Command::new(cargo);
-    command.args(["build", "--quiet", "--package", "turmerichold", "--package", "stand-ins"]);
+    command.args([
+        "build",
+        "--quiet",
+        "--package",
+        "turmerichold",
+        "--package",
+        "stand-ins",
+    ]);
     if !cfg!(debug_assertions) {
         command.arg("--release");
     }
--- a/stand-ins/src/trial/whole_path.rs
+++ b/stand-ins/src/trial/whole_path.rs
@@ -97,14 +97,20 @@
 
 async fn bring_model(fleet: &mut Fleet, report: &mut Report) -> anyhow::Result<()> {
     let made = fleet.make_model(1).await?;
-    eprintln!("trial: bringing {} MiB to {} engines", made.size >> 20, fleet.engines().count());
+    eprintln!(
+        "trial: bringing {} MiB to {} engines",
+        made.size >> 20,
+        fleet.engines().count()
+    );
     let begun = Instant::now();
     fleet.apply().await?;
     let replicas = fleet.await_replicas(made.content, REPLICA_LIMIT).await?;
     let took = begun.elapsed();
     let engines = fleet.engines().count();
     report.add("replicas", replicas);
-    report.require(replicas == engines, || format!("{replicas} of {engines} replicas"));
+    report.require(replicas == engines, || {
+        format!("{replicas} of {engines} replicas")
+    });
     report.add_seconds("replica_seconds", took);
     let spec = spec();
     let link = spec.origin_rate as f64;
@@ -198,7 +204,11 @@
             stream,
         })
     };
-    let order = || Ask::Order(Order { order: format!("order-{i}") });
+    let order = || {
+        Ask::Order(Order {
+            order: format!("order-{i}"),
+        })
+    };
     let (path, ask) = match i % 10 {
         0..=2 => ("/neula-llm/complete", prompt(true)),
         3..=5 => ("/neula-llm/summarise", prompt(false)),
@@ -236,7 +246,10 @@
 ) -> anyhow::Result<()> {
     let limit = u64::try_from(DRAIN_LIMIT.as_millis())?;
     let late_in = |domain: &str, starts: &[u64]| match domain {
-        "pirkanmaa-a" => starts.iter().filter(|&&t| t > out + limit && t < back).count() as u64,
+        "pirkanmaa-a" => starts
+            .iter()
+            .filter(|&&t| t > out + limit && t < back)
+            .count() as u64,
         _ => 0,
     };
     let (mut overruns, mut partial, mut late, mut double, mut false_not_run) = (0, 0, 0, 0, 0);
--- a/stand-ins/src/vms.rs
+++ b/stand-ins/src/vms.rs
@@ -41,7 +41,9 @@
     }
 
     fn change(&self, change: Change) -> Response {
-        self.lock().pending.push((Instant::now() + self.lag, change));
+        self.lock()
+            .pending
+            .push((Instant::now() + self.lag, change));
         http::status(204)
     }
 
--- /dev/null
+++ b/tests/cli.rs
@@ -0,0 +1,84 @@
+//! The command line: help, exit codes and errors that name the remedy.
+
+use std::path::Path;
+use std::process::{Command, Output};
+
+fn turmerichold(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_turmerichold"))
+        .args(args)
+        .output()
+        .unwrap()
+}
+
+fn code(output: &Output) -> i32 {
+    output.status.code().unwrap()
+}
+
+fn stderr(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stderr).into_owned()
+}
+
+fn example(name: &str) -> String {
+    let dir = Path::new(env!("CARGO_MANIFEST_DIR")).join("examples");
+    dir.join(name).display().to_string()
+}
+
+#[test]
+fn every_command_has_help() {
+    for command in [
+        "entry", "agent", "check", "apply", "status", "audit", "manifest",
+    ] {
+        let output = turmerichold(&[command, "--help"]);
+
+        assert_eq!(code(&output), 0, "{command}");
+        let text = String::from_utf8_lossy(&output.stdout).into_owned();
+        assert!(
+            text.contains(&format!("Usage: turmerichold {command}")),
+            "{text}"
+        );
+    }
+}
+
+#[test]
+fn wrong_calls_exit_with_2() {
+    for args in [
+        &[][..],
+        &["fly"],
+        &["check"],
+        &["entry"],
+        &["check", "a", "b"],
+    ] {
+        let output = turmerichold(args);
+
+        assert_eq!(code(&output), 2, "{args:?}");
+        assert!(stderr(&output).contains("--help"), "{}", stderr(&output));
+    }
+}
+
+#[test]
+fn check_accepts_the_examples() {
+    for name in ["lippula.json", "crumbs-cuppa.json"] {
+        let output = turmerichold(&["check", &example(name)]);
+
+        assert_eq!(code(&output), 0, "{}", stderr(&output));
+    }
+}
+
+#[test]
+fn refusals_exit_with_1_and_name_the_remedy() {
+    let settings = example("lippula.json");
+    let cases: [(&[&str], &str); 3] = [
+        (&["check", "no-such-file.json"], "name a text"),
+        (
+            &["entry", "--settings", "no-such-file.json"],
+            "name a readable settings file",
+        ),
+        (&["agent", "--settings", &settings], "remove the field"),
+    ];
+    for (args, remedy) in cases {
+        let output = turmerichold(args);
+
+        assert_eq!(code(&output), 1, "{args:?}");
+        assert!(stderr(&output).contains(remedy), "{}", stderr(&output));
+    }
+}
