--- a/components/agent/src/weights_service.rs
+++ b/components/agent/src/weights_service.rs
@@ -219,8 +219,8 @@
 
     async fn fetch(&self, m: &Manifest, fetch: &Fetch) -> Result<(), FetchError> {
         let bytes = match &fetch.source {
-            Source::Origin => self.from_origin(m, fetch).await?,
-            Source::Peer(peer) => self.from_peer(peer, fetch).await?,
+            Source::Origin => self.fetch_from_origin(m, fetch).await?,
+            Source::Peer(peer) => self.fetch_from_peer(peer, fetch).await?,
         };
         let size = bytes.len() as u64;
         {
@@ -243,7 +243,7 @@
             })
     }
 
-    async fn from_origin(&self, m: &Manifest, fetch: &Fetch) -> Result<Vec<u8>, FetchError> {
+    async fn fetch_from_origin(&self, m: &Manifest, fetch: &Fetch) -> Result<Vec<u8>, FetchError> {
         self.origin
             .range(&m.model, &m.version, m.range(fetch.index))
             .await
@@ -253,7 +253,7 @@
             })
     }
 
-    async fn from_peer(&self, peer: &Peer, fetch: &Fetch) -> Result<Vec<u8>, FetchError> {
+    async fn fetch_from_peer(&self, peer: &Peer, fetch: &Fetch) -> Result<Vec<u8>, FetchError> {
         let path = format!("{}{}", paths::CHUNK, fetch.digest);
         let call = Call::new(Method::Get, peer.addr, &path)
             .map_err(|_| FetchError::Unreachable)?
--- a/components/entry/src/attempt.rs
+++ b/components/entry/src/attempt.rs
@@ -30,7 +30,7 @@
 }
 
 enum Next {
-    Answer(Response),
+    Answer(Box<Response>),
     Retry(Problem),
 }
 
@@ -80,7 +80,7 @@
                 .run(pool, request, &target, id, attempt, deadline)
                 .await
             {
-                Next::Answer(response) => return response,
+                Next::Answer(response) => return *response,
                 Next::Retry(p) => problem = Some(p),
             }
         }
@@ -131,11 +131,11 @@
         match exchange(&self.client, target, &run, left).await {
             Exchanged::Answering(reply, load) => {
                 lease.note_load(load);
-                Next::Answer(relay(reply, lease, &run.id))
+                Next::Answer(Box::new(relay(*reply, lease, &run.id)))
             }
             Exchanged::Kept(answer) => {
                 lease.complete();
-                Next::Answer(kept(answer, &run.id))
+                Next::Answer(Box::new(kept(answer, &run.id)))
             }
             Exchanged::NotRun(refusal) => {
                 self.note_refusal(pool, target, refusal);
@@ -149,7 +149,7 @@
                 let problem = Problem::unknown(502, "upstream broke", detail);
                 match request.idempotent {
                     true => Next::Retry(problem.retry_after(FAILED_RETRY)),
-                    false => Next::Answer(finish(problem, request)),
+                    false => Next::Answer(Box::new(finish(problem, request))),
                 }
             }
         }
--- a/components/entry/src/exchange.rs
+++ b/components/entry/src/exchange.rs
@@ -23,7 +23,7 @@
 /// What became of one attempt.
 pub enum Exchanged {
     /// The head of the upstream's answer; the body follows.
-    Answering(Reply, Option<Load>),
+    Answering(Box<Reply>, Option<Load>),
     /// The whole answer, kept by the agent after the connection was lost.
     Kept(Answer),
     /// Proven: it did not run and never will.
@@ -92,7 +92,7 @@
     }
     let load = reply.header(headers::LOAD).and_then(|v| v.parse().ok());
     if reply.header(headers::UPSTREAM_STATUS).is_some() {
-        return Exchanged::Answering(reply, load);
+        return Exchanged::Answering(Box::new(reply), load);
     }
     let bytes = reply.bytes(REFUSAL_LIMIT).await.unwrap_or_default();
     match wire::decode::<Refusal>(&bytes) {
