Heartbeat pace from a byte budget; slopes for the capacity page

Cause: cargo trial -- slopes with 40 agents known paced heartbeats 6.2 s apart while an agent counted as silent after 4 s, so upstreams closed and opened in turn. Ruled out: a longer silence alone (it must stay below a ticket's life).

--- a/components/entry/src/directory.rs
+++ b/components/entry/src/directory.rs
@@ -3,7 +3,7 @@
 
 use config::{ConfigCell, NodeSettings, VmId};
 use event_listener::Event;
-use fleet::{Member, Role, subset};
+use fleet::{Member, Pace, Role, subset};
 use futures_lite::FutureExt;
 use kernel::{BoxFuture, Clock, Registry, Service};
 use platform::{Listing, VmList};
@@ -16,12 +16,6 @@
 
 /// Time between two readings of the list of VMs.
 const LIST_EVERY: Duration = Duration::from_secs(1);
-/// Shortest time between two heartbeats to one agent.
-const HEARTBEAT_MIN: Duration = Duration::from_millis(500);
-/// Control bytes of one heartbeat and its answer, heads included.
-const HEARTBEAT_BYTES: u64 = 620;
-/// Control bytes a second that an entry spends on heartbeats.
-const HEARTBEAT_BUDGET: u64 = 4_000;
 /// Longest wait for the answer to a heartbeat.
 const HEARTBEAT_LIMIT: Duration = Duration::from_secs(1);
 /// Time between two looks at the queues.
@@ -133,11 +127,16 @@
 
     /// Sends one heartbeat to every known agent; returns the pause to the next.
     async fn beat_all(self: &Arc<Self>) -> Duration {
-        let mut sent: u64 = 0;
-        for (_, pool) in self.pools.all() {
-            let members: Vec<Member> = lock(&pool).members().cloned().collect();
+        let pools = self.pools.all();
+        let known = pools.iter().map(|(_, p)| lock(p).members().count()).sum();
+        let pace = Pace::of(known);
+        for (_, pool) in pools {
+            let members: Vec<Member> = {
+                let mut pool = lock(&pool);
+                pool.set_silence(pace.silence);
+                pool.members().cloned().collect()
+            };
             for member in members {
-                sent += 1;
                 let own = self.clone();
                 let pool = pool.clone();
                 smol::spawn(async move {
@@ -148,9 +147,7 @@
                 .detach();
             }
         }
-        HEARTBEAT_MIN.max(Duration::from_millis(
-            sent * HEARTBEAT_BYTES * 1000 / HEARTBEAT_BUDGET,
-        ))
+        pace.every
     }
 
     async fn ask(&self, member: &Member) -> Option<HeartbeatReply> {
--- a/components/entry/src/pool.rs
+++ b/components/entry/src/pool.rs
@@ -11,9 +11,6 @@
 
 use crate::grant::{Grant, Target};
 
-/// An upstream not heard of for this long receives no new work. Shorter than
-/// the life of a ticket, so that a ticket in use is always valid.
-const SILENCE_LIMIT: Duration = Duration::from_secs(4);
 /// How long an upstream is avoided after a failed exchange.
 const AVOID: Duration = Duration::from_millis(500);
 /// Advised wait when no upstream is open.
@@ -70,6 +67,7 @@
     retries: RetryBudget,
     rng: fastrand::Rng,
     in_service: Vec<config::FailureDomainId>,
+    silence: Duration,
 }
 
 impl Pool {
@@ -86,6 +84,7 @@
             retries: RetryBudget::default(),
             rng: fastrand::Rng::new(),
             in_service: Vec::new(),
+            silence: Duration::ZERO,
         }
     }
 
@@ -122,6 +121,11 @@
         }
     }
 
+    /// Sets the silence after which an upstream receives no new work.
+    pub fn set_silence(&mut self, silence: Duration) {
+        self.silence = silence;
+    }
+
     /// Members that heartbeats go to.
     pub fn members(&self) -> impl Iterator<Item = &Member> {
         self.upstreams.iter().map(|u| &u.member)
@@ -266,7 +270,7 @@
         for (u, c) in self.upstreams.iter().zip(&mut self.candidates) {
             c.open = u.door == Door::Open
                 && u.ticket.is_some()
-                && u.heard + SILENCE_LIMIT > now
+                && u.heard + self.silence > now
                 && u.member.state == VmState::Live
                 && self.in_service.contains(&u.member.failure_domain);
         }
--- a/components/telemetry/src/metrics_page.rs
+++ b/components/telemetry/src/metrics_page.rs
@@ -18,6 +18,9 @@
     /// The page as scrapers read it.
     pub fn render(&self) -> String {
         self.handle.run_upkeep();
+        let traffic = wire::traffic();
+        metrics::counter!("turmerichold_wire_sent_bytes_total").absolute(traffic.sent);
+        metrics::counter!("turmerichold_wire_received_bytes_total").absolute(traffic.received);
         self.handle.render()
     }
 }
--- a/components/wire/src/client.rs
+++ b/components/wire/src/client.rs
@@ -8,6 +8,7 @@
 use serde::de::DeserializeOwned;
 use smol::net::TcpStream;
 
+use crate::metered::Metered;
 use crate::pool::Pool;
 use crate::{ReplyBody, WireError, decode, encode, read_limited, within};
 
@@ -125,7 +126,7 @@
     pub async fn send(&self, call: Call) -> Result<Reply, WireError> {
         let addr = call.addr;
         let stream = self.connect(&call).await?;
-        let exchange = async_h1::connect(stream.clone(), call.request);
+        let exchange = async_h1::connect(Metered(stream.clone()), call.request);
         let head = within(call.first, exchange)
             .await
             .ok_or(WireError::Silent {
--- a/components/wire/src/server.rs
+++ b/components/wire/src/server.rs
@@ -11,6 +11,7 @@
 use http_types::{Method, Request, Response};
 use smol::net::{TcpListener, TcpStream};
 
+use crate::metered::Metered;
 use crate::{Problem, within};
 
 /// Answers the requests of one listener.
@@ -115,7 +116,7 @@
             busy.store(true, Ordering::Relaxed);
             self.answer(req, peer)
         };
-        let mut server = async_h1::server::Server::new(stream.clone(), answer);
+        let mut server = async_h1::server::Server::new(Metered(stream.clone()), answer);
         let idle = async {
             self.idle_end(&busy).await;
             Ok(ConnectionStatus::Close)
--- a/stand-ins/src/bin/trial.rs
+++ b/stand-ins/src/bin/trial.rs
@@ -3,13 +3,14 @@
 use std::process::ExitCode;
 
 use pico_args::Arguments;
-use stand_ins::trial::{process, whole_path};
+use stand_ins::trial::{process, slopes, whole_path};
 
 const HELP: &str = "\
 Usage: cargo trial -- [TRIAL] [--json]
 
 Trials
   (none)      the whole path: weights, mixed load, a failure domain out and back
+  slopes      the slopes of docs/CAPACITY.md
 
 Options
   --json      prints one JSON object on the last line
@@ -40,6 +41,7 @@
     let report = smol::block_on(async {
         match name.as_deref() {
             None => whole_path::run().await,
+            Some("slopes") => slopes::run().await,
             Some(other) => anyhow::bail!("trial {other:?} is not known; see --help"),
         }
     })?;
--- a/stand-ins/src/trial/mod.rs
+++ b/stand-ins/src/trial/mod.rs
@@ -5,5 +5,6 @@
 pub mod fleet;
 pub mod process;
 pub mod report;
+pub mod slopes;
 pub mod tally;
 pub mod whole_path;
--- a/stand-ins/src/trial/process.rs
+++ b/stand-ins/src/trial/process.rs
@@ -68,20 +68,32 @@
     }
 
     /// Processor time used so far and resident memory in bytes.
-    pub fn usage(&self) -> Option<(Duration, u64)> {
+    pub fn usage(&self) -> Option<Usage> {
         let proc = PathBuf::from("/proc").join(self.child.id().to_string());
-        let stat = std::fs::read_to_string(proc.join("stat")).ok()?;
-        let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
-        let ticks: u64 =
-            fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?;
         let status = std::fs::read_to_string(proc.join("status")).ok()?;
         let rss = status.lines().find_map(|l| l.strip_prefix("VmRSS:"))?;
         let kib: u64 = rss.split_whitespace().next()?.parse().ok()?;
-        // Linux reports processor time in ticks of 10 ms.
-        Some((Duration::from_millis(ticks * 10), kib * 1024))
+        let mut nanos = 0;
+        for task in std::fs::read_dir(proc.join("task")).ok()? {
+            let line = std::fs::read_to_string(task.ok()?.path().join("schedstat")).ok()?;
+            nanos += line.split_whitespace().next()?.parse::<u64>().ok()?;
+        }
+        Some(Usage {
+            processor: Duration::from_nanos(nanos),
+            memory: kib * 1024,
+        })
     }
 }
 
+/// What a process has used.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Usage {
+    /// Processor time since its start.
+    pub processor: Duration,
+    /// Resident memory in bytes.
+    pub memory: u64,
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         self.kill();
--- /dev/null
+++ b/stand-ins/src/trial/slopes.rs
@@ -0,0 +1,331 @@
+//! Slopes for docs/CAPACITY.md: what one request, heartbeat, change, chunk and
+//! request in flight cost an entry and an agent.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use anyhow::Context;
+use http_types::Method;
+use smol::Timer;
+use wire::{Call, Client};
+
+use crate::engine::Prompt;
+use crate::plain::Order;
+use crate::trial::caller::{Ask, End, Request, send};
+use crate::trial::fleet::{Fleet, FleetSpec, Node};
+use crate::trial::process::Usage;
+use crate::trial::report::Report;
+
+/// Length of one measurement.
+const SPAN: Duration = Duration::from_secs(5);
+/// Requests a second of the two loads.
+const RATES: [u32; 2] = [100, 400];
+/// Agents of the two fleets at rest.
+const FLEETS: [usize; 2] = [10, 40];
+/// Changes applied for the cost of a change.
+const CHANGES: u32 = 20;
+/// Requests in flight of the two holds.
+const HELD: [u32; 2] = [40, 240];
+/// Tokens of a held request: longer than the hold lasts.
+const LONG: u32 = 2000;
+
+/// Runs every measurement.
+pub async fn run() -> anyhow::Result<Report> {
+    let mut report = Report::default();
+    requests(&mut report).await?;
+    rest_and_changes(&mut report).await?;
+    chunks(&mut report).await?;
+    Ok(report)
+}
+
+fn spec(engines: usize, plains: usize) -> FleetSpec {
+    FleetSpec {
+        text: PathBuf::from("examples/lippula.json"),
+        entries: 1,
+        upstreams: vec![
+            ("neula-llm".to_owned(), engines),
+            ("ompelu-app".to_owned(), plains),
+        ],
+        model_size: 32 << 20,
+        chunk_size: 256 << 10,
+        origin_rate: 256 << 20,
+        engine_args: [
+            "--token-us",
+            "1000",
+            "--slots",
+            "600",
+            "--cold-slots",
+            "600",
+        ]
+        .map(str::to_owned)
+        .to_vec(),
+        plain_args: ["--reports", "--service-ms", "2"]
+            .map(str::to_owned)
+            .to_vec(),
+    }
+}
+
+/// What one node has used and sent at a moment.
+#[derive(Debug, Clone, Copy)]
+struct Sample {
+    usage: Usage,
+    bytes: u64,
+}
+
+async fn sample(client: &Client, node: &Node) -> anyhow::Result<Sample> {
+    let usage = node.process.usage().context("the process has ended")?;
+    Ok(Sample {
+        usage,
+        bytes: traffic(client, node.member.addr).await?,
+    })
+}
+
+/// Bytes sent and received, from the node's metrics.
+async fn traffic(client: &Client, addr: SocketAddr) -> anyhow::Result<u64> {
+    let reply = client
+        .send(Call::new(Method::Get, addr, "/metrics")?)
+        .await?;
+    let page = String::from_utf8(reply.bytes(1 << 20).await?)?;
+    let counted = page
+        .lines()
+        .filter(|l| l.starts_with("turmerichold_wire_"))
+        .filter_map(|l| l.rsplit_once(' ')?.1.parse::<u64>().ok());
+    Ok(counted.sum())
+}
+
+fn micros(a: Sample, b: Sample) -> f64 {
+    (b.usage.processor - a.usage.processor).as_secs_f64() * 1e6
+}
+
+fn round(value: f64) -> f64 {
+    (value * 10.0).round() / 10.0
+}
+
+/// Cost of a request: the slope between two loads.
+async fn requests(report: &mut Report) -> anyhow::Result<()> {
+    eprintln!("slopes: requests");
+    let mut fleet = Fleet::start(spec(1, 1)).await?;
+    fleet.make_model(1).await?;
+    allow(&mut fleet, 600);
+    fleet.apply().await?;
+    anyhow::ensure!(fleet.await_open(Duration::from_secs(20)).await?, "not open");
+    let entry = fleet.entry_addrs()[0];
+    for (name, ask) in [
+        ("unary", order as fn(u32) -> Request),
+        ("streamed", streamed),
+    ] {
+        let agent = match name {
+            "unary" => &fleet.agents[1],
+            _ => &fleet.agents[0],
+        };
+        load(entry, 50, Duration::from_secs(1), ask).await?;
+        let mut points = Vec::new();
+        for rate in RATES {
+            let before = both(&fleet, agent).await?;
+            let sent = load(entry, rate, SPAN, ask).await?;
+            let after = both(&fleet, agent).await?;
+            points.push((sent, before, after));
+        }
+        let extra = f64::from(points[1].0 - points[0].0);
+        for (role, i) in [("entry", 0), ("agent", 1)] {
+            let cost = |p: &(u32, [Sample; 2], [Sample; 2])| micros(p.1[i], p.2[i]);
+            let size = |p: &(u32, [Sample; 2], [Sample; 2])| (p.2[i].bytes - p.1[i].bytes) as f64;
+            let slope = (cost(&points[1]) - cost(&points[0])) / extra;
+            let bytes = (size(&points[1]) - size(&points[0])) / extra;
+            report.add(&format!("{role}_us_per_{name}_request"), round(slope));
+            report.add(&format!("{role}_bytes_per_{name}_request"), round(bytes));
+        }
+    }
+    held(report, &fleet).await
+}
+
+/// Memory of a request in flight.
+async fn held(report: &mut Report, fleet: &Fleet) -> anyhow::Result<()> {
+    eprintln!("slopes: requests in flight");
+    let entry = fleet.entry_addrs()[0];
+    let mut points = Vec::new();
+    for count in HELD {
+        let client = Client::default();
+        let tasks: Vec<_> = (0..count)
+            .map(|i| {
+                let client = client.clone();
+                smol::spawn(async move { send(&client, entry, &long(i)).await })
+            })
+            .collect();
+        Timer::after(Duration::from_millis(1500)).await;
+        points.push(both(fleet, &fleet.agents[0]).await?);
+        drop(tasks);
+        Timer::after(Duration::from_millis(500)).await;
+    }
+    for (role, i) in [("entry", 0), ("agent", 1)] {
+        let grown = points[1][i].usage.memory as f64 - points[0][i].usage.memory as f64;
+        let slope = grown / f64::from(HELD[1] - HELD[0]) / 1024.0;
+        report.add(&format!("{role}_kib_per_request_in_flight"), round(slope));
+    }
+    Ok(())
+}
+
+/// Cost of rest with few and many upstreams known, and of a change.
+async fn rest_and_changes(report: &mut Report) -> anyhow::Result<()> {
+    let mut points = Vec::new();
+    for count in FLEETS {
+        eprintln!("slopes: rest with {count} agents");
+        let mut fleet = Fleet::start(spec(0, count)).await?;
+        fleet.make_model(1).await?;
+        fleet.apply().await?;
+        anyhow::ensure!(fleet.await_open(Duration::from_secs(20)).await?, "not open");
+        Timer::after(Duration::from_secs(1)).await;
+        let before = both(&fleet, &fleet.agents[0]).await?;
+        Timer::after(SPAN * 2).await;
+        let after = both(&fleet, &fleet.agents[0]).await?;
+        points.push((before, after));
+        if count == FLEETS[1] {
+            changes(report, &mut fleet).await?;
+        }
+    }
+    let span = (SPAN * 2).as_secs_f64();
+    for (n, (before, after)) in FLEETS.iter().zip(&points) {
+        for (role, i) in [("entry", 0), ("agent", 1)] {
+            let share = micros(before[i], after[i]) / span / 1e4;
+            report.add(
+                &format!("{role}_core_percent_at_rest_{n}"),
+                round(share * 10.0) / 10.0,
+            );
+            let bytes = (after[i].bytes - before[i].bytes) as f64 / span;
+            report.add(&format!("{role}_bytes_per_s_at_rest_{n}"), round(bytes));
+            let memory = after[i].usage.memory as f64 / f64::from(1 << 20);
+            report.add(&format!("{role}_mib_at_rest_{n}"), round(memory));
+        }
+    }
+    Ok(())
+}
+
+async fn changes(report: &mut Report, fleet: &mut Fleet) -> anyhow::Result<()> {
+    eprintln!("slopes: {CHANGES} changes");
+    let before = both(fleet, &fleet.agents[0]).await?;
+    let begun = Instant::now();
+    for i in 0..CHANGES {
+        allow(fleet, 32 + i as usize % 2);
+        fleet.apply().await?;
+        Timer::after(Duration::from_millis(100)).await;
+    }
+    let span = begun.elapsed().as_secs_f64();
+    let after = both(fleet, &fleet.agents[0]).await?;
+    report.add(
+        "change_seconds",
+        round(span / f64::from(CHANGES) * 10.0) / 10.0,
+    );
+    for (role, i) in [("entry", 0), ("agent", 1)] {
+        let cost = micros(before[i], after[i]) / f64::from(CHANGES);
+        report.add(&format!("{role}_us_per_change"), round(cost));
+        let bytes = (after[i].bytes - before[i].bytes) as f64 / f64::from(CHANGES);
+        report.add(&format!("{role}_bytes_per_change"), round(bytes));
+    }
+    Ok(())
+}
+
+/// Cost of bringing chunks to agents.
+async fn chunks(report: &mut Report) -> anyhow::Result<()> {
+    eprintln!("slopes: chunks");
+    let spec = spec(12, 1);
+    let chunks = spec.model_size.div_ceil(spec.chunk_size) as f64;
+    let mut fleet = Fleet::start(spec).await?;
+    let made = fleet.make_model(1).await?;
+    let node = &fleet.agents[0];
+    let before = sample(&fleet.client, node).await?;
+    fleet.apply().await?;
+    fleet
+        .await_replicas(made.content, Duration::from_secs(30))
+        .await?;
+    let after = sample(&fleet.client, &fleet.agents[0]).await?;
+    report.add(
+        "agent_us_per_chunk_256_kib",
+        round(micros(before, after) / chunks),
+    );
+    let bytes = (after.bytes - before.bytes) as f64 / chunks / 1024.0;
+    report.add("agent_kib_per_chunk_256_kib", round(bytes));
+    let grown = (after.usage.memory - before.usage.memory) as f64;
+    report.add(
+        "agent_memory_per_weight_byte",
+        round(grown / made.size as f64),
+    );
+    Ok(())
+}
+
+async fn both(fleet: &Fleet, agent: &Node) -> anyhow::Result<[Sample; 2]> {
+    Ok([
+        sample(&fleet.client, &fleet.entries[0]).await?,
+        sample(&fleet.client, agent).await?,
+    ])
+}
+
+/// Sets every limit, so that the measurement is not of refusals.
+fn allow(fleet: &mut Fleet, limit: usize) {
+    for service in fleet.text.services.values_mut() {
+        service.limit = limit;
+        service.cold_limit = limit.min(service.cold_limit.max(limit / 2));
+        service.queue = 1000;
+    }
+}
+
+/// Sends requests at a rate; returns how many were answered.
+async fn load(
+    entry: SocketAddr,
+    rate: u32,
+    span: Duration,
+    ask: fn(u32) -> Request,
+) -> anyhow::Result<u32> {
+    let client = Client::default();
+    let begun = Instant::now();
+    let count = rate * u32::try_from(span.as_secs())?;
+    let mut tasks = Vec::new();
+    for i in 0..count {
+        Timer::at(begun + Duration::from_secs(1) * i / rate).await;
+        let client = client.clone();
+        tasks.push(smol::spawn(async move {
+            send(&client, entry, &ask(i)).await.end
+        }));
+    }
+    let mut answered = 0;
+    for task in tasks {
+        answered += u32::from(task.await == End::Answered);
+    }
+    anyhow::ensure!(
+        answered * 100 >= count * 99,
+        "{answered} of {count} answered"
+    );
+    Ok(answered)
+}
+
+fn request(path: &str, ask: Ask) -> Request {
+    Request {
+        path: path.to_owned(),
+        account: "clerks-orders".to_owned(),
+        deadline: Duration::from_secs(20),
+        headers: Vec::new(),
+        ask,
+    }
+}
+
+fn order(i: u32) -> Request {
+    let order = format!("o{i}");
+    request("/ompelu-app/layouts", Ask::Order(Order { order }))
+}
+
+fn streamed(i: u32) -> Request {
+    generate(i, 40)
+}
+
+fn long(i: u32) -> Request {
+    generate(i, LONG)
+}
+
+fn generate(i: u32, max_tokens: u32) -> Request {
+    let prompt = Prompt {
+        prompt: format!("layout {i}"),
+        max_tokens,
+        stream: true,
+    };
+    request("/neula-llm/complete", Ask::Generate(prompt))
+}
