Keyed requests run at most once across entries, by claims in the log

Cause: the same order sent again through another entry ran a second time; run ids only protect one submission. Not measured yet: added latency.

--- a/components/entry/src/attempt.rs
+++ b/components/entry/src/attempt.rs
@@ -5,11 +5,13 @@
 use futures_lite::io::BufReader;
 use http_types::{Body, Response, StatusCode};
 use kernel::Clock;
+use platform::LogClient;
 use protocol::{Answer, Refusal, RunId, RunRequest, headers};
-use requests::Arrival;
+use requests::{Arrival, Claim, ClaimStep};
 use wire::{Client, Problem, Reply};
 
 use crate::caller_request::CallerRequest;
+use crate::claims::Claims;
 use crate::exchange::{Exchanged, exchange};
 use crate::grant::{Grant, Target};
 use crate::pools::{SharedPool, lock};
@@ -20,9 +22,13 @@
 /// Advised wait after a failed request that may be sent again.
 const FAILED_RETRY: Duration = Duration::from_secs(1);
 
+/// Advised wait while the platform's log does not answer.
+const LOG_RETRY: Duration = Duration::from_secs(5);
+
 /// Carries requests through queue, choice, exchange and retries.
 pub struct Dispatcher {
     client: Client,
+    claims: Claims,
     clock: Clock,
     vm: VmId,
     process: u64,
@@ -49,8 +55,9 @@
 
 impl Dispatcher {
     /// The dispatcher of the entry on `vm`.
-    pub fn new(vm: VmId, client: Client, clock: Clock) -> Self {
+    pub fn new(vm: VmId, log: LogClient, client: Client, clock: Clock) -> Self {
         Dispatcher {
+            claims: Claims::new(log, client.clone()),
             client,
             clock,
             vm,
@@ -128,6 +135,12 @@
         let mut lease = Lease::new(pool.clone(), self.clock, target.key);
         let left = deadline.saturating_sub(self.clock.now());
         let run = self.run_request(request, target, id, attempt, left);
+        let claim = self.claims.claim_of(request, target, &run);
+        if let Some(claim) = &claim
+            && let Some(next) = self.check_claim(claim, &mut lease).await
+        {
+            return next;
+        }
         match exchange(&self.client, target, &run, left).await {
             Exchanged::Answering(reply, load) => {
                 lease.note_load(load);
@@ -139,6 +152,9 @@
             }
             Exchanged::NotRun(refusal) => {
                 self.note_refusal(pool, target, refusal);
+                if let Some(claim) = claim {
+                    self.claims.void(claim);
+                }
                 let why = refusal.map_or("it cannot be reached".to_owned(), |r| r.to_string());
                 let detail = format!("{} did not run it: {why}", target.vm);
                 Next::Retry(Problem::not_run(503, "not run", detail).retry_after(FAILED_RETRY))
@@ -155,6 +171,20 @@
         }
     }
 
+    /// `None` when the claimed run may start.
+    async fn check_claim(&self, claim: &Claim, lease: &mut Lease) -> Option<Next> {
+        let problem = match self.claims.check(claim).await {
+            ClaimStep::Run => return None,
+            ClaimStep::Replay(answer) => {
+                lease.complete();
+                return Some(Next::Answer(Box::new(kept(answer, &claim.run))));
+            }
+            step => claim_problem(&step),
+        };
+        self.claims.void(claim.clone());
+        Some(Next::Answer(Box::new(problem.into())))
+    }
+
     fn note_refusal(&self, pool: &SharedPool, target: &Target, refusal: Option<Refusal>) {
         let mut pool = lock(pool);
         match refusal {
@@ -191,6 +221,28 @@
     }
 }
 
+fn claim_problem(step: &ClaimStep) -> Problem {
+    match step {
+        ClaimStep::InProgress => {
+            let detail = "the same request is running; send it again for its answer";
+            Problem::unknown(409, "in progress", detail).retry_after(FAILED_RETRY)
+        }
+        ClaimStep::Mismatch => {
+            let detail = "the idempotency key belongs to another request; use a new key";
+            Problem::not_run(422, "key in use", detail)
+        }
+        ClaimStep::Unknown => {
+            let detail =
+                "an earlier attempt with this key may have run; look before you order again";
+            Problem::unknown(502, "earlier attempt", detail)
+        }
+        _ => {
+            let detail = "the platform's log does not answer; send the request again later";
+            Problem::not_run(503, "log not available", detail).retry_after(LOG_RETRY)
+        }
+    }
+}
+
 /// An idempotent request that may have run can simply be sent again.
 fn finish(problem: Problem, request: &CallerRequest) -> Response {
     log::debug!(
--- a/components/entry/src/caller_request.rs
+++ b/components/entry/src/caller_request.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
-use config::{ClientAccountId, Declaration, ServiceId};
+use config::{ClientAccountId, Declaration, Digest, ServiceId};
 use http_types::Request;
 use wire::{Problem, WireError, read_limited, within};
 
@@ -9,6 +9,8 @@
 const BODY_LIMIT: usize = 1 << 20;
 /// Longest time that a caller may take to send its body.
 const BODY_TIME: Duration = Duration::from_secs(10);
+/// Longest idempotency key, in bytes.
+const KEY_LIMIT: usize = 128;
 /// Bytes of a body that count as the prefix of its prompt.
 const PREFIX_BYTES: usize = 64;
 
@@ -35,6 +37,8 @@
     pub timeout: Duration,
     /// Whether the upstreams cache prompt prefixes.
     pub has_model: bool,
+    /// Key under which the caller may send the same request again.
+    pub key: Option<CompactString>,
     /// Body.
     pub body: Vec<u8>,
 }
@@ -86,6 +90,7 @@
             priority: u8::try_from(priority).unwrap_or(u8::MAX),
             timeout: Duration::from_millis(timeout),
             has_model: service.model.is_some(),
+            key: idempotency_key(req)?,
             body: Vec::new(),
         };
         Ok(CallerRequest {
@@ -103,6 +108,14 @@
         fleet::weight(&head, &String::from_utf8_lossy(&self.body))
     }
 
+    /// Hash of the caller's key together with its account and route.
+    pub fn claim_key(&self) -> Option<CompactString> {
+        let key = self.key.as_ref()?;
+        let parts = [&self.account, &self.service, &self.path, key];
+        let text = parts.map(|p| format!("{}:{p}", p.len())).join(",");
+        Some(Digest::of(text.as_bytes()).to_string()[..32].into())
+    }
+
     /// Hash of the prompt's prefix, where upstreams cache prefixes.
     pub fn prefix(&self) -> Option<u64> {
         let bytes = &self.body[..self.body.len().min(PREFIX_BYTES)];
@@ -131,6 +144,17 @@
     }
 }
 
+fn idempotency_key(req: &Request) -> Result<Option<CompactString>, Problem> {
+    let Some(key) = header(req, "idempotency-key") else {
+        return Ok(None);
+    };
+    if key.is_empty() || key.len() > KEY_LIMIT {
+        let detail = format!("header idempotency-key must have 1 to {KEY_LIMIT} bytes");
+        return Err(bad(400, detail));
+    }
+    Ok(Some(key.into()))
+}
+
 fn split_path(path: &str) -> (&str, &str) {
     let rest = path.trim_start_matches('/');
     match rest.find('/') {
--- a/components/entry/src/exchange.rs
+++ b/components/entry/src/exchange.rs
@@ -1,10 +1,12 @@
-use std::future::Future;
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::time::{Duration, Instant};
 
 use futures_lite::FutureExt;
 use http_types::Method;
-use protocol::{Answer, Load, Refusal, RunRequest, Settle, SettleReply, headers, paths};
+use protocol::{
+    Answer, Load, Refusal, RunId, RunRequest, Settle, SettleReply, Ticket, headers, paths,
+};
 use wire::{Call, Client, Reply, WireError};
 
 use crate::grant::Target;
@@ -17,7 +19,9 @@
 const PROBE_PAUSE: Duration = Duration::from_millis(100);
 /// Longest silence between two bytes of a streamed answer.
 const BODY_GAP: Duration = Duration::from_secs(10);
-/// Longest refusal that is read.
+/// Longest kept answer that is read, in bytes.
+const ANSWER_LIMIT: usize = 2 << 20;
+/// Longest refusal that is read, in bytes.
 const REFUSAL_LIMIT: usize = 4096;
 
 /// What became of one attempt.
@@ -57,7 +61,7 @@
             Some(Err(e)) => return settle(client, target, run, deadline, &e.to_string()).await,
             None => {}
         }
-        match ask(client, target, run).await {
+        match ask(client, target.addr, &run.id, run.ticket).await {
             Some(SettleReply::Running) => {}
             Some(other) => return settled(other),
             None if Instant::now() >= deadline => return Exchanged::Unknown("no answer".into()),
@@ -110,7 +114,7 @@
     cause: &str,
 ) -> Exchanged {
     loop {
-        match ask(client, target, run).await {
+        match ask(client, target.addr, &run.id, run.ticket).await {
             Some(SettleReply::Running) => {}
             Some(other) => return settled(other),
             // A dead agent's successor has another incarnation and knows nothing.
@@ -133,25 +137,25 @@
     }
 }
 
-fn ask<'a>(
-    client: &'a Client,
-    target: &'a Target,
-    run: &'a RunRequest,
-) -> impl Future<Output = Option<SettleReply>> + 'a {
+/// Asks an agent, on a new connection, what became of a run; voids it if it has not started.
+pub async fn ask(
+    client: &Client,
+    addr: SocketAddr,
+    id: &RunId,
+    ticket: Ticket,
+) -> Option<SettleReply> {
     let message = Settle {
-        id: run.id.clone(),
-        ticket: run.ticket,
+        id: id.clone(),
+        ticket,
     };
-    async move {
-        let call = Call::new(Method::Post, target.addr, paths::SETTLE)
-            .ok()?
-            .body(wire::encode(&message).ok()?)
-            .connect_within(PROBE_LIMIT)
-            .first_within(PROBE_LIMIT)
-            .gap(PROBE_LIMIT)
-            .fresh();
-        let reply = client.send(call).await.ok()?;
-        let bytes = reply.bytes(2 << 20).await.ok()?;
-        wire::decode(&bytes).ok()
-    }
+    let call = Call::new(Method::Post, addr, paths::SETTLE)
+        .ok()?
+        .body(wire::encode(&message).ok()?)
+        .connect_within(PROBE_LIMIT)
+        .first_within(PROBE_LIMIT)
+        .gap(PROBE_LIMIT)
+        .fresh();
+    let reply = client.send(call).await.ok()?;
+    let bytes = reply.bytes(ANSWER_LIMIT).await.ok()?;
+    wire::decode(&bytes).ok()
 }
--- a/components/entry/src/front.rs
+++ b/components/entry/src/front.rs
@@ -66,11 +66,12 @@
         let config: Arc<ConfigService> = peers.find(ConfigService::NAME)?;
         let directory: Arc<Directory> = peers.find(Directory::NAME)?;
         let pools = directory.pools().clone();
+        let (vm, log) = (self.settings.vm.clone(), config.log().clone());
         let handler = Arc::new(FrontHandler {
             cell: config.cell().clone(),
             operator: Operator::new(config, pools.clone()),
             pools,
-            dispatcher: Dispatcher::new(self.settings.vm.clone(), self.client.clone(), self.clock),
+            dispatcher: Dispatcher::new(vm, log, self.client.clone(), self.clock),
             metrics: self.metrics.clone(),
             leaving: AtomicBool::new(false),
         });
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod attempt;
 mod caller_request;
+mod claims;
 mod config_service;
 mod directory;
 mod exchange;
--- a/components/requests/src/lib.rs
+++ b/components/requests/src/lib.rs
@@ -4,12 +4,14 @@
 //! Times are durations since the start of the process.
 
 mod admission;
+mod claims;
 mod limit;
 mod quarantine;
 mod retry_budget;
 mod run_table;
 
 pub use admission::{Admission, AdmissionLimits, Arrival, Offer, Waiting};
+pub use claims::{Claim, ClaimCheck, ClaimRecord, ClaimStep};
 pub use limit::{Admit, Limit, LimitRange, RunEnd};
 pub use quarantine::{Quarantine, Suspicion};
 pub use retry_budget::RetryBudget;
--- a/components/requests/src/run_table.rs
+++ b/components/requests/src/run_table.rs
@@ -5,7 +5,7 @@
 use protocol::{Answer, Refusal, RunId, TICKET_TTL, Ticket};
 
 /// How long after its ticket's expiry an answer is kept.
-const KEEP: Duration = Duration::from_secs(60);
+const KEEP: Duration = Duration::from_secs(600);
 /// Most bytes of answers kept; the oldest answers are forgotten first.
 const KEPT_BYTES: usize = 32 << 20;
 
