--- a/components/entry/src/attempt.rs
+++ b/components/entry/src/attempt.rs
@@ -137,7 +137,7 @@
         let run = self.run_request(request, target, id, attempt, left);
         let claim = self.claims.claim_of(request, target, &run);
         if let Some(claim) = &claim
-            && let Some(next) = self.check_claim(claim, &mut lease).await
+            && let Some(next) = self.check_claim(claim, left, &mut lease).await
         {
             return next;
         }
@@ -172,8 +172,8 @@
     }
 
     /// `None` when the claimed run may start.
-    async fn check_claim(&self, claim: &Claim, lease: &mut Lease) -> Option<Next> {
-        let problem = match self.claims.check(claim).await {
+    async fn check_claim(&self, claim: &Claim, left: Duration, lease: &mut Lease) -> Option<Next> {
+        let problem = match self.claims.check(claim, left).await {
             ClaimStep::Run => return None,
             ClaimStep::Replay(answer) => {
                 lease.complete();
--- a/components/entry/src/claims.rs
+++ b/components/entry/src/claims.rs
@@ -1,8 +1,9 @@
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use platform::{LogClient, PlatformError};
-use protocol::RunRequest;
+use protocol::{RunRequest, SettleReply};
 use requests::{Claim, ClaimCheck, ClaimRecord, ClaimStep};
+use smol::Timer;
 use wire::Client;
 
 use crate::caller_request::CallerRequest;
@@ -15,6 +16,9 @@
 /// second a stream sees about 29 records in ten minutes.
 const WINDOW: u64 = 64;
 
+/// Pause between two questions about an earlier run that is going on.
+const PAUSE: Duration = Duration::from_millis(50);
+
 /// Claims of keyed requests in the platform's log.
 pub struct Claims {
     log: LogClient,
@@ -45,8 +49,10 @@
         })
     }
 
-    /// Puts a claim into the log and decides whether its run may start.
-    pub async fn check(&self, claim: &Claim) -> ClaimStep {
+    /// Puts a claim into the log and decides whether its run may start; waits up
+    /// to `limit` for the answer of an earlier run that is going on.
+    pub async fn check(&self, claim: &Claim, limit: Duration) -> ClaimStep {
+        let deadline = Instant::now() + limit;
         let records = match self.publish(claim).await {
             Ok(records) => records,
             Err(e) => {
@@ -59,7 +65,11 @@
             match check.step() {
                 ClaimStep::Ask(earlier) => {
                     let reply = ask(&self.client, earlier.addr, &earlier.run, earlier.ticket).await;
-                    check.record(reply);
+                    if reply == Some(SettleReply::Running) && Instant::now() < deadline {
+                        Timer::after(PAUSE).await;
+                    } else {
+                        check.record(reply);
+                    }
                 }
                 step => return step,
             }
--- a/stand-ins/src/trial/caller.rs
+++ b/stand-ins/src/trial/caller.rs
@@ -55,6 +55,20 @@
     Wrong(String),
 }
 
+impl End {
+    /// Name in tables.
+    pub fn name(&self) -> &'static str {
+        match self {
+            End::Answered => "answered",
+            End::NotRun => "not-run",
+            End::Unknown => "unknown",
+            End::Failed => "failed",
+            End::Broken(_) => "broken",
+            End::Wrong(_) => "wrong",
+        }
+    }
+}
+
 /// A request's end with its times.
 #[derive(Debug, Clone)]
 pub struct Seen {
--- a/stand-ins/src/trial/fleet.rs
+++ b/stand-ins/src/trial/fleet.rs
@@ -59,6 +59,23 @@
     pub settings: PathBuf,
 }
 
+impl Node {
+    /// Kills the upstream's process.
+    pub fn kill_upstream(&mut self) {
+        if let Some(p) = &mut self.upstream_process {
+            p.kill();
+        }
+    }
+
+    /// Sends a signal to the upstream's process.
+    pub fn signal_upstream(&self, signal: rustix::process::Signal) -> anyhow::Result<()> {
+        match &self.upstream_process {
+            Some(p) => p.signal(signal),
+            None => Ok(()),
+        }
+    }
+}
+
 /// The weights that the engines shall serve.
 #[derive(Debug, Clone, Deserialize)]
 pub struct MadeModel {
@@ -244,6 +261,49 @@
         Ok(bad)
     }
 
+    /// Starts the process of an entry again.
+    pub async fn restart_entry(&mut self, i: usize) -> anyhow::Result<()> {
+        let process = self.node_process("entry", &self.entries[i])?;
+        self.entries[i].process = process;
+        self.await_listening(self.entries[i].member.addr).await
+    }
+
+    /// Starts the process of an agent again.
+    pub async fn restart_agent(&mut self, i: usize) -> anyhow::Result<()> {
+        let process = self.node_process("agent", &self.agents[i])?;
+        self.agents[i].process = process;
+        self.await_listening(self.agents[i].member.addr).await
+    }
+
+    /// Starts the process of an upstream again.
+    pub async fn restart_upstream(&mut self, i: usize) -> anyhow::Result<()> {
+        let node = &self.agents[i];
+        let addr = node.upstream.context("the node has no upstream")?;
+        let process = self.upstream_process(&node.member.service, &node.member.vm, addr)?;
+        self.agents[i].upstream_process = Some(process);
+        self.await_listening(addr).await
+    }
+
+    fn node_process(&self, role: &str, node: &Node) -> anyhow::Result<Process> {
+        let settings = node.settings.display().to_string();
+        let args = [role.to_owned(), "--settings".to_owned(), settings];
+        let name = format!("{}-again", node.member.vm);
+        Process::start("turmerichold", &name, &args, &self.dir)
+    }
+
+    fn upstream_process(
+        &self,
+        service: &str,
+        vm: &str,
+        addr: SocketAddr,
+    ) -> anyhow::Result<Process> {
+        let (kind, args) = match self.is_engine(service) {
+            true => ("engine", &self.spec.engine_args),
+            false => ("plain", &self.spec.plain_args),
+        };
+        self.stand_in_process(kind, &format!("{vm}-upstream"), addr, args)
+    }
+
     async fn start_platform(&mut self) -> anyhow::Result<()> {
         let p = self.platform.clone();
         let rate = self.spec.origin_rate.to_string();
@@ -334,12 +394,7 @@
             upstream,
             memory_bytes: 4 * self.spec.model_size,
         };
-        let (kind, args) = match self.is_engine(service) {
-            true => ("engine", &self.spec.engine_args),
-            false => ("plain", &self.spec.plain_args),
-        };
-        let name = format!("{vm}-upstream");
-        let process = self.stand_in_process(kind, &name, upstream, args)?;
+        let process = self.upstream_process(service, vm, upstream)?;
         let settings = serde_json::to_string(&settings)?;
         self.start_node(member, "agent", settings, Some((upstream, process)))
     }
--- a/stand-ins/src/trial/mod.rs
+++ b/stand-ins/src/trial/mod.rs
@@ -1,5 +1,6 @@
 //! Trials: real processes on loopback, judged by the stand-ins' own records.
 
+pub mod at_most_once;
 pub mod caller;
 pub mod control;
 pub mod fleet;
