Requests that crash upstreams are quarantined across entries

Cause: nothing stopped a request that crashes each upstream that runs it. Change: the agent tells a crash from other breaks (new incarnation, or no answer), names the requests in flight in its reply, its heartbeats and a record of the configuration stream that every entry follows anyway; an entry sends a suspect only where no other suspect runs, and refuses it after two crashes. Ruled out: a stream of its own for crashes, which would double every entry's long polls.

--- a/components/agent/src/doorkeeper.rs
+++ b/components/agent/src/doorkeeper.rs
@@ -1,15 +1,16 @@
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use compact_str::CompactString;
-use config::{AgentSettings, ConfigCell, Digest};
+use config::{AgentSettings, ConfigCell, CrashReport, Digest, Record};
 use event_listener::Event;
 use futures_lite::FutureExt;
 use kernel::{BoxFuture, Clock, Registry, Service};
-use protocol::{Door, Load, Progress, Refusal, RunId, Ticket};
-use requests::{Admit, Begin, Limit, LimitRange, RunEnd, RunTable, Settled};
+use platform::{LogClient, streams};
+use protocol::{Crash, Door, Load, Progress, Refusal, RunId, RunRequest, Ticket};
+use requests::{Admit, Begin, CrashDetector, Limit, LimitRange, Look, RunEnd, RunTable, Settled};
 use smol::Timer;
 use wire::Client;
 
@@ -19,14 +20,16 @@
 /// Time between two looks at the upstream.
 const WATCH_EVERY: Duration = Duration::from_millis(250);
 /// Crashes told to entries.
-const CRASHES_TOLD: usize = 16;
+const CRASHES_TOLD: usize = 4;
 
 /// What the agent knows about its upstream, and who may enter.
 struct State {
     limit: Limit,
     runs: RunTable,
-    in_flight: HashMap<RunId, u64>,
-    crashes: Vec<u64>,
+    in_flight: HashMap<RunId, InFlight>,
+    suspects: usize,
+    detector: CrashDetector,
+    crashes: VecDeque<Crash>,
     incarnation: Option<u64>,
     reachable: bool,
     serving: Option<Digest>,
@@ -35,12 +38,19 @@
     progress: Option<Progress>,
 }
 
+/// A run in flight.
+struct InFlight {
+    fingerprint: u64,
+    suspect: bool,
+}
+
 /// Decides which runs may start at the upstream.
 pub struct Doorkeeper {
     state: Mutex<State>,
     cell: Arc<ConfigCell>,
     clock: Clock,
     engine: Engine,
+    log: LogClient,
     settings: AgentSettings,
     leaving: AtomicBool,
     idle: Event,
@@ -64,7 +74,9 @@
                 limit: Limit::new(range),
                 runs: RunTable::new(fastrand::u64(1..)),
                 in_flight: HashMap::new(),
-                crashes: Vec::new(),
+                suspects: 0,
+                detector: CrashDetector::default(),
+                crashes: VecDeque::new(),
                 incarnation: None,
                 reachable: false,
                 serving: None,
@@ -74,6 +86,7 @@
             }),
             cell: config.cell().clone(),
             clock,
+            log: LogClient::new(settings.node.platform.log, client.clone()),
             engine: Engine::new(settings.upstream, client),
             settings: settings.clone(),
             leaving: AtomicBool::new(false),
@@ -121,9 +134,9 @@
         }
     }
 
-    /// Fingerprints of requests in flight at the latest crashes.
-    pub fn crashes(&self) -> Vec<u64> {
-        self.state().crashes.clone()
+    /// The upstream's latest crashes.
+    pub fn crashes(&self) -> Vec<Crash> {
+        self.state().crashes.iter().cloned().collect()
     }
 
     /// Progress of the model.
@@ -136,7 +149,7 @@
     }
 
     /// Asks to start a run.
-    pub fn begin(&self, id: &RunId, ticket: Ticket, fingerprint: u64) -> Begin {
+    pub fn begin(&self, run: &RunRequest) -> Begin {
         if self.door() != Door::Open {
             return Begin::Refuse(Refusal::Closed);
         }
@@ -146,12 +159,22 @@
         if state.ordering {
             return Begin::Refuse(Refusal::Closed);
         }
+        if run.suspect && state.suspects > 0 {
+            return Begin::Refuse(Refusal::Suspect);
+        }
         if state.limit.begin() == Admit::Full {
             return Begin::Refuse(Refusal::Full);
         }
-        let begin = state.runs.begin(now, id, ticket);
+        let begin = state.runs.begin(now, &run.id, run.ticket);
         match begin {
-            Begin::Run => drop(state.in_flight.insert(id.clone(), fingerprint)),
+            Begin::Run => {
+                state.suspects += usize::from(run.suspect);
+                let in_flight = InFlight {
+                    fingerprint: run.fingerprint,
+                    suspect: run.suspect,
+                };
+                state.in_flight.insert(run.id.clone(), in_flight);
+            }
             Begin::Refuse(_) | Begin::Duplicate => state.limit.end(RunEnd::Cancelled),
         }
         begin
@@ -159,14 +182,14 @@
 
     /// Records the end of a run.
     pub fn end(&self, id: &RunId, how: RunEnd) {
-        let mut state = self.state();
+        let mut guard = self.state();
+        let state = &mut *guard;
         if how == RunEnd::Failed {
-            let fingerprints: Vec<u64> = state.in_flight.values().copied().collect();
-            state.crashes.extend(fingerprints);
-            let excess = state.crashes.len().saturating_sub(CRASHES_TOLD);
-            state.crashes.drain(..excess);
+            let in_flight = state.in_flight.values().map(|r| r.fingerprint);
+            state.detector.broke(state.incarnation, in_flight);
         }
-        if state.in_flight.remove(id).is_some() {
+        if let Some(run) = state.in_flight.remove(id) {
+            state.suspects -= usize::from(run.suspect);
             state.limit.end(how);
         }
         if state.in_flight.is_empty() {
@@ -174,6 +197,47 @@
         }
     }
 
+    /// After a broken exchange: finds out whether the upstream has crashed.
+    /// Returns the crash that the request was in flight at.
+    pub async fn confirm_crash(&self, fingerprint: u64) -> Option<Crash> {
+        self.look().await;
+        let state = self.state();
+        let involved = |c: &&Crash| c.fingerprints.contains(&fingerprint);
+        state.crashes.iter().rev().find(involved).cloned()
+    }
+
+    fn note_crash(&self, state: &mut State, fingerprints: Vec<u64>) {
+        log::warn!(
+            "door: upstream crashed with {} requests",
+            fingerprints.len()
+        );
+        let crash = Crash {
+            id: format!("{}-{:x}", self.settings.node.vm, fastrand::u64(..)).into(),
+            fingerprints,
+        };
+        self.report(crash.clone());
+        if state.crashes.len() == CRASHES_TOLD {
+            state.crashes.pop_front();
+        }
+        state.crashes.push_back(crash);
+    }
+
+    /// Tells every entry of a crash through the log.
+    fn report(&self, crash: Crash) {
+        let log = self.log.clone();
+        let record = Record::Crash(CrashReport {
+            vm: self.settings.node.vm.clone(),
+            id: crash.id,
+            fingerprints: crash.fingerprints,
+        });
+        smol::spawn(async move {
+            if let Err(e) = log.append(streams::CONFIG, &record).await {
+                log::warn!("door: crash not reported to the log: {e}");
+            }
+        })
+        .detach();
+    }
+
     /// Changes the record of runs.
     pub fn with_runs<T>(&self, change: impl FnOnce(&mut RunTable) -> T) -> T {
         change(&mut self.state().runs)
@@ -236,6 +300,13 @@
                 state.limit.reset();
             }
         }
+        let look = Look {
+            reachable: state.reachable,
+            incarnation: state.incarnation,
+        };
+        if let Some(fingerprints) = state.detector.look(look) {
+            self.note_crash(&mut state, fingerprints);
+        }
     }
 
     fn range(&self) -> Option<LimitRange> {
--- a/components/agent/src/runner.rs
+++ b/components/agent/src/runner.rs
@@ -15,12 +15,15 @@
 
 /// Longest answer of a request that may not be repeated, in bytes.
 const KEPT_LIMIT: usize = 1 << 20;
+/// Longest answer that is read whole although it may be repeated, in bytes.
+const SHORT_LIMIT: u64 = 64 << 10;
 /// Longest silence of the upstream between two bytes of an answer.
 const UPSTREAM_GAP: Duration = Duration::from_secs(10);
 /// Header with the digest of the weights that answered.
 const MODEL_DIGEST: &str = "model-digest";
 
 /// Runs admitted requests at the upstream.
+#[derive(Clone)]
 pub struct Runner {
     door: Arc<Doorkeeper>,
     client: Client,
@@ -31,6 +34,7 @@
 struct Run {
     door: Arc<Doorkeeper>,
     id: RunId,
+    fingerprint: u64,
     begun: Instant,
     end: RunEnd,
 }
@@ -60,10 +64,19 @@
     /// Runs one request; the reply names the run that it belongs to.
     pub async fn run(&self, request: RunRequest) -> Response {
         let id = request.id.clone();
-        let mut res = match self.door.begin(&id, request.ticket, request.fingerprint) {
+        let mut res = match self.door.begin(&request) {
             Begin::Refuse(refusal) => refuse(refusal),
             // The first copy is running or has ended; the entry settles it.
             Begin::Duplicate => Response::new(StatusCode::Conflict),
+            // Goes on when the entry goes away: what has begun may not be repeated.
+            Begin::Run if !request.idempotent => {
+                let own = self.clone();
+                let (done, result) = async_channel::bounded(1);
+                smol::spawn(async move { drop(done.send(own.admitted(request).await).await) })
+                    .detach();
+                let lost = |_| Response::new(StatusCode::BadGateway);
+                result.recv().await.unwrap_or_else(lost)
+            }
             Begin::Run => self.admitted(request).await,
         };
         res.insert_header(headers::RUN_ID, id.as_str());
@@ -72,9 +85,10 @@
     }
 
     async fn admitted(&self, request: RunRequest) -> Response {
-        let mut run = Run {
+        let run = Run {
             door: self.door.clone(),
             id: request.id.clone(),
+            fingerprint: request.fingerprint,
             begun: Instant::now(),
             end: RunEnd::Cancelled,
         };
@@ -88,9 +102,9 @@
                 self.door.unreachable();
                 refuse(Refusal::Unreachable)
             }
-            Err(e) => self.broken(&mut run, &e),
-            Ok(reply) if request.idempotent => self.stream(run, reply),
-            Ok(reply) => self.keep(run, reply).await,
+            Err(e) => broken(run, &e).await,
+            Ok(reply) if request.idempotent && !is_short(&reply) => stream(run, reply),
+            Ok(reply) => keep(run, reply).await,
         }
     }
 
@@ -117,44 +131,58 @@
             call.fresh()
         })
     }
+}
 
-    fn broken(&self, run: &mut Run, error: &WireError) -> Response {
-        log::warn!("run: upstream broke {}: {error}", run.id);
-        run.end = RunEnd::Failed;
-        self.door.with_runs(|r| r.lose(&run.id));
-        Response::new(StatusCode::BadGateway)
-    }
+/// Whether an answer is short enough to be read whole before it is passed on,
+/// so that a break on the way does not reach the caller.
+fn is_short(reply: &Reply) -> bool {
+    reply.body_len().is_some_and(|l| l <= SHORT_LIMIT)
+}
 
-    /// Passes the answer on as it arrives.
-    fn stream(&self, run: Run, reply: Reply) -> Response {
-        let mut res = answer_head(&reply);
-        let body = reply.into_body();
-        let len = body.len().and_then(|l| usize::try_from(l).ok());
-        let relay = UpstreamBody { body, run };
-        res.set_body(Body::from_reader(BufReader::new(relay), len));
-        keep_media_type(&mut res);
-        res
+/// Ends a run whose exchange with the upstream broke.
+async fn broken(mut run: Run, error: &WireError) -> Response {
+    log::warn!("run: upstream broke {}: {error}", run.id);
+    run.end = RunEnd::Failed;
+    let (door, fingerprint) = (run.door.clone(), run.fingerprint);
+    door.with_runs(|r| r.lose(&run.id));
+    drop(run);
+    let mut res = Response::new(StatusCode::BadGateway);
+    if let Some(crash) = door.confirm_crash(fingerprint).await {
+        res.set_body(wire::encode(&crash).unwrap_or_default());
+        res.insert_header(headers::CRASH, crash.id.as_str());
     }
+    res
+}
 
-    /// Reads the whole answer before passing it on, so that it can be asked for again.
-    async fn keep(&self, mut run: Run, reply: Reply) -> Response {
-        let mut res = answer_head(&reply);
-        let status = u16::from(reply.status());
-        let media_type = reply.header("content-type").unwrap_or_default().into();
-        match reply.bytes(KEPT_LIMIT).await {
-            Err(e) => self.broken(&mut run, &e),
-            Ok(body) => {
-                run.complete();
-                res.set_body(body.clone());
-                keep_media_type(&mut res);
-                let answer = Arc::new(Answer {
-                    status,
-                    media_type,
-                    body,
-                });
-                self.door.with_runs(|r| r.answer(&run.id, answer));
-                res
-            }
+/// Passes the answer on as it arrives.
+fn stream(run: Run, reply: Reply) -> Response {
+    let mut res = answer_head(&reply);
+    let body = reply.into_body();
+    let len = body.len().and_then(|l| usize::try_from(l).ok());
+    let relay = UpstreamBody { body, run };
+    res.set_body(Body::from_reader(BufReader::new(relay), len));
+    keep_media_type(&mut res);
+    res
+}
+
+/// Reads the whole answer before passing it on, so that it can be asked for again.
+async fn keep(mut run: Run, reply: Reply) -> Response {
+    let mut res = answer_head(&reply);
+    let status = u16::from(reply.status());
+    let media_type = reply.header("content-type").unwrap_or_default().into();
+    match reply.bytes(KEPT_LIMIT).await {
+        Err(e) => broken(run, &e).await,
+        Ok(body) => {
+            run.complete();
+            res.set_body(body.clone());
+            keep_media_type(&mut res);
+            let answer = Arc::new(Answer {
+                status,
+                media_type,
+                body,
+            });
+            run.door.with_runs(|r| r.answer(&run.id, answer));
+            res
         }
     }
 }
@@ -204,6 +232,8 @@
             Poll::Ready(Err(e)) => {
                 log::warn!("run: upstream broke {}: {e}", self.run.id);
                 self.run.end = RunEnd::Failed;
+                let (door, fingerprint) = (self.run.door.clone(), self.run.fingerprint);
+                smol::spawn(async move { drop(door.confirm_crash(fingerprint).await) }).detach();
             }
             _ => {}
         }
--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -22,7 +22,7 @@
 pub use ledger::{Ledger, LedgerError, Verdict};
 pub use model::Model;
 pub use parse::parse_json;
-pub use record::{Checkpoint, Proposal, Record};
+pub use record::{Checkpoint, CrashReport, Proposal, Record};
 pub use service::{Fencing, Route, Service};
 pub use settings::{AgentSettings, EntrySettings, NodeSettings, PlatformSettings};
 pub use snapshot::Snapshot;
--- a/components/config/src/record.rs
+++ b/components/config/src/record.rs
@@ -25,6 +25,17 @@
     pub text: String,
 }
 
+/// An upstream's crash, with the requests that were in flight.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashReport {
+    /// VM of the upstream.
+    pub vm: CompactString,
+    /// Id of the crash.
+    pub id: CompactString,
+    /// Fingerprints of the requests.
+    pub fingerprints: Vec<u64>,
+}
+
 /// A record of the configuration stream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "lowercase")]
@@ -33,4 +44,6 @@
     Proposal(Proposal),
     /// A summary of the decided changes.
     Checkpoint(Checkpoint),
+    /// A crash that every entry has to hear of. Changes no configuration.
+    Crash(CrashReport),
 }
--- a/components/entry/src/attempt.rs
+++ b/components/entry/src/attempt.rs
@@ -1,3 +1,4 @@
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
@@ -7,11 +8,12 @@
 use kernel::Clock;
 use platform::LogClient;
 use protocol::{Answer, Refusal, RunId, RunRequest, headers};
-use requests::{Arrival, Claim, ClaimStep};
-use wire::{Client, Problem, Reply};
+use requests::{Arrival, Claim, ClaimStep, Suspicion};
+use wire::{Client, Outcome, Problem, Reply};
 
 use crate::caller_request::CallerRequest;
 use crate::claims::Claims;
+use crate::crash_book::CrashBook;
 use crate::exchange::{Exchanged, exchange};
 use crate::grant::{Grant, Target};
 use crate::pools::{SharedPool, lock};
@@ -19,6 +21,8 @@
 
 /// Most attempts at one request.
 const MAX_ATTEMPTS: usize = 4;
+/// Most attempts at one request that may have run.
+const MAX_MAY_HAVE_RUN: usize = 2;
 /// Advised wait after a failed request that may be sent again.
 const FAILED_RETRY: Duration = Duration::from_secs(1);
 
@@ -29,6 +33,7 @@
 pub struct Dispatcher {
     client: Client,
     claims: Claims,
+    crashes: Arc<CrashBook>,
     clock: Clock,
     vm: VmId,
     process: u64,
@@ -40,6 +45,28 @@
     Retry(Problem),
 }
 
+/// Number of one attempt.
+#[derive(Debug, Clone, Copy)]
+struct Number {
+    id: u64,
+    attempt: usize,
+    suspect: bool,
+}
+
+/// What a dispatcher needs.
+pub struct DispatcherParts {
+    /// VM of the entry.
+    pub vm: VmId,
+    /// The platform's log.
+    pub log: LogClient,
+    /// Crashes heard of.
+    pub crashes: Arc<CrashBook>,
+    /// Client of the agents.
+    pub client: Client,
+    /// Clock of the process.
+    pub clock: Clock,
+}
+
 /// Removes a request from its queue when its caller goes away.
 struct Place<'a> {
     pool: &'a SharedPool,
@@ -54,13 +81,14 @@
 }
 
 impl Dispatcher {
-    /// The dispatcher of the entry on `vm`.
-    pub fn new(vm: VmId, log: LogClient, client: Client, clock: Clock) -> Self {
+    /// A dispatcher made of `parts`.
+    pub fn new(parts: DispatcherParts) -> Self {
         Dispatcher {
-            claims: Claims::new(log, client.clone()),
-            client,
-            clock,
-            vm,
+            claims: Claims::new(parts.log, parts.client.clone()),
+            crashes: parts.crashes,
+            client: parts.client,
+            clock: parts.clock,
+            vm: parts.vm,
             // Tells ids of this process from those of an earlier one on the VM.
             process: fastrand::u64(..),
             next: AtomicU64::new(1),
@@ -71,10 +99,18 @@
     pub async fn dispatch(&self, pool: &SharedPool, request: &CallerRequest) -> Response {
         let id = self.next.fetch_add(1, Ordering::Relaxed);
         let deadline = self.clock.now() + request.timeout;
+        let fingerprint = request.fingerprint();
         let mut tried: Vec<u64> = Vec::new();
-        let mut problem = None;
+        let mut problem: Option<Problem> = None;
+        let mut may_have_run = 0;
         lock(pool).earn_retry();
         for attempt in 0..MAX_ATTEMPTS {
+            let suspect = match self.crashes.check(fingerprint) {
+                Suspicion::Quarantined { left } => {
+                    return finish(problem.unwrap_or_else(|| quarantined(left)), request);
+                }
+                suspicion => suspicion == Suspicion::Suspect,
+            };
             if attempt > 0 && !lock(pool).spend_retry() {
                 break;
             }
@@ -83,12 +119,23 @@
                 Grant::Refuse(p) => return finish(problem.unwrap_or(p), request),
             };
             tried.push(target.key);
-            match self
-                .run(pool, request, &target, id, attempt, deadline)
-                .await
-            {
+            let number = Number {
+                id,
+                attempt,
+                suspect,
+            };
+            match self.run(pool, request, &target, number, deadline).await {
                 Next::Answer(response) => return *response,
-                Next::Retry(p) => problem = Some(p),
+                Next::Retry(p) => {
+                    may_have_run += usize::from(p.outcome != Outcome::NotRun);
+                    problem = Some(match problem {
+                        None => p,
+                        Some(earlier) => earlier.followed_by(p),
+                    });
+                }
+            }
+            if may_have_run >= MAX_MAY_HAVE_RUN {
+                break;
             }
         }
         let fallback = || Problem::not_run(503, "overloaded", "retries are used up");
@@ -128,13 +175,15 @@
         pool: &SharedPool,
         request: &CallerRequest,
         target: &Target,
-        id: u64,
-        attempt: usize,
+        number: Number,
         deadline: Duration,
     ) -> Next {
         let mut lease = Lease::new(pool.clone(), self.clock, target.key);
+        if number.suspect {
+            lease.absolve_when_complete(self.crashes.clone(), request.fingerprint());
+        }
         let left = deadline.saturating_sub(self.clock.now());
-        let run = self.run_request(request, target, id, attempt, left);
+        let run = self.run_request(request, target, number, left);
         let claim = self.claims.claim_of(request, target, &run);
         if let Some(claim) = &claim
             && let Some(next) = self.check_claim(claim, left, &mut lease).await
@@ -159,6 +208,22 @@
                 let detail = format!("{} did not run it: {why}", target.vm);
                 Next::Retry(Problem::not_run(503, "not run", detail).retry_after(FAILED_RETRY))
             }
+            Exchanged::Crashed(crash) => {
+                self.crashes.note(&crash.id, &crash.fingerprints);
+                lock(pool).failed(self.clock.now(), target.key);
+                let detail = format!("the upstream of {} crashed while it ran", target.vm);
+                let problem = Problem::failed(502, "upstream crashed", detail);
+                match request.idempotent {
+                    true => Next::Retry(problem),
+                    false => Next::Answer(Box::new(finish(
+                        Problem {
+                            outcome: Outcome::Unknown,
+                            ..problem
+                        },
+                        request,
+                    ))),
+                }
+            }
             Exchanged::Unknown(cause) => {
                 lock(pool).failed(self.clock.now(), target.key);
                 let detail = format!("{} gave no answer: {cause}", target.vm);
@@ -200,10 +265,10 @@
         &self,
         request: &CallerRequest,
         target: &Target,
-        id: u64,
-        attempt: usize,
+        number: Number,
         left: Duration,
     ) -> RunRequest {
+        let Number { id, attempt, .. } = number;
         RunRequest {
             id: RunId::from(format!("{}-{:x}-{id}-{attempt}", self.vm, self.process)),
             ticket: target.ticket,
@@ -215,12 +280,17 @@
             priority: request.priority,
             left,
             fingerprint: request.fingerprint(),
-            suspect: false,
+            suspect: number.suspect,
             body: request.body.clone(),
         }
     }
 }
 
+fn quarantined(left: Duration) -> Problem {
+    let detail = "upstreams crashed while they ran this request; change it before sending it again";
+    Problem::not_run(422, "quarantined", detail).retry_after(left)
+}
+
 fn claim_problem(step: &ClaimStep) -> Problem {
     match step {
         ClaimStep::InProgress => {
--- a/components/entry/src/config_service.rs
+++ b/components/entry/src/config_service.rs
@@ -7,12 +7,14 @@
 use event_listener::Event;
 use futures_lite::FutureExt;
 use http_types::Method;
-use kernel::{BoxFuture, Registry, Service};
+use kernel::{BoxFuture, Clock, Registry, Service};
 use platform::{LogClient, PlatformError, VmList, streams};
 use protocol::paths;
 use smol::Timer;
 use wire::{Call, Client};
 
+use crate::crash_book::CrashBook;
+
 /// How long one read of the log waits for new records.
 const READ_WAIT: Duration = Duration::from_secs(2);
 /// Pause after a failed read.
@@ -42,6 +44,7 @@
     log: LogClient,
     vms: VmList,
     client: Client,
+    crashes: Arc<CrashBook>,
     vm: CompactString,
     decided: Event,
     checkpointed: Mutex<u64>,
@@ -53,13 +56,14 @@
     pub const NAME: &'static str = "config";
 
     /// The service of the entry described by `settings`.
-    pub fn new(settings: &NodeSettings, client: Client) -> Self {
+    pub fn new(settings: &NodeSettings, client: Client, clock: Clock) -> Self {
         ConfigService {
             cell: Arc::new(ConfigCell::default()),
             ledger: Mutex::default(),
             log: LogClient::new(settings.platform.log, client.clone()),
             vms: VmList::new(settings.platform.vms, client.clone()),
             client,
+            crashes: Arc::new(CrashBook::new(clock)),
             vm: settings.vm.clone(),
             decided: Event::new(),
             checkpointed: Mutex::new(0),
@@ -72,6 +76,11 @@
         &self.cell
     }
 
+    /// Crashes that this entry has heard of.
+    pub fn crashes(&self) -> &Arc<CrashBook> {
+        &self.crashes
+    }
+
     /// Client of the platform's log.
     pub fn log(&self) -> &LogClient {
         &self.log
@@ -119,6 +128,11 @@
     async fn read_once(&self, wait: Duration) -> Result<(), PlatformError> {
         let from = self.ledger().next();
         let page = self.log.read::<Record>(streams::CONFIG, from, wait).await?;
+        for (_, record) in &page.records {
+            if let Record::Crash(c) = record {
+                self.crashes.note(&c.id, &c.fingerprints);
+            }
+        }
         let (snapshot, result) = {
             let mut ledger = self.ledger();
             let result = ledger.apply_page(page.first, &page.records);
--- a/components/entry/src/directory.rs
+++ b/components/entry/src/directory.rs
@@ -12,6 +12,7 @@
 use wire::Client;
 
 use crate::config_service::ConfigService;
+use crate::crash_book::CrashBook;
 use crate::pools::{Pools, lock};
 
 /// Time between two readings of the list of VMs.
@@ -25,6 +26,7 @@
 pub struct Directory {
     pools: Arc<Pools>,
     cell: Arc<ConfigCell>,
+    crashes: Arc<CrashBook>,
     list: VmList,
     listing: Mutex<Listing>,
     client: Client,
@@ -47,6 +49,7 @@
         Directory {
             pools: Arc::new(Pools::new(settings)),
             cell: config.cell().clone(),
+            crashes: config.crashes().clone(),
             list: VmList::new(settings.platform.vms, client.clone()),
             listing: Mutex::default(),
             client,
@@ -141,6 +144,9 @@
                 let pool = pool.clone();
                 smol::spawn(async move {
                     if let Some(reply) = own.ask(&member).await {
+                        for c in &reply.crashes {
+                            own.crashes.note(&c.id, &c.fingerprints);
+                        }
                         lock(&pool).heard(own.clock.now(), reply);
                     }
                 })
--- a/components/entry/src/exchange.rs
+++ b/components/entry/src/exchange.rs
@@ -5,7 +5,7 @@
 use futures_lite::FutureExt;
 use http_types::Method;
 use protocol::{
-    Answer, Load, Refusal, RunId, RunRequest, Settle, SettleReply, Ticket, headers, paths,
+    Answer, Crash, Load, Refusal, RunId, RunRequest, Settle, SettleReply, Ticket, headers, paths,
 };
 use wire::{Call, Client, Reply, WireError};
 
@@ -21,8 +21,8 @@
 const BODY_GAP: Duration = Duration::from_secs(10);
 /// Longest kept answer that is read, in bytes.
 const ANSWER_LIMIT: usize = 2 << 20;
-/// Longest refusal that is read, in bytes.
-const REFUSAL_LIMIT: usize = 4096;
+/// Longest refusal or report of a crash that is read, in bytes.
+const REFUSAL_LIMIT: usize = 64 << 10;
 
 /// What became of one attempt.
 pub enum Exchanged {
@@ -34,6 +34,8 @@
     NotRun(Option<Refusal>),
     /// It may have run.
     Unknown(String),
+    /// It was in flight when its upstream crashed.
+    Crashed(Crash),
 }
 
 /// Sends a run to an agent and finds out what became of it within `limit`.
@@ -94,6 +96,9 @@
         )
         .await;
     }
+    if reply.header(headers::CRASH).is_some() {
+        return read_crash(reply).await;
+    }
     let load = reply.header(headers::LOAD).and_then(|v| v.parse().ok());
     if reply.header(headers::UPSTREAM_STATUS).is_some() {
         return Exchanged::Answering(Box::new(reply), load);
@@ -105,6 +110,14 @@
     }
 }
 
+async fn read_crash(reply: Reply) -> Exchanged {
+    let bytes = reply.bytes(REFUSAL_LIMIT).await.unwrap_or_default();
+    match wire::decode(&bytes) {
+        Ok(crash) => Exchanged::Crashed(crash),
+        Err(e) => Exchanged::Unknown(e.to_string()),
+    }
+}
+
 /// Asks on new connections until the run is settled or the deadline has passed.
 pub async fn settle(
     client: &Client,
--- a/components/entry/src/front.rs
+++ b/components/entry/src/front.rs
@@ -14,7 +14,7 @@
 use telemetry::MetricsPage;
 use wire::{Client, Handler, Problem, Server, ServerLimits};
 
-use crate::attempt::Dispatcher;
+use crate::attempt::{Dispatcher, DispatcherParts};
 use crate::caller_request::CallerRequest;
 use crate::config_service::ConfigService;
 use crate::directory::Directory;
@@ -66,12 +66,18 @@
         let config: Arc<ConfigService> = peers.find(ConfigService::NAME)?;
         let directory: Arc<Directory> = peers.find(Directory::NAME)?;
         let pools = directory.pools().clone();
-        let (vm, log) = (self.settings.vm.clone(), config.log().clone());
+        let parts = DispatcherParts {
+            vm: self.settings.vm.clone(),
+            log: config.log().clone(),
+            crashes: config.crashes().clone(),
+            client: self.client.clone(),
+            clock: self.clock,
+        };
         let handler = Arc::new(FrontHandler {
             cell: config.cell().clone(),
             operator: Operator::new(config, pools.clone()),
             pools,
-            dispatcher: Dispatcher::new(vm, log, self.client.clone(), self.clock),
+            dispatcher: Dispatcher::new(parts),
             metrics: self.metrics.clone(),
             leaving: AtomicBool::new(false),
         });
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -5,6 +5,7 @@
 mod caller_request;
 mod claims;
 mod config_service;
+mod crash_book;
 mod directory;
 mod exchange;
 mod front;
@@ -15,6 +16,7 @@
 mod relay;
 
 pub use config_service::ConfigService;
+pub use crash_book::CrashBook;
 pub use directory::Directory;
 pub use front::Front;
 pub use pools::Pools;
--- a/components/entry/src/operator.rs
+++ b/components/entry/src/operator.rs
@@ -129,6 +129,13 @@
                     "what": format!("proposal {} against revision {}", p.id, p.base),
                     "outcome": ledger.verdict(&p.id),
                 })),
+                Record::Crash(c) => Some(json!({
+                    "stream": "config",
+                    "offset": offset,
+                    "who": format!("agent on {}", c.vm),
+                    "what": format!("crash {}", c.id),
+                    "outcome": format!("{} requests were in flight", c.fingerprints.len()),
+                })),
                 Record::Checkpoint(_) => None,
             })
             .collect();
--- a/components/entry/src/relay.rs
+++ b/components/entry/src/relay.rs
@@ -1,5 +1,6 @@
 use std::io;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -8,6 +9,7 @@
 use protocol::Load;
 use wire::ReplyBody;
 
+use crate::crash_book::CrashBook;
 use crate::pools::{SharedPool, lock};
 
 /// A request's place at an upstream; gives it back when dropped.
@@ -17,6 +19,7 @@
     key: u64,
     begun: Duration,
     load: Option<Load>,
+    suspect: Option<(Arc<CrashBook>, u64)>,
     completed: bool,
 }
 
@@ -29,6 +32,7 @@
             clock,
             key,
             load: None,
+            suspect: None,
             completed: false,
         }
     }
@@ -38,9 +42,17 @@
         self.load = load;
     }
 
+    /// Clears the fingerprint of a suspect when its whole answer has arrived.
+    pub fn absolve_when_complete(&mut self, crashes: Arc<CrashBook>, fingerprint: u64) {
+        self.suspect = Some((crashes, fingerprint));
+    }
+
     /// Records that the whole answer has arrived.
     pub fn complete(&mut self) {
         self.completed = true;
+        if let Some((crashes, fingerprint)) = self.suspect.take() {
+            crashes.absolve(fingerprint);
+        }
     }
 }
 
--- /dev/null
+++ b/components/protocol/src/crash.rs
@@ -0,0 +1,11 @@
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+
+/// A crash of an upstream, as its agent saw it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crash {
+    /// Id, unique for all time.
+    pub id: CompactString,
+    /// Fingerprints of the requests that were in flight.
+    pub fingerprints: Vec<u64>,
+}
--- a/components/protocol/src/heartbeat.rs
+++ b/components/protocol/src/heartbeat.rs
@@ -3,7 +3,7 @@
 use config::{Digest, VersionId, VmId};
 use serde::{Deserialize, Serialize};
 
-use crate::{Load, Ticket};
+use crate::{Crash, Load, Ticket};
 
 /// Sent by an entry to each agent of its subset.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -61,6 +61,6 @@
     pub revision: u64,
     /// Progress of the service's model, if it has one.
     pub progress: Option<Progress>,
-    /// Fingerprints of requests in flight at the upstream's latest crashes.
-    pub crashes: Vec<u64>,
+    /// The upstream's latest crashes.
+    pub crashes: Vec<Crash>,
 }
--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -1,5 +1,6 @@
 //! Messages between entries and agents.
 
+mod crash;
 mod heartbeat;
 mod load;
 mod refusal;
@@ -7,6 +8,7 @@
 mod settle;
 mod ticket;
 
+pub use crash::Crash;
 pub use heartbeat::{Door, Heartbeat, HeartbeatReply, Progress};
 pub use load::Load;
 pub use refusal::Refusal;
@@ -38,6 +40,8 @@
     pub const UPSTREAM_STATUS: &str = "upstream-status";
     /// Load of the agent: limit, requests in flight and service time in microseconds.
     pub const LOAD: &str = "upstream-load";
+    /// Id of the upstream's crash that ended the run.
+    pub const CRASH: &str = "upstream-crash";
     /// Model version and digest that answered.
     pub const MODEL_VERSION: &str = "model-version";
 }
--- a/components/protocol/tests/messages.rs
+++ b/components/protocol/tests/messages.rs
@@ -4,7 +4,7 @@
 
 use config::Snapshot;
 use protocol::{
-    Answer, Door, Heartbeat, HeartbeatReply, Load, Progress, Refusal, RunRequest, Settle,
+    Answer, Crash, Door, Heartbeat, HeartbeatReply, Load, Progress, Refusal, RunRequest, Settle,
     SettleReply, Ticket,
 };
 use testkit::check_seeds;
@@ -52,7 +52,10 @@
             peer_bytes: 4,
             serving: None,
         }),
-        crashes: vec![1, 2],
+        crashes: vec![Crash {
+            id: "vm-1-7-1".into(),
+            fingerprints: vec![1, u64::MAX],
+        }],
     }
 }
 
--- a/components/requests/src/lib.rs
+++ b/components/requests/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod admission;
 mod claims;
+mod crash_detector;
 mod limit;
 mod quarantine;
 mod retry_budget;
@@ -12,6 +13,7 @@
 
 pub use admission::{Admission, AdmissionLimits, Arrival, Offer, Waiting};
 pub use claims::{Claim, ClaimCheck, ClaimRecord, ClaimStep};
+pub use crash_detector::{CrashDetector, Look};
 pub use limit::{Admit, Limit, LimitRange, RunEnd};
 pub use quarantine::{Quarantine, Suspicion};
 pub use retry_budget::RetryBudget;
--- a/components/wire/src/client.rs
+++ b/components/wire/src/client.rs
@@ -100,6 +100,11 @@
         self.head.header(name).map(|v| v.last().as_str())
     }
 
+    /// Length of the body in bytes, where the peer declared one.
+    pub fn body_len(&self) -> Option<u64> {
+        self.body.len()
+    }
+
     /// The body, to be streamed.
     pub fn into_body(self) -> ReplyBody {
         self.body
--- a/components/wire/src/problem.rs
+++ b/components/wire/src/problem.rs
@@ -61,6 +61,16 @@
         self
     }
 
+    /// The problem to tell after a further attempt ended with `later`: one that
+    /// may have run is never followed by "not run".
+    pub fn followed_by(self, later: Problem) -> Self {
+        match (self.outcome, later.outcome) {
+            (Outcome::NotRun, _) => later,
+            (_, Outcome::NotRun) => self,
+            (_, _) => later,
+        }
+    }
+
     fn new(status: u16, title: &str, detail: String, outcome: Outcome) -> Self {
         Problem {
             status,
--- a/components/wire/src/server.rs
+++ b/components/wire/src/server.rs
@@ -14,6 +14,9 @@
 use crate::metered::Metered;
 use crate::{Problem, within};
 
+/// Pause between two looks whether the peer of a busy connection is still there.
+const PEER_CHECK: Duration = Duration::from_millis(100);
+
 /// Answers the requests of one listener.
 pub trait Handler: Send + Sync + 'static {
     /// Answers one request; `peer` is the other end of the connection.
@@ -121,7 +124,11 @@
             self.idle_end(&busy).await;
             Ok(ConnectionStatus::Close)
         };
-        match server.accept_one().or(idle).await {
+        let gone = async {
+            self.peer_gone(stream, &busy).await;
+            Ok(ConnectionStatus::Close)
+        };
+        match server.accept_one().or(idle).or(gone).await {
             Ok(ConnectionStatus::KeepAlive) if !self.closing.is_closed() => Turn::Next,
             Ok(_) => Turn::Done,
             Err(e) if !busy.load(Ordering::Relaxed) => {
@@ -147,6 +154,23 @@
         }
     }
 
+    /// Resolves when the peer has closed its side while its request is being
+    /// answered; the answer is then given up, and with it what it waits for.
+    async fn peer_gone(&self, stream: &TcpStream, busy: &AtomicBool) {
+        let mut byte = [0u8; 1];
+        loop {
+            smol::Timer::after(PEER_CHECK).await;
+            if !busy.load(Ordering::Relaxed) {
+                continue;
+            }
+            match stream.peek(&mut byte).await {
+                Ok(0) | Err(_) => return,
+                // The body or the next request is on its way.
+                Ok(_) => {}
+            }
+        }
+    }
+
     async fn answer(&self, req: Request, peer: SocketAddr) -> http_types::Result<Response> {
         let repeated = req
             .header(CONTENT_LENGTH)
--- a/components/wire/tests/exchange.rs
+++ b/components/wire/tests/exchange.rs
@@ -243,3 +243,15 @@
         "application/problem+json"
     );
 }
+
+/// Failed before: a request whose first attempt crashed its upstream and whose
+/// second was refused was told "not run".
+#[test]
+fn not_run_is_never_told_after_an_attempt_that_may_have_run() {
+    let refused = || Problem::not_run(503, "full", "later");
+    let broken = || Problem::unknown(502, "broken", "gone");
+
+    assert_eq!(broken().followed_by(refused()).outcome, Outcome::Unknown);
+    assert_eq!(refused().followed_by(broken()).outcome, Outcome::Unknown);
+    assert_eq!(refused().followed_by(refused()).outcome, Outcome::NotRun);
+}
--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -29,7 +29,7 @@
     let node = &settings.node;
     let (client, clock) = (Client::default(), Clock::default());
     let metrics = Arc::new(MetricsPage::install()?);
-    let config = Arc::new(ConfigService::new(node, client.clone()));
+    let config = Arc::new(ConfigService::new(node, client.clone(), clock));
     let directory = Arc::new(Directory::new(node, &config, client.clone(), clock));
     let mut kernel = Kernel::default();
     kernel.add(config)?;
--- a/stand-ins/src/bin/trial.rs
+++ b/stand-ins/src/bin/trial.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use pico_args::Arguments;
-use stand_ins::trial::{at_most_once, process, slopes, whole_path};
+use stand_ins::trial::{at_most_once, crash, process, slopes, whole_path};
 
 const HELP: &str = "\
 Usage: cargo trial -- [TRIAL] [--json]
@@ -11,6 +11,7 @@
 Trials
   (none)      the whole path: weights, mixed load, a failure domain out and back
   at-most-once  orders under kills, freezes and cuts at every step
+  crash       a request that crashes each upstream that runs it
   slopes      the slopes of docs/CAPACITY.md
 
 Options
@@ -43,6 +44,7 @@
         match name.as_deref() {
             None => whole_path::run().await,
             Some("at-most-once") => at_most_once::run().await,
+            Some("crash") => crash::run().await,
             Some("slopes") => slopes::run().await,
             Some(other) => anyhow::bail!("trial {other:?} is not known; see --help"),
         }
--- /dev/null
+++ b/stand-ins/src/trial/crash.rs
@@ -0,0 +1,126 @@
+//! A request that crashes every upstream that runs it, sent again and again.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use smol::Timer;
+use wire::Client;
+
+use crate::engine::{CRASH_WORD, EngineRecord, Prompt};
+use crate::trial::caller::{Ask, End, Request, send};
+use crate::trial::fleet::{Fleet, FleetSpec};
+use crate::trial::report::Report;
+use crate::trial::tally::Tally;
+
+/// Times that the bad request is sent, alternating between entries.
+const SENDS: usize = 12;
+/// Pause between two sends: a caller that tries again at once.
+const PAUSE: Duration = Duration::from_millis(100);
+/// Good requests a second meanwhile.
+const RATE: u32 = 60;
+/// Upstreams that one such request may take down.
+const MAX_CRASHES: u64 = 2;
+/// Deadline of the callers.
+const DEADLINE: Duration = Duration::from_secs(5);
+
+fn spec() -> FleetSpec {
+    FleetSpec {
+        text: PathBuf::from("examples/lippula.json"),
+        entries: 3,
+        upstreams: vec![("neula-llm".to_owned(), 6)],
+        model_size: 2 << 20,
+        chunk_size: 256 << 10,
+        origin_rate: 32 << 20,
+        engine_args: vec!["--fenced".to_owned()],
+        plain_args: Vec::new(),
+    }
+}
+
+/// Runs the trial.
+pub async fn run() -> anyhow::Result<Report> {
+    let mut report = Report::default();
+    let mut fleet = Fleet::start(spec()).await?;
+    fleet.make_model(1).await?;
+    fleet.apply().await?;
+    anyhow::ensure!(fleet.await_open(Duration::from_secs(20)).await?, "not open");
+    let entries = fleet.entry_addrs();
+    let tally = Arc::new(Tally::default());
+    let good = {
+        let (entries, tally) = (entries.clone(), tally.clone());
+        smol::spawn(async move { send_good(entries, tally).await })
+    };
+    Timer::after(Duration::from_millis(500)).await;
+
+    eprintln!("crash: the bad request, {SENDS} times");
+    let client = Client::default();
+    let mut ends: Vec<End> = Vec::new();
+    for i in 0..SENDS {
+        ends.push(send(&client, entries[i % entries.len()], &bad()).await.end);
+        Timer::after(PAUSE).await;
+    }
+    good.await;
+
+    let mut crashes = 0;
+    let mut partial = 0;
+    for node in fleet.engines() {
+        let record: EngineRecord = fleet.record(node).await?;
+        crashes += record.crashes;
+        partial += record.partial_weights;
+    }
+    let counts = tally.counts();
+    let told: Vec<&str> = ends.iter().map(End::name).collect();
+    report.add("bad_request_told", told.join(", "));
+    report.add("crashes", crashes);
+    report.require(crashes <= MAX_CRASHES, || {
+        format!("{crashes} upstreams crashed")
+    });
+    report.require(crashes > 0, || "the request crashed nothing".to_owned());
+    report.add("good_requests", counts.requests);
+    report.add("good_answered", counts.answered);
+    report.add("good_refused", counts.refused);
+    report.add(
+        "good_broken_or_failed",
+        counts.lost + counts.failed + counts.unknown,
+    );
+    report.add_zero("wrong", counts.wrong);
+    report.add_zero("partial_weights", partial);
+    Ok(report)
+}
+
+async fn send_good(entries: Vec<std::net::SocketAddr>, tally: Arc<Tally>) {
+    let client = Client::default();
+    let begun = Instant::now();
+    let mut tasks = Vec::new();
+    for i in 0..RATE * 5 {
+        Timer::at(begun + Duration::from_secs(1) * i / RATE).await;
+        let (client, tally) = (client.clone(), tally.clone());
+        let entry = entries[i as usize % entries.len()];
+        tasks.push(smol::spawn(async move {
+            tally.begin();
+            let seen = send(&client, entry, &request(&format!("layout {i}"))).await;
+            tally.end(&seen, None);
+        }));
+    }
+    for task in tasks {
+        task.await;
+    }
+}
+
+fn bad() -> Request {
+    request(CRASH_WORD)
+}
+
+fn request(prompt: &str) -> Request {
+    Request {
+        path: "/neula-llm/summarise".to_owned(),
+        account: "clerks-briefs".to_owned(),
+        deadline: DEADLINE,
+        headers: Vec::new(),
+        ask: Ask::Generate(Prompt {
+            prompt: prompt.to_owned(),
+            max_tokens: 24,
+            stream: false,
+        }),
+    }
+}
--- a/stand-ins/src/trial/mod.rs
+++ b/stand-ins/src/trial/mod.rs
@@ -3,6 +3,7 @@
 pub mod at_most_once;
 pub mod caller;
 pub mod control;
+pub mod crash;
 pub mod fleet;
 pub mod process;
 pub mod report;
