--- a/components/entry/src/pool.rs
+++ b/components/entry/src/pool.rs
@@ -6,7 +6,7 @@
 use fleet::{Member, VmState};
 use protocol::{Door, HeartbeatReply, Load, Ticket};
 use requests::{Admission, AdmissionLimits, Arrival, Offer, RetryBudget, Turn, Waiting};
-use routing::{Candidate, Choice, Distance, Query, choose};
+use routing::{Candidate, Choice, Distance, Homes, Prefix, Query, choose};
 use wire::Problem;
 
 use crate::grant::{Grant, Target};
@@ -64,6 +64,7 @@
     region: config::RegionId,
     upstreams: Vec<Upstream>,
     candidates: Vec<Candidate>,
+    homes: Homes,
     admission: Admission,
     waiters: HashMap<u64, Waiter>,
     retries: RetryBudget,
@@ -81,6 +82,7 @@
             region: region.into(),
             upstreams: Vec::new(),
             candidates: Vec::new(),
+            homes: Homes::default(),
             admission: Admission::new(AdmissionLimits { queue: 0 }),
             waiters: HashMap::new(),
             retries: RetryBudget::default(),
@@ -121,6 +123,8 @@
             self.upstreams.push(upstream);
             self.candidates.push(candidate);
         }
+        let keys: Vec<u64> = self.candidates.iter().map(|c| c.key).collect();
+        self.homes = Homes::new(&keys);
     }
 
     /// Sets the silence after which an upstream receives no new work.
@@ -320,7 +324,10 @@
             return;
         };
         let query = Query {
-            prefix: waiter.prefix,
+            prefix: waiter.prefix.map(|hash| Prefix {
+                hash,
+                homes: &self.homes,
+            }),
             tried: &waiter.tried,
         };
         let Choice::Upstream(i) = choose(now, &self.candidates, query, &mut self.rng) else {
--- a/components/routing/src/choice.rs
+++ b/components/routing/src/choice.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use crate::Candidate;
+use crate::{Candidate, Homes};
 
 /// Upstreams drawn at random for one choice.
 const SAMPLES: usize = 4;
@@ -10,11 +10,20 @@
 /// of its limit, in percent.
 const AFFINITY_PERCENT: u32 = 75;
 
+/// A prompt's prefix and where prefixes belong.
+#[derive(Debug, Clone, Copy)]
+pub struct Prefix<'a> {
+    /// Hash of the prefix.
+    pub hash: u64,
+    /// Homes among the candidates of the choice.
+    pub homes: &'a Homes,
+}
+
 /// What a choice is made for.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Query<'a> {
-    /// Hash of the prompt's prefix, if the upstreams cache prefixes.
-    pub prefix: Option<u64>,
+    /// The prompt's prefix, if the upstreams cache prefixes.
+    pub prefix: Option<Prefix<'a>>,
     /// Keys of upstreams that were tried before.
     pub tried: &'a [u64],
 }
@@ -58,16 +67,12 @@
 /// The upstream that a prefix belongs to, while its load allows it.
 fn preferred(now: Duration, candidates: &[Candidate], query: Query<'_>) -> Option<usize> {
     let prefix = query.prefix?;
-    // Two fixed positions, so that the cost does not grow with the fleet and
-    // a full first position still has a stable second one.
-    [prefix, prefix.rotate_left(32)]
-        .into_iter()
-        .map(|p| usize::try_from(p % candidates.len() as u64).unwrap_or(0))
-        .find(|&i| {
-            let c = &candidates[i];
+    prefix.homes.of(prefix.hash).into_iter().find(|&i| {
+        candidates.get(i).is_some_and(|c| {
             let used = (c.others + c.outstanding) * 100;
             fits(now, c, query) && used <= c.limit * AFFINITY_PERCENT
         })
+    })
 }
 
 fn probe(
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -2,6 +2,8 @@
 
 mod candidate;
 mod choice;
+mod homes;
 
 pub use candidate::{Candidate, Distance};
-pub use choice::{Choice, Query, choose};
+pub use choice::{Choice, Prefix, Query, choose};
+pub use homes::Homes;
--- a/stand-ins/src/bin/trial.rs
+++ b/stand-ins/src/bin/trial.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use pico_args::Arguments;
-use stand_ins::trial::{at_most_once, crash, overload, process, slopes, whole_path};
+use stand_ins::trial::{at_most_once, crash, drain, overload, process, slopes, whole_path};
 
 const HELP: &str = "\
 Usage: cargo trial -- [TRIAL] [--json]
@@ -13,6 +13,7 @@
   at-most-once  orders under kills, freezes and cuts at every step
   crash       a request that crashes each upstream that runs it
   overload    goodput at 1, 2 and 5 times the capacity, against two baselines
+  drain       service while a failure domain leaves and returns
   slopes      the slopes of docs/CAPACITY.md
 
 Options
@@ -47,6 +48,7 @@
             Some("at-most-once") => at_most_once::run().await,
             Some("crash") => crash::run().await,
             Some("overload") => overload::run().await,
+            Some("drain") => drain::run().await,
             Some("slopes") => slopes::run().await,
             Some(other) => anyhow::bail!("trial {other:?} is not known; see --help"),
         }
--- a/stand-ins/src/trial/mod.rs
+++ b/stand-ins/src/trial/mod.rs
@@ -1,9 +1,11 @@
 //! Trials: real processes on loopback, judged by the stand-ins' own records.
 
+pub mod arrivals;
 pub mod at_most_once;
 pub mod caller;
 pub mod control;
 pub mod crash;
+pub mod drain;
 pub mod fleet;
 pub mod overload;
 pub mod process;
--- a/stand-ins/src/trial/overload.rs
+++ b/stand-ins/src/trial/overload.rs
@@ -5,12 +5,12 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use smol::Timer;
 use wire::Client;
 
 use crate::engine::{EngineRecord, Prompt};
+use crate::trial::arrivals::poisson;
 use crate::trial::caller::{Ask, Request, Seen, send};
 use crate::trial::fleet::{Fleet, FleetSpec};
 use crate::trial::report::Report;
@@ -182,17 +182,8 @@
     let tallies = Arc::new([Tally::default(), Tally::default(), Tally::default()]);
     let client = Client::default();
     let rate = capacity() * f64::from(load);
-    let mut rng = fastrand::Rng::with_seed(u64::from(load));
-    let begun = Instant::now();
-    let mut at = Duration::ZERO;
     let mut tasks = Vec::new();
-    for i in 0usize.. {
-        // Poisson arrivals.
-        at += Duration::from_secs_f64(-(1.0 - rng.f64()).ln() / rate);
-        if at > WARM_UP + WINDOW {
-            break;
-        }
-        Timer::at(begun + at).await;
+    poisson(rate, WARM_UP + WINDOW, u64::from(load), |i, at, rng| {
         let target = match policy {
             Policy::LeastOutstanding => least(&outstanding),
             _ => i % targets.len(),
@@ -214,7 +205,8 @@
                 count(&tallies, &in_time(seen), small);
             }
         }));
-    }
+    })
+    .await;
     for task in tasks {
         task.await;
     }
