Shared listener and watched bodies; pool tests; hang-ups in the trial

Cause: front and inbound, and the two relays, stood twice; the trials of overload too. Change: wire::Listening, wire::Watched, trial/burst, one switch for faults. The pool of an entry has tests in virtual time. The stand-in engine takes longer to the first token when crowded as well: without that its capacity grew under load and the drain baseline looked better than it was. Found: two stand-ins of one trial got the same port (a trial of overload ended with 'append refused with status 404'); ports are given out once now.

--- a/components/agent/src/inbound.rs
+++ b/components/agent/src/inbound.rs
@@ -1,19 +1,16 @@
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::Context;
-use async_channel::Sender;
 use config::{AgentSettings, Digest};
 use http_types::{Body, Method, Request, Response, StatusCode};
 use kernel::{BoxFuture, Registry, Service};
 use protocol::{Door, Heartbeat, HeartbeatReply, RunRequest, Settle, SettleReply, paths};
 use requests::Settled;
 use serde::de::DeserializeOwned;
-use smol::Task;
-use smol::net::TcpListener;
 use telemetry::MetricsPage;
-use wire::{Client, Handler, Problem, Server, ServerLimits, read_limited};
+use wire::{Client, Handler, Listening, Problem, read_limited};
 
 use crate::chunk_body::ChunkBody;
 use crate::config_follower::ConfigFollower;
@@ -29,7 +26,7 @@
     settings: AgentSettings,
     client: Client,
     metrics: Arc<MetricsPage>,
-    running: Mutex<Option<(Sender<()>, Task<()>)>>,
+    listening: Listening,
 }
 
 impl Inbound {
@@ -42,7 +39,7 @@
             settings: settings.clone(),
             client,
             metrics,
-            running: Mutex::new(None),
+            listening: Listening::default(),
         }
     }
 }
@@ -63,25 +60,17 @@
             metrics: self.metrics.clone(),
         });
         let addr = self.settings.node.listen;
-        let listener = smol::block_on(TcpListener::bind(addr))
+        self.listening
+            .start(addr, handler, self.settings.node.drain)
             .with_context(|| format!("inbound: cannot listen on {addr}; change node.listen"))?;
-        let (server, close) = Server::new(handler, ServerLimits::default());
-        let task = smol::spawn(server.run(listener, self.settings.node.drain));
         log::info!("inbound: listening on {addr}");
-        *self.running.lock().unwrap_or_else(PoisonError::into_inner) = Some((close, task));
         Ok(())
     }
 
     fn stop(&self, limit: Duration) -> BoxFuture<'_, ()> {
-        let running = self
-            .running
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .take();
         Box::pin(async move {
-            if let Some((close, task)) = running {
-                close.close();
-                let _ = wire::within(limit, task).await;
+            if !self.listening.stop(limit).await {
+                log::warn!("inbound: requests were still running at the drain limit");
             }
         })
     }
--- a/components/agent/src/runner.rs
+++ b/components/agent/src/runner.rs
@@ -1,15 +1,12 @@
 use std::io;
-use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
-use futures_lite::AsyncRead;
 use futures_lite::io::BufReader;
 use http_types::{Body, Method, Response, StatusCode};
 use protocol::{Answer, Refusal, RunId, RunRequest, headers};
 use requests::{Begin, RunEnd};
-use wire::{Call, Client, Reply, ReplyBody, WireError};
+use wire::{BodyWatch, Call, Client, Reply, Watched, WireError};
 
 use crate::doorkeeper::Doorkeeper;
 
@@ -45,6 +42,19 @@
     }
 }
 
+impl BodyWatch for Run {
+    fn whole(&mut self) {
+        self.complete();
+    }
+
+    fn broken(&mut self, error: &io::Error) {
+        log::warn!("run: upstream broke {}: {error}", self.id);
+        self.end = RunEnd::Failed;
+        let (door, fingerprint) = (self.door.clone(), self.fingerprint);
+        smol::spawn(async move { drop(door.confirm_crash(fingerprint).await) }).detach();
+    }
+}
+
 impl Drop for Run {
     fn drop(&mut self) {
         self.door.end(&self.id, self.end);
@@ -167,8 +177,10 @@
     let mut res = answer_head(&reply);
     let body = reply.into_body();
     let len = body.left().and_then(|l| usize::try_from(l).ok());
-    let relay = UpstreamBody { body, run };
-    res.set_body(Body::from_reader(BufReader::new(relay), len));
+    res.set_body(Body::from_reader(
+        BufReader::new(Watched::new(body, run)),
+        len,
+    ));
     keep_media_type(&mut res);
     res
 }
@@ -222,31 +234,3 @@
         res.insert_header("content-type", t.last().as_str().to_owned());
     }
 }
-
-struct UpstreamBody {
-    body: ReplyBody,
-    run: Run,
-}
-
-impl AsyncRead for UpstreamBody {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut [u8],
-    ) -> Poll<io::Result<usize>> {
-        let read = Pin::new(&mut self.body).poll_read(cx, buf);
-        match &read {
-            Poll::Ready(Ok(0)) => self.run.complete(),
-            // Nobody looks for the end of a body whose length is declared.
-            Poll::Ready(Ok(_)) if self.body.is_whole() => self.run.complete(),
-            Poll::Ready(Err(e)) => {
-                log::warn!("run: upstream broke {}: {e}", self.run.id);
-                self.run.end = RunEnd::Failed;
-                let (door, fingerprint) = (self.run.door.clone(), self.run.fingerprint);
-                smol::spawn(async move { drop(door.confirm_crash(fingerprint).await) }).detach();
-            }
-            _ => {}
-        }
-        read
-    }
-}
--- a/components/entry/src/attempt.rs
+++ b/components/entry/src/attempt.rs
@@ -9,15 +9,15 @@
 use platform::LogClient;
 use protocol::{Answer, Load, Refusal, RunId, RunRequest, headers};
 use requests::{Arrival, Claim, ClaimStep, Suspicion};
-use wire::{Client, Outcome, Problem, Reply};
+use wire::{Client, Outcome, Problem, Reply, Watched};
 
 use crate::caller_request::CallerRequest;
 use crate::claims::Claims;
 use crate::crash_book::CrashBook;
 use crate::exchange::{Exchanged, exchange};
 use crate::grant::{Grant, Target};
+use crate::lease::Lease;
 use crate::pools::{SharedPool, lock};
-use crate::relay::{Lease, Relay};
 
 /// Most attempts at one request.
 const MAX_ATTEMPTS: usize = 4;
@@ -362,7 +362,7 @@
     let body = reply.into_body();
     let len = body.left().and_then(|l| usize::try_from(l).ok());
     res.set_body(Body::from_reader(
-        BufReader::new(Relay::new(body, lease)),
+        BufReader::new(Watched::new(body, lease)),
         len,
     ));
     res.insert_header("content-type", media_type);
--- a/components/entry/src/front.rs
+++ b/components/entry/src/front.rs
@@ -1,18 +1,15 @@
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use anyhow::Context;
-use async_channel::Sender;
 use config::{ConfigCell, NodeSettings};
 use http_types::{Method, Request, Response, StatusCode};
 use kernel::{BoxFuture, Clock, Registry, Service};
 use protocol::paths;
-use smol::Task;
-use smol::net::TcpListener;
 use telemetry::MetricsPage;
-use wire::{Client, Handler, Problem, Server, ServerLimits};
+use wire::{Client, Handler, Listening, Problem};
 
 use crate::attempt::{Dispatcher, DispatcherParts};
 use crate::caller_request::CallerRequest;
@@ -27,13 +24,8 @@
     client: Client,
     clock: Clock,
     metrics: Arc<MetricsPage>,
-    running: Mutex<Option<Running>>,
-}
-
-struct Running {
-    handler: Arc<FrontHandler>,
-    close: Sender<()>,
-    task: Task<()>,
+    leaving: Arc<AtomicBool>,
+    listening: Listening,
 }
 
 impl Front {
@@ -52,7 +44,8 @@
             client,
             clock,
             metrics,
-            running: Mutex::new(None),
+            leaving: Arc::default(),
+            listening: Listening::default(),
         }
     }
 }
@@ -79,36 +72,21 @@
             pools,
             dispatcher: Dispatcher::new(parts),
             metrics: self.metrics.clone(),
-            leaving: AtomicBool::new(false),
+            leaving: self.leaving.clone(),
         });
         let addr = self.settings.listen;
-        let listener = smol::block_on(TcpListener::bind(addr))
+        self.listening
+            .start(addr, handler, self.settings.drain)
             .with_context(|| format!("front: cannot listen on {addr}; change node.listen"))?;
-        let (server, close) = Server::new(handler.clone(), ServerLimits::default());
-        let task = smol::spawn(server.run(listener, self.settings.drain));
         log::info!("front: listening on {addr}");
-        let mut running = self.running.lock().unwrap_or_else(PoisonError::into_inner);
-        *running = Some(Running {
-            handler,
-            close,
-            task,
-        });
         Ok(())
     }
 
     fn stop(&self, limit: Duration) -> BoxFuture<'_, ()> {
-        let running = self
-            .running
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .take();
+        self.leaving.store(true, Ordering::Relaxed);
         Box::pin(async move {
-            if let Some(r) = running {
-                r.handler.leaving.store(true, Ordering::Relaxed);
-                r.close.close();
-                if wire::within(limit, r.task).await.is_none() {
-                    log::warn!("front: requests were still running at the drain limit");
-                }
+            if !self.listening.stop(limit).await {
+                log::warn!("front: requests were still running at the drain limit");
             }
         })
     }
@@ -120,7 +98,7 @@
     operator: Operator,
     dispatcher: Dispatcher,
     metrics: Arc<MetricsPage>,
-    leaving: AtomicBool,
+    leaving: Arc<AtomicBool>,
 }
 
 impl Handler for FrontHandler {
--- a/components/entry/src/relay.rs
+++ b/components/entry/src/lease.rs
@@ -1,12 +1,9 @@
 use std::io;
-use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
-use futures_lite::AsyncRead;
 use kernel::Clock;
-use wire::ReplyBody;
+use wire::BodyWatch;
 
 use crate::crash_book::CrashBook;
 use crate::pools::{SharedPool, lock};
@@ -56,37 +53,12 @@
     }
 }
 
-/// An answer's body on its way to the caller. An incomplete source is an
-/// error, which breaks the caller's connection visibly.
-pub struct Relay {
-    body: ReplyBody,
-    lease: Lease,
-}
-
-impl Relay {
-    /// Relays `body` while holding `lease`.
-    pub fn new(body: ReplyBody, mut lease: Lease) -> Self {
-        if body.is_whole() {
-            lease.complete();
-        }
-        Relay { body, lease }
+impl BodyWatch for Lease {
+    fn whole(&mut self) {
+        self.complete();
     }
-}
 
-impl AsyncRead for Relay {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut [u8],
-    ) -> Poll<io::Result<usize>> {
-        let read = Pin::new(&mut self.body).poll_read(cx, buf);
-        match &read {
-            Poll::Ready(Ok(0)) => self.lease.complete(),
-            // Nobody looks for the end of a body whose length is declared.
-            Poll::Ready(Ok(_)) if self.body.is_whole() => self.lease.complete(),
-            Poll::Ready(Err(e)) => log::warn!("relay: answer broken off: {e}"),
-            _ => {}
-        }
-        read
+    fn broken(&mut self, error: &io::Error) {
+        log::warn!("relay: answer broken off: {error}");
     }
 }
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -10,10 +10,10 @@
 mod exchange;
 mod front;
 mod grant;
+mod lease;
 mod operator;
 mod pool;
 mod pools;
-mod relay;
 
 pub use config_service::ConfigService;
 pub use crash_book::CrashBook;
--- a/components/entry/src/pool.rs
+++ b/components/entry/src/pool.rs
@@ -414,3 +414,7 @@
     let detail = format!("no upstream of {service} accepts work; send the request again later");
     Problem::not_run(503, "no upstream", detail).retry_after(CLOSED_RETRY)
 }
+
+#[cfg(test)]
+#[path = "pool_tests.rs"]
+mod tests;
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -5,11 +5,13 @@
 mod client;
 mod codec;
 mod error;
+mod listening;
 mod metered;
 mod pool;
 mod problem;
 mod server;
 mod time_limit;
+mod watched;
 
 pub use http_types;
 
@@ -17,7 +19,9 @@
 pub use client::{Call, Client, Reply};
 pub use codec::{decode, encode};
 pub use error::WireError;
+pub use listening::Listening;
 pub use metered::{Traffic, traffic};
 pub use problem::{Outcome, Problem};
 pub use server::{Handler, Server, ServerLimits};
 pub use time_limit::within;
+pub use watched::{BodyWatch, Watched};
--- /dev/null
+++ b/components/wire/src/watched.rs
@@ -0,0 +1,52 @@
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use futures_lite::AsyncRead;
+
+use crate::ReplyBody;
+
+/// Told how a body ends.
+pub trait BodyWatch: Send + Sync + Unpin {
+    /// The last byte has arrived.
+    fn whole(&mut self);
+
+    /// The body broke off.
+    fn broken(&mut self, error: &io::Error);
+}
+
+/// A body on its way through this process, with somebody who is told its end.
+/// An incomplete source stays an error, which breaks the receiver's connection
+/// visibly.
+pub struct Watched<W> {
+    body: ReplyBody,
+    watch: W,
+}
+
+impl<W: BodyWatch> Watched<W> {
+    /// Passes `body` on and tells `watch` of its end.
+    pub fn new(body: ReplyBody, mut watch: W) -> Self {
+        if body.is_whole() {
+            watch.whole();
+        }
+        Watched { body, watch }
+    }
+}
+
+impl<W: BodyWatch> AsyncRead for Watched<W> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let read = Pin::new(&mut self.body).poll_read(cx, buf);
+        match &read {
+            Poll::Ready(Ok(0)) => self.watch.whole(),
+            // Nobody looks for the end of a body whose length is declared.
+            Poll::Ready(Ok(_)) if self.body.is_whole() => self.watch.whole(),
+            Poll::Ready(Err(e)) => self.watch.broken(e),
+            _ => {}
+        }
+        read
+    }
+}
--- a/components/wire/tests/exchange.rs
+++ b/components/wire/tests/exchange.rs
@@ -250,6 +250,44 @@
     reply.bytes(LIMIT).await.unwrap();
 }
 
+/// Never answers, and tells when it is given up.
+struct Endless(async_channel::Sender<()>);
+
+struct TellWhenDropped(async_channel::Sender<()>);
+
+impl Drop for TellWhenDropped {
+    fn drop(&mut self) {
+        let _ = self.0.try_send(());
+    }
+}
+
+impl Handler for Endless {
+    async fn handle(&self, _request: Request, _peer: SocketAddr) -> Response {
+        let _tell = TellWhenDropped(self.0.clone());
+        std::future::pending().await
+    }
+}
+
+#[test]
+fn a_peer_that_has_gone_cancels_its_answer() {
+    let listener = smol::block_on(TcpListener::bind("127.0.0.1:0")).unwrap();
+    let addr = listener.local_addr().unwrap();
+    let (tell, told) = async_channel::bounded(1);
+    let (server, _close) = Server::new(Arc::new(Endless(tell)), ServerLimits::default());
+    smol::spawn(server.run(listener, Duration::ZERO)).detach();
+
+    smol::block_on(async {
+        let mut stream = TcpStream::connect(addr).await.unwrap();
+        stream
+            .write_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+            .await
+            .unwrap();
+        drop(stream);
+
+        told.recv().await.unwrap();
+    });
+}
+
 #[test]
 fn problems_say_when_to_come_back() {
     let problem =
--- a/stand-ins/src/engine.rs
+++ b/stand-ins/src/engine.rs
@@ -215,6 +215,7 @@
         let bears = self.bears(&state);
         state.running += 1;
         let running = state.running;
+        let slowness = self.slowness(&state);
         let serving = state.serving.clone();
         let loading = state.loading;
         let record = &mut state.record;
@@ -234,7 +235,7 @@
             digest: serving.map(|s| s.content),
             line: answer_text(&prompt.prompt),
             left: prompt.max_tokens,
-            timer: Timer::after(prefill),
+            timer: Timer::after(prefill.mul_f64(slowness)),
             pending: Vec::new(),
             ended: false,
         })
@@ -246,18 +247,22 @@
     }
 
     /// Time for the next tokens of one request.
-    ///
-    /// A warm engine shares its token rate among more requests than it has
-    /// slots for; a cold one slows down with the square of the excess.
     fn pace(&self) -> Duration {
-        let state = self.lock();
-        let bears = self.bears(&state);
+        let factor = self.slowness(&self.lock());
+        (self.spec.token * BURST).mul_f64(factor)
+    }
+
+    /// How much slower than alone each request runs.
+    ///
+    /// A warm engine shares its rate among more requests than it has slots for;
+    /// a cold one slows down with the square of the excess.
+    fn slowness(&self, state: &State) -> f64 {
+        let bears = self.bears(state);
         let crowd = (state.running as f64 / bears as f64).max(1.0);
-        let factor = match bears < self.spec.slots {
+        match bears < self.spec.slots {
             true => f64::from(COLD_SLOWNESS) * crowd * crowd,
             false => crowd,
-        };
-        (self.spec.token * BURST).mul_f64(factor)
+        }
     }
 
     fn crash(self: &Arc<Self>) {
@@ -428,10 +433,7 @@
         let segments = http::segments(&req);
         let parts: Vec<&str> = segments.iter().map(String::as_str).collect();
         match (req.method(), parts.as_slice()) {
-            (Method::Post, ["faults"]) => match http::read(&mut req).await {
-                Ok(faults) => self.0.faults.set(faults),
-                Err(res) => res,
-            },
+            (Method::Post, ["faults"]) => self.0.faults.switch(&mut req).await,
             (Method::Get, ["record"]) => http::json(&self.0.lock().record),
             (Method::Get, ["load"]) => self.0.load(),
             (Method::Post, ["orders"]) => self.0.order(req).await,
--- a/stand-ins/src/faults.rs
+++ b/stand-ins/src/faults.rs
@@ -3,7 +3,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use http_types::Response;
+use http_types::{Request, Response};
 use serde::{Deserialize, Serialize};
 use smol::Timer;
 
@@ -46,11 +46,19 @@
 
 impl FaultSwitch {
     /// Replaces the faults in effect.
-    pub fn set(&self, faults: Faults) -> Response {
+    fn set(&self, faults: Faults) -> Response {
         *self.lock() = faults;
         http::status(204)
     }
 
+    /// Answers `POST /faults`.
+    pub async fn switch(&self, req: &mut Request) -> Response {
+        match http::read(req).await {
+            Ok(faults) => self.set(faults),
+            Err(res) => res,
+        }
+    }
+
     /// Decides the fate of one call; waits where calls are slow or silent.
     pub async fn fate(&self) -> Fate {
         let slow = self.lock().slow_ms;
--- a/stand-ins/src/trial/drain.rs
+++ b/stand-ins/src/trial/drain.rs
@@ -2,7 +2,6 @@
 //! system against a baseline that only stops sending.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -10,27 +9,18 @@
 use smol::{Task, Timer};
 use wire::Client;
 
-use crate::engine::{EngineRecord, Prompt, epoch_ms};
+use crate::engine::{EngineRecord, epoch_ms};
 use crate::trial::arrivals::poisson;
-use crate::trial::caller::{Ask, End, Request, send};
-use crate::trial::fleet::{Fleet, FleetSpec, MadeModel};
+use crate::trial::burst::{DEADLINE, capacity, request, spec};
+use crate::trial::caller::{End, send};
+use crate::trial::fleet::{Fleet, MadeModel};
 use crate::trial::report::Report;
 
 /// Engines, two in each failure domain.
 const ENGINES: usize = 6;
-/// Requests that a warm engine bears.
-const SLOTS: u32 = 16;
-/// Time to the first token.
-const PREFILL: Duration = Duration::from_millis(160);
-/// Time between two tokens.
-const TOKEN: Duration = Duration::from_millis(8);
-/// Tokens of a request.
-const TOKENS: u32 = 32;
 /// Loads in percent of the whole fleet's capacity: a little more, and much
 /// more, than the remaining failure domains bear.
 const LOADS: [u32; 2] = [72, 85];
-/// Deadline of a request.
-const DEADLINE: Duration = Duration::from_secs(2);
 /// Time under load that is not counted.
 const WARM_UP: Duration = Duration::from_secs(5);
 /// Length of the first phase.
@@ -72,35 +62,9 @@
     ends: Ends,
 }
 
-fn spec() -> FleetSpec {
-    let slots = SLOTS.to_string();
-    let prefill = PREFILL.as_millis().to_string();
-    let token = TOKEN.as_micros().to_string();
-    FleetSpec {
-        text: PathBuf::from("examples/lippula.json"),
-        entries: 2,
-        upstreams: vec![("neula-llm".to_owned(), ENGINES)],
-        model_size: 2 << 20,
-        chunk_size: 256 << 10,
-        origin_rate: 32 << 20,
-        engine_args: [
-            "--slots",
-            &slots,
-            "--prefill-ms",
-            &prefill,
-            "--token-us",
-            &token,
-        ]
-        .map(str::to_owned)
-        .to_vec(),
-        plain_args: Vec::new(),
-    }
-}
-
 /// Requests a second at a load in percent.
 fn rate(load: u32) -> f64 {
-    let service = PREFILL + TOKEN * TOKENS;
-    f64::from(load) / 100.0 * f64::from(SLOTS) * ENGINES as f64 / service.as_secs_f64()
+    f64::from(load) / 100.0 * capacity(ENGINES)
 }
 
 /// Runs the trial.
@@ -117,7 +81,7 @@
 
 async fn one(policy: Policy, load: u32, report: &mut Report) -> anyhow::Result<()> {
     eprintln!("drain: {policy:?} at {load}%");
-    let mut fleet = Fleet::start(spec()).await?;
+    let mut fleet = Fleet::start(spec(ENGINES)).await?;
     let made = fleet.make_model(1).await?;
     fleet.apply().await?;
     anyhow::ensure!(fleet.await_open(Duration::from_secs(20)).await?, "not open");
@@ -237,7 +201,11 @@
             };
             let count = outstanding(&shared, addr);
             count.fetch_add(1, Ordering::Relaxed);
-            let request = request(policy, rng.u32(..1000));
+            let request = request(
+                policy == Policy::StopSending,
+                "clerks-briefs",
+                rng.u32(..1000),
+            );
             let (client, ends) = (client.clone(), shared.ends.clone());
             tasks.push(smol::spawn(async move {
                 let begun = Instant::now();
@@ -265,24 +233,6 @@
     *addrs.iter().min_by_key(load).unwrap_or(&addrs[0])
 }
 
-fn request(policy: Policy, prompt: u32) -> Request {
-    let path = match policy {
-        Policy::Turmerichold => "/neula-llm/summarise",
-        Policy::StopSending => "/summarise",
-    };
-    Request {
-        path: path.to_owned(),
-        account: "clerks-briefs".to_owned(),
-        deadline: DEADLINE,
-        headers: Vec::new(),
-        ask: Ask::Generate(Prompt {
-            prompt: format!("{prompt} brief of a customer"),
-            max_tokens: TOKENS,
-            stream: false,
-        }),
-    }
-}
-
 fn add(report: &mut Report, policy: Policy, load: u32, ends: &Ends, late: u64, not_stopped: u64) {
     let name = match policy {
         Policy::Turmerichold => "policy",
--- a/stand-ins/src/trial/fleet.rs
+++ b/stand-ins/src/trial/fleet.rs
@@ -1,8 +1,9 @@
 //! A fleet of real processes: the platform's stand-ins, entries, agents and upstreams.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
+use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, bail, ensure};
@@ -106,10 +107,18 @@
     spec: FleetSpec,
 }
 
-/// Finds a loopback address that is free now.
+/// Finds a loopback address that is free now and was not given out before: the
+/// system may offer a port again as soon as its listener is closed.
 pub fn free_addr() -> anyhow::Result<SocketAddr> {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
-    Ok(listener.local_addr()?)
+    static GIVEN: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
+    loop {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        let addr = listener.local_addr()?;
+        let mut given = GIVEN.lock().unwrap_or_else(PoisonError::into_inner);
+        if given.insert(addr.port()) {
+            return Ok(addr);
+        }
+    }
 }
 
 impl Fleet {
--- a/stand-ins/src/trial/mod.rs
+++ b/stand-ins/src/trial/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod arrivals;
 pub mod at_most_once;
+pub mod burst;
 pub mod caller;
 pub mod control;
 pub mod crash;
--- a/stand-ins/src/trial/overload.rs
+++ b/stand-ins/src/trial/overload.rs
@@ -2,32 +2,22 @@
 //! the same engines directly.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use wire::Client;
 
-use crate::engine::{EngineRecord, Prompt};
+use crate::engine::EngineRecord;
 use crate::trial::arrivals::poisson;
-use crate::trial::caller::{Ask, Request, Seen, send};
-use crate::trial::fleet::{Fleet, FleetSpec};
+use crate::trial::burst::{DEADLINE, capacity, request, spec};
+use crate::trial::caller::{End, Seen, send};
+use crate::trial::fleet::Fleet;
 use crate::trial::report::Report;
 use crate::trial::tally::{Counts, Tally};
 
 /// Engines.
 const ENGINES: usize = 4;
-/// Requests that a warm engine bears.
-const SLOTS: u32 = 16;
-/// Time to the first token.
-const PREFILL: Duration = Duration::from_millis(160);
-/// Time between two tokens.
-const TOKEN: Duration = Duration::from_millis(8);
-/// Tokens of a request.
-const TOKENS: u32 = 32;
-/// Deadline of a request.
-const DEADLINE: Duration = Duration::from_secs(2);
 /// Time under load that is not counted.
 const WARM_UP: Duration = Duration::from_secs(2);
 /// Time under load that is counted.
@@ -58,45 +48,14 @@
     Policy::RoundRobin,
 ];
 
-fn spec() -> FleetSpec {
-    let slots = SLOTS.to_string();
-    let prefill = PREFILL.as_millis().to_string();
-    let token = TOKEN.as_micros().to_string();
-    FleetSpec {
-        text: PathBuf::from("examples/lippula.json"),
-        entries: 2,
-        upstreams: vec![("neula-llm".to_owned(), ENGINES)],
-        model_size: 1 << 20,
-        chunk_size: 256 << 10,
-        origin_rate: 32 << 20,
-        engine_args: [
-            "--slots",
-            &slots,
-            "--prefill-ms",
-            &prefill,
-            "--token-us",
-            &token,
-        ]
-        .map(str::to_owned)
-        .to_vec(),
-        plain_args: Vec::new(),
-    }
-}
-
-/// Requests a second that the fleet bears.
-fn capacity() -> f64 {
-    let service = PREFILL + TOKEN * TOKENS;
-    f64::from(SLOTS) * ENGINES as f64 / service.as_secs_f64()
-}
-
 /// Runs the trial.
 pub async fn run() -> anyhow::Result<Report> {
     let mut report = Report::default();
-    let mut fleet = Fleet::start(spec()).await?;
+    let mut fleet = Fleet::start(spec(ENGINES)).await?;
     fleet.make_model(1).await?;
     fleet.apply().await?;
     anyhow::ensure!(fleet.await_open(Duration::from_secs(20)).await?, "not open");
-    report.add("capacity_per_s", capacity().round());
+    report.add("capacity_per_s", capacity(ENGINES).round());
     eprintln!("overload: warming up");
     measure(&fleet, Policy::Turmerichold, 1).await?;
     let mut goodputs: Vec<f64> = Vec::new();
@@ -181,7 +140,7 @@
         Arc::new(targets.iter().map(|_| AtomicUsize::new(0)).collect());
     let tallies = Arc::new([Tally::default(), Tally::default(), Tally::default()]);
     let client = Client::default();
-    let rate = capacity() * f64::from(load);
+    let rate = capacity(ENGINES) * f64::from(load);
     let mut tasks = Vec::new();
     poisson(rate, WARM_UP + WINDOW, u64::from(load), |i, at, rng| {
         let target = match policy {
@@ -193,7 +152,7 @@
             true => ACCOUNTS[1 + rng.usize(..3)],
             false => ACCOUNTS[0],
         };
-        let request = request(policy, account, rng.u32(..1000));
+        let request = request(policy != Policy::Turmerichold, account, rng.u32(..1000));
         let counted = at > WARM_UP;
         let (client, addr) = (client.clone(), targets[target]);
         let (outstanding, tallies) = (outstanding.clone(), tallies.clone());
@@ -225,7 +184,6 @@
 
 /// An answer after the deadline is no answer for its caller.
 fn in_time(mut seen: Seen) -> Seen {
-    use crate::trial::caller::End;
     if seen.end == End::Answered && seen.total > DEADLINE {
         seen.end = End::Unknown;
     }
@@ -233,7 +191,6 @@
 }
 
 fn count(tallies: &[Tally; 3], seen: &Seen, small: bool) {
-    use crate::trial::caller::End;
     let [all, of_small, refusals] = tallies;
     all.begin();
     all.end(seen, None);
@@ -250,22 +207,3 @@
         refusals.end(&seen, None);
     }
 }
-
-fn request(policy: Policy, account: &str, prompt: u32) -> Request {
-    let path = match policy {
-        Policy::Turmerichold => "/neula-llm/summarise",
-        _ => "/summarise",
-    };
-    Request {
-        path: path.to_owned(),
-        account: account.to_owned(),
-        deadline: DEADLINE,
-        headers: Vec::new(),
-        ask: Ask::Generate(Prompt {
-            // Different prefixes, so that no cache hides the load.
-            prompt: format!("{prompt} brief of a customer"),
-            max_tokens: TOKENS,
-            stream: false,
-        }),
-    }
-}
--- a/stand-ins/src/trial/whole_path.rs
+++ b/stand-ins/src/trial/whole_path.rs
@@ -26,6 +26,10 @@
 const AFTER: Duration = Duration::from_secs(3);
 /// Time after which a failure domain that was taken out receives nothing new.
 const DRAIN_LIMIT: Duration = Duration::from_secs(2);
+/// Callers that hang up, half of them streamed.
+const HANG_UPS: usize = 8;
+/// Time in which an engine has to stop generating for a caller that has gone.
+const HANG_UP_LIMIT: Duration = Duration::from_secs(3);
 /// Deadline of the callers' requests.
 const DEADLINE: Duration = Duration::from_secs(8);
 /// Longest time for the model to reach all engines.
@@ -74,6 +78,9 @@
     Timer::after(AFTER).await;
     callers.stop().await;
 
+    eprintln!("trial: {HANG_UPS} callers hang up");
+    hang_up(&fleet, &mut report).await?;
+
     eprintln!("trial: stopping by signal with requests in flight");
     let last = Callers::burst(&fleet.entry_addrs(), &tally, 24);
     Timer::after(Duration::from_millis(100)).await;
@@ -95,6 +102,40 @@
     Ok(report)
 }
 
+/// Callers that ask for long answers and go away; the engines have to stop.
+async fn hang_up(fleet: &Fleet, report: &mut Report) -> anyhow::Result<()> {
+    let client = wire::Client::default();
+    let calls: Vec<Task<()>> = (0..HANG_UPS)
+        .map(|i| {
+            let (client, entry) = (client.clone(), fleet.entry_addrs()[i % 2]);
+            let long = Request {
+                ask: Ask::Generate(Prompt {
+                    prompt: format!("long layout {i}"),
+                    max_tokens: 100_000,
+                    stream: i % 4 < 2,
+                }),
+                ..request(0)
+            };
+            smol::spawn(async move { drop(send(&client, entry, &long).await) })
+        })
+        .collect();
+    Timer::after(Duration::from_millis(500)).await;
+    drop(calls);
+    let begun = Instant::now();
+    let mut running = usize::MAX;
+    while running > 0 && begun.elapsed() < HANG_UP_LIMIT {
+        Timer::after(Duration::from_millis(50)).await;
+        running = 0;
+        for addr in fleet.engines().filter_map(|n| n.upstream) {
+            let load: Value = control::get(&fleet.client, addr, "/load").await?;
+            running += load["running"].as_u64().map_or(0, |n| n as usize);
+        }
+    }
+    report.add_zero("running_after_hang_up", running as u64);
+    report.add_seconds("hang_up_seconds", begun.elapsed());
+    Ok(())
+}
+
 async fn bring_model(fleet: &mut Fleet, report: &mut Report) -> anyhow::Result<()> {
     let made = fleet.make_model(1).await?;
     eprintln!(
--- a/stand-ins/src/vms.rs
+++ b/stand-ins/src/vms.rs
@@ -78,10 +78,7 @@
         let segments = http::segments(&req);
         let parts: Vec<&str> = segments.iter().map(String::as_str).collect();
         match (req.method(), parts.as_slice()) {
-            (Method::Post, ["faults"]) => match http::read(&mut req).await {
-                Ok(faults) => self.faults.set(faults),
-                Err(res) => res,
-            },
+            (Method::Post, ["faults"]) => self.faults.switch(&mut req).await,
             (Method::Post, ["vms"]) => match http::read(&mut req).await {
                 Ok(member) => self.change(Change::Put(Box::new(member))),
                 Err(res) => res,
