The trial freezes an entry over the drain; measures from a listed fleet

The trial now waits until the list shows every VM. Change also: one entry sleeps through the change that takes a failure domain out and wakes up with the old text; directories of trials that held are removed.

--- a/stand-ins/src/bin/trial.rs
+++ b/stand-ins/src/bin/trial.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 
 use pico_args::Arguments;
+use stand_ins::trial::fleet::trial_dir;
 use stand_ins::trial::{at_most_once, crash, drain, overload, process, slopes, whole_path};
 
 const HELP: &str = "\
@@ -53,6 +54,11 @@
             Some(other) => anyhow::bail!("trial {other:?} is not known; see --help"),
         }
     })?;
+    if report.holds() {
+        std::fs::remove_dir_all(trial_dir())?;
+    } else {
+        eprintln!("trial: logs are in {}", trial_dir().display());
+    }
     report.print(json);
     Ok(report.holds())
 }
--- a/stand-ins/src/trial/fleet.rs
+++ b/stand-ins/src/trial/fleet.rs
@@ -22,6 +22,8 @@
 const START_LIMIT: Duration = Duration::from_secs(20);
 /// Pause between two looks.
 const POLL: Duration = Duration::from_millis(25);
+/// Time in which every entry has read the list of VMs once.
+const LIST_READ: Duration = Duration::from_millis(1200);
 /// Longest graceful shutdown of a process.
 const DRAIN: Duration = Duration::from_secs(10);
 
@@ -107,6 +109,11 @@
     spec: FleetSpec,
 }
 
+/// Where a trial keeps settings and the output of its processes.
+pub fn trial_dir() -> PathBuf {
+    std::env::temp_dir().join(format!("turmerichold-trial-{}", std::process::id()))
+}
+
 /// Finds a loopback address that is free now and was not given out before: the
 /// system may offer a port again as soon as its listener is closed.
 pub fn free_addr() -> anyhow::Result<SocketAddr> {
@@ -127,7 +134,7 @@
         let json = std::fs::read_to_string(&spec.text)
             .with_context(|| format!("{} cannot be read", spec.text.display()))?;
         let text: Text = config::parse_json(&spec.text.display().to_string(), &json)?;
-        let dir = std::env::temp_dir().join(format!("turmerichold-trial-{}", std::process::id()));
+        let dir = trial_dir();
         std::fs::create_dir_all(&dir)?;
         let platform = PlatformSettings {
             log: free_addr()?,
@@ -377,7 +384,23 @@
             self.await_listening(node.member.addr).await?;
             control::post(&self.client, self.platform.vms, "/vms", &node.member).await?;
         }
-        Ok(())
+        self.await_listed().await
+    }
+
+    /// Waits until the platform's list shows every VM and the entries have read it,
+    /// so that measurements do not contain the lag of a fleet that just started.
+    async fn await_listed(&self) -> anyhow::Result<()> {
+        let expected = self.entries.len() + self.agents.len();
+        let begun = Instant::now();
+        while begun.elapsed() < START_LIMIT {
+            let list: Value = control::get(&self.client, self.platform.vms, "/vms").await?;
+            if list["vms"].as_array().is_some_and(|v| v.len() == expected) {
+                Timer::after(LIST_READ).await;
+                return Ok(());
+            }
+            Timer::after(POLL).await;
+        }
+        bail!("the list of VMs does not show all of them")
     }
 
     fn start_entry(&self, vm: &str, domain: &str, region: &str) -> anyhow::Result<Node> {
--- a/stand-ins/src/trial/whole_path.rs
+++ b/stand-ins/src/trial/whole_path.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use rustix::process::Signal;
 use serde_json::Value;
 use smol::{Task, Timer};
 
@@ -24,6 +25,8 @@
 const OUT: Duration = Duration::from_secs(6);
 /// Time under load after its return.
 const AFTER: Duration = Duration::from_secs(3);
+/// How long one entry is frozen from the change on.
+const FROZEN: Duration = Duration::from_millis(2500);
 /// Time after which a failure domain that was taken out receives nothing new.
 const DRAIN_LIMIT: Duration = Duration::from_secs(2);
 /// Callers that hang up, half of them streamed.
@@ -71,8 +74,13 @@
     let tally = Arc::new(Tally::default());
     let callers = Callers::start(fleet.entry_addrs(), tally.clone());
     Timer::after(BEFORE).await;
+    // One entry sleeps through the change and wakes up with the old text: the
+    // agents have to refuse what it sends.
+    fleet.entries[1].process.signal(Signal::STOP)?;
     let out = set_in_service(&mut fleet, "pirkanmaa-a", false).await?;
-    Timer::after(OUT).await;
+    Timer::after(FROZEN).await;
+    fleet.entries[1].process.signal(Signal::CONT)?;
+    Timer::after(OUT - FROZEN).await;
     let back = epoch_ms();
     set_in_service(&mut fleet, "pirkanmaa-a", true).await?;
     Timer::after(AFTER).await;
@@ -96,9 +104,6 @@
     for text in &counts.samples {
         eprintln!("trial: {text}");
     }
-    if !report.holds() {
-        eprintln!("trial: logs are in {}", fleet.dir().display());
-    }
     Ok(report)
 }
 
