--- a/stand-ins/src/bin/stand-in.rs
+++ b/stand-ins/src/bin/stand-in.rs
@@ -21,7 +21,7 @@
   vms     --lag-ms MS (500)
   origin  --bytes-per-s N (32000000)
   engine  --fenced  --cold-slots N (4)  --slots N (16)  --prefill-ms MS (40)
-          --token-us US (2000)  --restart-ms MS (1500)
+          --token-us US (2000)  --restart-ms MS (1500)  --report-lag-ms MS (200)
   plain   --service-ms MS (20)  --reports
 
 The address must be a loopback address. Faults are switched by POST /faults;
@@ -63,6 +63,7 @@
                 prefill: Duration::from_millis(number("--prefill-ms", 40)?),
                 token: Duration::from_micros(number("--token-us", 2000)?),
                 restart: Duration::from_millis(number("--restart-ms", 1500)?),
+                report_lag: Duration::from_millis(number("--report-lag-ms", 200)?),
                 fenced: args.contains("--fenced"),
             };
             let engine = Arc::new(Engine::new(spec));
--- a/stand-ins/src/engine.rs
+++ b/stand-ins/src/engine.rs
@@ -7,7 +7,7 @@
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use config::{Digest, ModelId, VersionId};
 use futures_lite::AsyncRead;
@@ -27,6 +27,8 @@
 const BURST: u32 = 4;
 /// Factor by which a cold engine is slower.
 const COLD_SLOWNESS: u32 = 3;
+/// Least priority of a request that the batch does not slow down.
+const URGENT: u8 = 8;
 /// Prompt prefixes kept in the cache.
 const PREFIXES: usize = 64;
 /// Bytes of a prompt that count as its prefix.
@@ -47,6 +49,8 @@
     pub token: Duration,
     /// How long a crash lasts.
     pub restart: Duration,
+    /// Age of the load that is reported.
+    pub report_lag: Duration,
 }
 
 /// What a caller sends.
@@ -111,6 +115,7 @@
     running: usize,
     since_cold: usize,
     prefixes: HashSet<u64>,
+    reported: (Instant, usize),
     record: EngineRecord,
 }
 
@@ -149,6 +154,7 @@
                 running: 0,
                 since_cold: 0,
                 prefixes: HashSet::new(),
+                reported: (Instant::now(), 0),
                 record: EngineRecord::default(),
             }),
             faults: FaultSwitch::default(),
@@ -165,9 +171,8 @@
             Ok(prompt) => prompt,
             Err(res) => return res,
         };
-        let Some(mut run) = self.begin(&prompt) else {
-            return http::status(503);
-        };
+        let priority = priority(&req);
+        let mut run = self.begin(&prompt, priority);
         if prompt.prompt.contains(CRASH_WORD) {
             self.crash();
         }
@@ -200,7 +205,7 @@
         res
     }
 
-    fn begin(self: &Arc<Self>, prompt: &Prompt) -> Option<Generation> {
+    fn begin(self: &Arc<Self>, prompt: &Prompt, priority: u8) -> Generation {
         if self.faults.take_cold() {
             self.lock().since_cold = 0;
         }
@@ -215,7 +220,7 @@
         let bears = self.bears(&state);
         state.running += 1;
         let running = state.running;
-        let slowness = self.slowness(&state);
+        let slowness = self.slowness(&state, priority);
         let serving = state.serving.clone();
         let loading = state.loading;
         let record = &mut state.record;
@@ -229,8 +234,9 @@
             true => self.spec.prefill / 4,
             false => self.spec.prefill,
         };
-        Some(Generation {
+        Generation {
             engine: self.clone(),
+            priority,
             incarnation: state.incarnation,
             digest: serving.map(|s| s.content),
             line: answer_text(&prompt.prompt),
@@ -238,7 +244,7 @@
             timer: Timer::after(prefill.mul_f64(slowness)),
             pending: Vec::new(),
             ended: false,
-        })
+        }
     }
 
     /// Requests that the engine bears; grows with each one completed since it was cold.
@@ -247,17 +253,21 @@
     }
 
     /// Time for the next tokens of one request.
-    fn pace(&self) -> Duration {
-        let factor = self.slowness(&self.lock());
+    fn pace(&self, priority: u8) -> Duration {
+        let factor = self.slowness(&self.lock(), priority);
         (self.spec.token * BURST).mul_f64(factor)
     }
 
     /// How much slower than alone each request runs.
     ///
     /// A warm engine shares its rate among more requests than it has slots for;
-    /// a cold one slows down with the square of the excess.
-    fn slowness(&self, state: &State) -> f64 {
+    /// a cold one slows down with the square of the excess. Urgent requests are
+    /// not slowed down by the crowd.
+    fn slowness(&self, state: &State, priority: u8) -> f64 {
         let bears = self.bears(state);
+        if priority >= URGENT && bears == self.spec.slots {
+            return 1.0;
+        }
         let crowd = (state.running as f64 / bears as f64).max(1.0);
         match bears < self.spec.slots {
             true => f64::from(COLD_SLOWNESS) * crowd * crowd,
@@ -340,13 +350,16 @@
     }
 
     fn load(&self) -> Response {
-        let state = self.lock();
+        let mut state = self.lock();
         if state.down {
             return http::broken();
         }
+        if state.reported.0.elapsed() >= self.spec.report_lag {
+            state.reported = (Instant::now(), state.running);
+        }
         http::json(&json!({
             "incarnation": state.incarnation,
-            "running": state.running,
+            "running": state.reported.1,
             "serving": state.serving,
         }))
     }
@@ -359,6 +372,7 @@
 /// One request being generated; its bytes are the streamed answer.
 struct Generation {
     engine: Arc<Engine>,
+    priority: u8,
     incarnation: u64,
     digest: Option<Digest>,
     line: String,
@@ -384,7 +398,7 @@
         self.left -= count;
         self.engine.lock().record.tokens += u64::from(count);
         self.pending = format!("{} {}\n", self.line, self.left).into_bytes();
-        self.timer = Timer::after(self.engine.pace());
+        self.timer = Timer::after(self.engine.pace(self.priority));
         Ok(())
     }
 }
@@ -425,6 +439,11 @@
     }
 }
 
+fn priority(req: &Request) -> u8 {
+    let header = req.header("priority").map(|v| v.last().as_str());
+    header.and_then(|v| v.parse().ok()).unwrap_or(0)
+}
+
 /// Serves one engine.
 pub struct EngineHandler(pub Arc<Engine>);
 
