--- a/stand-ins/src/bin/trial.rs
+++ b/stand-ins/src/bin/trial.rs
@@ -4,7 +4,9 @@
 
 use pico_args::Arguments;
 use stand_ins::trial::fleet::trial_dir;
-use stand_ins::trial::{at_most_once, crash, drain, overload, process, slopes, whole_path};
+use stand_ins::trial::{
+    at_most_once, crash, drain, latency, overload, process, slopes, whole_path,
+};
 
 const HELP: &str = "\
 Usage: cargo trial -- [TRIAL] [--json]
@@ -15,6 +17,7 @@
   crash       a request that crashes each upstream that runs it
   overload    goodput at 1, 2 and 5 times the capacity, against two baselines
   drain       service while a failure domain leaves and returns
+  latency     added latency over a direct call
   slopes      the slopes of docs/CAPACITY.md
 
 Options
@@ -50,6 +53,7 @@
             Some("crash") => crash::run().await,
             Some("overload") => overload::run().await,
             Some("drain") => drain::run().await,
+            Some("latency") => latency::run().await,
             Some("slopes") => slopes::run().await,
             Some(other) => anyhow::bail!("trial {other:?} is not known; see --help"),
         }
--- /dev/null
+++ b/stand-ins/src/trial/latency.rs
@@ -0,0 +1,112 @@
+//! Added latency of entry and agent over a direct call to the upstream.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use anyhow::Context;
+use wire::Client;
+
+use crate::plain::Order;
+use crate::trial::caller::{Ask, Request, send};
+use crate::trial::fleet::{Fleet, FleetSpec};
+use crate::trial::report::Report;
+use crate::trial::tally::Tally;
+
+/// Calls of each kind, one after another and in turn.
+const CALLS: usize = 1500;
+/// Deadline of a call.
+const DEADLINE: Duration = Duration::from_secs(5);
+
+/// How the upstream is called.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Way {
+    Direct,
+    Repeatable,
+    Once,
+    OnceWithKey,
+}
+
+const WAYS: [Way; 4] = [Way::Direct, Way::Repeatable, Way::Once, Way::OnceWithKey];
+
+impl Way {
+    fn name(self) -> &'static str {
+        match self {
+            Way::Direct => "direct",
+            Way::Repeatable => "repeatable",
+            Way::Once => "once",
+            Way::OnceWithKey => "once_with_key",
+        }
+    }
+}
+
+fn spec() -> FleetSpec {
+    FleetSpec {
+        text: PathBuf::from("examples/lippula.json"),
+        entries: 1,
+        upstreams: vec![("ompelu-app".to_owned(), 1)],
+        model_size: 1 << 20,
+        chunk_size: 256 << 10,
+        origin_rate: 32 << 20,
+        engine_args: Vec::new(),
+        plain_args: ["--reports", "--service-ms", "1"]
+            .map(str::to_owned)
+            .to_vec(),
+    }
+}
+
+/// Runs the trial.
+pub async fn run() -> anyhow::Result<Report> {
+    let mut report = Report::default();
+    let mut fleet = Fleet::start(spec()).await?;
+    fleet.make_model(1).await?;
+    fleet.apply().await?;
+    anyhow::ensure!(fleet.await_open(Duration::from_secs(20)).await?, "not open");
+    let entry = fleet.entry_addrs()[0];
+    let upstream = fleet.agents[0].upstream.context("no upstream")?;
+    let tallies = WAYS.map(|_| Tally::default());
+    let client = Client::default();
+    for i in 0..CALLS {
+        for (way, tally) in WAYS.into_iter().zip(&tallies) {
+            tally.begin();
+            let (addr, request) = call(way, i, entry, upstream);
+            tally.end(&send(&client, addr, &request).await, None);
+        }
+    }
+    let direct = tallies[0].counts();
+    for (way, tally) in WAYS.into_iter().zip(&tallies) {
+        let counts = tally.counts();
+        let key = |figure: &str| format!("{}_{figure}", way.name());
+        report.add_zero(&key("not_answered"), counts.requests - counts.answered);
+        for p in [50.0, 99.0] {
+            let micros = |d: Duration| u64::try_from(d.as_micros()).unwrap_or(u64::MAX);
+            report.add(&key(&format!("p{p}_us")), micros(counts.percentile(p)));
+            if way != Way::Direct {
+                let added = counts.percentile(p).saturating_sub(direct.percentile(p));
+                report.add(&key(&format!("p{p}_added_us")), micros(added));
+            }
+        }
+    }
+    Ok(report)
+}
+
+fn call(way: Way, i: usize, entry: SocketAddr, upstream: SocketAddr) -> (SocketAddr, Request) {
+    let (addr, path) = match way {
+        Way::Direct => (upstream, "/orders"),
+        Way::Repeatable => (entry, "/ompelu-app/layouts"),
+        Way::Once | Way::OnceWithKey => (entry, "/ompelu-app/orders"),
+    };
+    let order = format!("{}-{i}", way.name());
+    let headers = match way {
+        Way::OnceWithKey => vec![("idempotency-key".to_owned(), order.clone())],
+        _ => Vec::new(),
+    };
+    let request = Request {
+        path: path.to_owned(),
+        account: "clerks-orders".to_owned(),
+        deadline: DEADLINE,
+        headers,
+        ask: Ask::Order(Order { order }),
+    };
+    (addr, request)
+}
--- a/stand-ins/src/trial/mod.rs
+++ b/stand-ins/src/trial/mod.rs
@@ -8,6 +8,7 @@
 pub mod crash;
 pub mod drain;
 pub mod fleet;
+pub mod latency;
 pub mod overload;
 pub mod process;
 pub mod report;
