--- a/stand-ins/src/trial/fleet.rs
+++ b/stand-ins/src/trial/fleet.rs
@@ -1,9 +1,8 @@
 //! A fleet of real processes: the platform's stand-ins, entries, agents and upstreams.
 
-use std::collections::{BTreeMap, BTreeSet};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, bail, ensure};
@@ -16,6 +15,7 @@
 
 use crate::origin::NewModel;
 use crate::trial::control;
+pub use crate::trial::node::{Node, free_addr, trial_dir};
 use crate::trial::process::Process;
 
 /// Longest wait for a process to answer.
@@ -48,37 +48,6 @@
     pub plain_args: Vec<String>,
 }
 
-/// One of our processes and, for an agent, the upstream beside it.
-pub struct Node {
-    /// VM.
-    pub member: Member,
-    /// The entry or agent.
-    pub process: Process,
-    /// The upstream's address.
-    pub upstream: Option<SocketAddr>,
-    /// The upstream's process.
-    pub upstream_process: Option<Process>,
-    /// Settings file.
-    pub settings: PathBuf,
-}
-
-impl Node {
-    /// Kills the upstream's process.
-    pub fn kill_upstream(&mut self) {
-        if let Some(p) = &mut self.upstream_process {
-            p.kill();
-        }
-    }
-
-    /// Sends a signal to the upstream's process.
-    pub fn signal_upstream(&self, signal: rustix::process::Signal) -> anyhow::Result<()> {
-        match &self.upstream_process {
-            Some(p) => p.signal(signal),
-            None => Ok(()),
-        }
-    }
-}
-
 /// The weights that the engines shall serve.
 #[derive(Debug, Clone, Deserialize)]
 pub struct MadeModel {
@@ -109,25 +78,6 @@
     spec: FleetSpec,
 }
 
-/// Where a trial keeps settings and the output of its processes.
-pub fn trial_dir() -> PathBuf {
-    std::env::temp_dir().join(format!("turmerichold-trial-{}", std::process::id()))
-}
-
-/// Finds a loopback address that is free now and was not given out before: the
-/// system may offer a port again as soon as its listener is closed.
-pub fn free_addr() -> anyhow::Result<SocketAddr> {
-    static GIVEN: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
-    loop {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
-        let addr = listener.local_addr()?;
-        let mut given = GIVEN.lock().unwrap_or_else(PoisonError::into_inner);
-        if given.insert(addr.port()) {
-            return Ok(addr);
-        }
-    }
-}
-
 impl Fleet {
     /// Starts every process; nothing is applied yet.
     pub async fn start(spec: FleetSpec) -> anyhow::Result<Self> {
--- a/stand-ins/src/trial/mod.rs
+++ b/stand-ins/src/trial/mod.rs
@@ -9,6 +9,7 @@
 pub mod drain;
 pub mod fleet;
 pub mod latency;
+pub mod node;
 pub mod overload;
 pub mod process;
 pub mod report;
