Fingerprint hashed once for each request; unused functions removed

Cause, found in the last read of the change: the request's body was hashed again for every attempt, up to twice, and three functions had no caller (Directory::vms, Fleet::by_vm, Process::id). Change: the fingerprint goes with the attempt's number; the functions are gone. Not measured: the time saved.

--- a/components/entry/src/attempt.rs
+++ b/components/entry/src/attempt.rs
@@ -53,6 +53,7 @@
     id: u64,
     sent: usize,
     suspect: bool,
+    fingerprint: u64,
 }
 
 /// What a dispatcher needs.
@@ -129,7 +130,12 @@
                 Grant::Refuse(p) => return finish(problem.unwrap_or(p), request),
             };
             let key = target.key;
-            let number = Number { id, sent, suspect };
+            let number = Number {
+                id,
+                sent,
+                suspect,
+                fingerprint,
+            };
             match self.run(pool, request, &target, number, deadline).await {
                 Next::Answer(response) => return *response,
                 Next::Requeue => continue,
@@ -194,7 +200,7 @@
     ) -> Next {
         let mut lease = Lease::new(pool.clone(), self.clock, target.key);
         if number.suspect {
-            lease.absolve_when_complete(self.crashes.clone(), request.fingerprint());
+            lease.absolve_when_complete(self.crashes.clone(), number.fingerprint);
         }
         let left = deadline.saturating_sub(self.clock.now());
         let run = self.run_request(request, target, number, left);
@@ -309,7 +315,7 @@
             idempotent: request.idempotent,
             priority: request.priority,
             left,
-            fingerprint: request.fingerprint(),
+            fingerprint: number.fingerprint,
             suspect: number.suspect,
             body: request.body.clone(),
         }
--- a/components/entry/src/directory.rs
+++ b/components/entry/src/directory.rs
@@ -1,7 +1,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use config::{ConfigCell, NodeSettings, VmId};
+use config::{ConfigCell, NodeSettings};
 use event_listener::Event;
 use fleet::{Member, Pace, Role, subset};
 use futures_lite::FutureExt;
@@ -170,11 +170,6 @@
             .filter(|r: &HeartbeatReply| r.vm == member.vm)
     }
 
-    /// Ids of the listed VMs.
-    pub fn vms(&self) -> Vec<VmId> {
-        self.listing().vms.iter().map(|m| m.vm.clone()).collect()
-    }
-
     fn listing(&self) -> std::sync::MutexGuard<'_, Listing> {
         self.listing.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/stand-ins/src/trial/fleet.rs
+++ b/stand-ins/src/trial/fleet.rs
@@ -1,12 +1,11 @@
 //! A fleet of real processes: the platform's stand-ins, entries, agents and upstreams.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, bail, ensure};
-use config::{AgentSettings, Digest, EntrySettings, NodeSettings, PlatformSettings, Text, VmId};
+use config::{AgentSettings, Digest, EntrySettings, NodeSettings, PlatformSettings, Text};
 use fleet::{Member, Role, VmState};
 use serde::Deserialize;
 use serde_json::Value;
@@ -436,14 +435,6 @@
         let addr = node.upstream.context("the node has no upstream")?;
         control::get(&self.client, addr, "/record").await
     }
-
-    /// Upstream nodes by VM.
-    pub fn by_vm(&self) -> BTreeMap<VmId, &Node> {
-        self.agents
-            .iter()
-            .map(|n| (n.member.vm.clone(), n))
-            .collect()
-    }
 }
 
 fn member(
--- a/stand-ins/src/trial/process.rs
+++ b/stand-ins/src/trial/process.rs
@@ -36,11 +36,6 @@
         })
     }
 
-    /// Id of the process.
-    pub fn id(&self) -> u32 {
-        self.child.id()
-    }
-
     /// Sends a signal.
     pub fn signal(&self, signal: Signal) -> anyhow::Result<()> {
         let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
