Weights: agents tell each other what they hold; uploads take turns

Cause: 24 agents asked the origin (48 connections) for the same pieces, and streams were late because tokens waited behind queued pieces on the 7.6 Mbit/s links. Ruled out: load (late at 60% too).

--- a/components/dispatch/src/fleet_view.rs
+++ b/components/dispatch/src/fleet_view.rs
@@ -11,6 +11,9 @@
 /// this long to come back; the platform promises about two seconds.
 const RETURN_TIME: Duration = Duration::from_millis(2200);
 
+/// Declared versions remembered for a model; older ones are long in force.
+const MAX_VERSIONS: usize = 16;
+
 /// What a record changed.
 #[derive(Debug, Clone, PartialEq)]
 pub enum ViewChange {
@@ -33,7 +36,7 @@
 pub struct FleetView {
     plan: Option<Arc<Plan>>,
     evacuated: HashSet<FailureDomainId>,
-    wanted: HashMap<ModelId, (WeightVersion, Moment)>,
+    wanted: HashMap<ModelId, Vec<(WeightVersion, Moment)>>,
     keys: HashMap<CompactString, ModelId>,
     upstreams: HashMap<UpstreamId, Upstream>,
     lapsed: HashMap<UpstreamId, ()>,
@@ -52,14 +55,16 @@
         self.evacuated.contains(domain)
     }
 
-    /// The declared version of a model and when it became known here.
-    pub fn wanted(&self, model: &str) -> Option<(WeightVersion, Moment)> {
-        self.wanted.get(model).copied()
+    /// The newest version of a model that was declared at `before` or earlier.
+    pub fn declared(&self, model: &str, before: Moment) -> Option<WeightVersion> {
+        let versions = self.wanted.get(model)?.iter();
+        versions.filter(|(_, at)| *at <= before).map(|(v, _)| *v).max()
     }
 
-    /// All declared versions.
-    pub fn all_wanted(&self) -> impl Iterator<Item = (&ModelId, WeightVersion)> {
-        self.wanted.iter().map(|(m, (v, _))| (m, *v))
+    /// The newest declared version of each model and when it was declared.
+    pub fn newest(&self) -> impl Iterator<Item = (&ModelId, WeightVersion, Moment)> {
+        let last = |(m, v): (_, &Vec<(WeightVersion, Moment)>)| v.last().map(|(v, at)| (m, *v, *at));
+        self.wanted.iter().filter_map(last)
     }
 
     /// Upstreams that are listed or only lapsed.
@@ -80,7 +85,8 @@
         self.away = !reachable;
     }
 
-    /// Takes over a record of the operators; older versions never come back.
+    /// Takes over a record of the operators, which was written at `now` at the
+    /// earliest; older versions never come back.
     pub fn fleet_record(
         &mut self,
         now: Moment,
@@ -102,11 +108,14 @@
                 new.then_some(ViewChange::Domain(domain, false))
             }
             Some(FleetRecord::Weights(model, version)) => {
-                let known = self.wanted.get(&model).map_or(0, |(v, _)| *v);
-                if version <= known {
+                let versions = self.wanted.entry(model.clone()).or_default();
+                if versions.last().is_some_and(|(known, _)| version <= *known) {
                     return None;
                 }
-                self.wanted.insert(model.clone(), (version, now));
+                if versions.len() >= MAX_VERSIONS {
+                    versions.remove(0);
+                }
+                versions.push((version, now));
                 Some(ViewChange::Weights(model, version))
             }
             Some(FleetRecord::Other) => None,
--- a/components/dispatch/src/swarm.rs
+++ b/components/dispatch/src/swarm.rs
@@ -5,12 +5,25 @@
 use domain::{Moment, RegionId, VmId};
 use fleet::{id_hash, mix};
 
-/// Pause before a holder that lacked a piece is asked for it again.
-const NOT_YET_PAUSE: Duration = Duration::from_millis(150);
+use crate::PieceSet;
+
 /// Pause before a holder or an origin that failed is asked again.
 const FAILED_PAUSE: Duration = Duration::from_millis(600);
-/// Time after which a piece is sought outside the order of homes.
-const HOME_PATIENCE: Duration = Duration::from_millis(1200);
+/// Time for which every listed agent counts in the order of homes; after it
+/// only those that have been heard of do.
+const HEARING_TIME: Duration = Duration::from_millis(900);
+/// Time after which the next agent in rank takes over a piece that nobody near
+/// has: a copy takes less than two seconds to leave the origin.
+const TAKEOVER: Duration = Duration::from_millis(1500);
+/// Time after which homes outside of the first region turn to the origin.
+const FAR_PATIENCE: Duration = Duration::from_millis(2600);
+/// Fetches from the origin that one agent has in flight: its link is narrow
+/// and its connections are few.
+const ORIGIN_FETCHES: usize = 1;
+
+/// Fetches from other regions that one agent has in flight: the lines between
+/// regions carry the live streams as well.
+const FAR_FETCHES: usize = 2;
 
 /// An agent that may hold pieces of the same version.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -21,8 +34,8 @@
     pub addr: SocketAddr,
     /// Its region.
     pub region: RegionId,
-    /// It is known to hold the whole version.
-    pub complete: bool,
+    /// Pieces that it holds; `None` when it has not been heard of.
+    pub pieces: Option<PieceSet>,
 }
 
 /// Where a piece is fetched.
@@ -48,44 +61,33 @@
 pub enum SwarmStep {
     /// Begin a fetch.
     Fetch(Fetching),
-    /// Nothing can be begun before this moment.
-    Wait(Moment),
+    /// Nothing can be begun until something is heard.
+    Wait,
     /// Every piece is there.
     Complete,
 }
 
-/// Why a fetch failed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum FetchFailure {
-    /// The holder does not have the piece yet.
-    NotYet,
-    /// No usable answer, or bytes with another digest.
-    Failed,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum State {
-    Missing,
-    Fetching,
-    Held,
-}
-
 /// Decides which piece an agent fetches from whom.
 ///
-/// Each piece has a home in each region by rendezvous rank. The home in the
-/// first region of the piece's own order draws it from the origin, homes of
-/// other regions from that home, and everybody else from the home of their
-/// region: one copy from the origin, one over each line between regions.
+/// Answers the morning on which a new version has to be everywhere within
+/// seconds over links that carry a few copies only. Each piece has a home in
+/// each region by rendezvous rank. The home in the piece's first region draws
+/// it from the origin, the homes of other regions from an agent that has it,
+/// and everybody else from any near agent that has it: one copy from the
+/// origin, one over each line between regions.
 #[derive(Debug)]
 pub struct Swarm {
     own: VmId,
     region: RegionId,
-    states: Vec<State>,
+    count: u32,
+    held: PieceSet,
+    fetching: HashMap<u32, PieceSource>,
     holders: Vec<Holder>,
     order: Vec<u32>,
-    avoided: HashMap<(SocketAddr, u32), Moment>,
+    avoided: HashMap<SocketAddr, Moment>,
     origin_until: Moment,
     begun: Moment,
+    hashes: HashMap<VmId, u64>,
 }
 
 impl Swarm {
@@ -93,58 +95,65 @@
     pub fn new(now: Moment, own: VmId, region: RegionId, count: u32) -> Self {
         let mut order: Vec<u32> = (0..count).collect();
         let seed = id_hash(&own);
-        // Agents begin at different pieces, so that they do not all ask one home.
+        // Agents begin at different pieces, so that near ones have something to
+        // give to each other early.
         order.sort_by_key(|p| mix(u64::from(*p), seed));
-        let len = order.len();
         Swarm {
             own,
             region,
-            states: vec![State::Missing; len],
+            count,
+            held: PieceSet::default(),
+            fetching: HashMap::new(),
             holders: Vec::new(),
             order,
             avoided: HashMap::new(),
             origin_until: Duration::ZERO,
             begun: now,
+            hashes: HashMap::new(),
         }
     }
 
-    /// Takes over the agents that are known.
+    /// Takes over what is known of other agents.
     pub fn set_holders(&mut self, holders: Vec<Holder>) {
         self.holders = holders;
         self.holders.retain(|h| h.vm != self.own);
+        let regions = self.holders.iter().map(|h| &h.region);
+        let names = self.holders.iter().map(|h| &h.vm).chain(regions);
+        for name in names.chain([&self.own, &self.region]) {
+            if !self.hashes.contains_key(name) {
+                self.hashes.insert(name.clone(), id_hash(name));
+            }
+        }
     }
 
     /// Pieces that are held.
-    pub fn held(&self) -> usize {
-        self.states.iter().filter(|s| **s == State::Held).count()
+    pub fn held(&self) -> &PieceSet {
+        &self.held
     }
 
     /// Whether every piece is held.
     pub fn is_complete(&self) -> bool {
-        self.states.iter().all(|s| *s == State::Held)
+        self.held.len() >= self.count
     }
 
     /// Records a piece that was verified and staged.
     pub fn hold(&mut self, piece: u32) {
-        self.set(piece, State::Held);
+        self.fetching.remove(&piece);
+        self.held.insert(piece);
     }
 
-    /// Records that a piece turned out to be missing or wrong.
+    /// Records that a held piece turned out to be missing or wrong.
     pub fn lose(&mut self, piece: u32) {
-        self.set(piece, State::Missing);
+        self.held.remove(piece);
     }
 
     /// Records that a fetch failed.
-    pub fn fail(&mut self, now: Moment, fetching: &Fetching, failure: FetchFailure) {
-        self.set(fetching.piece, State::Missing);
-        let pause = match failure {
-            FetchFailure::NotYet => NOT_YET_PAUSE,
-            FetchFailure::Failed => FAILED_PAUSE,
-        };
+    pub fn fail(&mut self, now: Moment, fetching: &Fetching) {
+        self.fetching.remove(&fetching.piece);
         match fetching.source {
-            PieceSource::Origin => self.origin_until = now + pause,
+            PieceSource::Origin => self.origin_until = now + FAILED_PAUSE,
             PieceSource::Holder(addr) => {
-                self.avoided.insert((addr, fetching.piece), now + pause);
+                self.avoided.insert(addr, now + FAILED_PAUSE);
             }
         }
     }
@@ -154,103 +163,113 @@
         if self.is_complete() {
             return SwarmStep::Complete;
         }
-        // Own homes first, because others wait for them.
-        for own_home in [true, false] {
+        // What only this agent brings into the region goes first.
+        for near in [false, true] {
             for i in 0..self.order.len() {
                 let piece = self.order[i];
-                if self.state(piece) != State::Missing || self.is_home(piece) != own_home {
+                if self.held.contains(piece) || self.fetching.contains_key(&piece) {
                     continue;
                 }
-                if let Some(source) = self.source(now, piece) {
-                    self.set(piece, State::Fetching);
+                let source = match near {
+                    true => self.near_source(now, piece),
+                    false => self.far_source(now, piece),
+                };
+                if let Some(source) = source {
+                    self.fetching.insert(piece, source.clone());
                     return SwarmStep::Fetch(Fetching { piece, source });
                 }
             }
         }
-        SwarmStep::Wait(now + NOT_YET_PAUSE / 2)
+        SwarmStep::Wait
+    }
+
+    /// A near agent that has the piece; the one with the fewest fetches of ours.
+    fn near_source(&self, now: Moment, piece: u32) -> Option<PieceSource> {
+        let near = |h: &&Holder| h.region == self.region;
+        self.holder_of(now, piece, near)
     }
 
-    fn source(&self, now: Moment, piece: u32) -> Option<PieceSource> {
-        let near = self.ranked(piece, |h| h.complete && h.region == self.region);
-        let far = self.ranked(piece, |h| h.complete && h.region != self.region);
-        let patient = now.saturating_sub(self.begun) < HOME_PATIENCE;
-        let home = self.ranked(piece, |h| h.region == self.region && self.outranks(h, piece));
-        let sources = near
-            .into_iter()
-            .chain(home.into_iter().take(if patient { 1 } else { 2 }));
-        if let Some(addr) = self.usable(now, piece, sources) {
-            return Some(PieceSource::Holder(addr));
+    /// A source outside of the region, if the piece is this agent's to bring.
+    fn far_source(&self, now: Moment, piece: u32) -> Option<PieceSource> {
+        let known = |h: &Holder| h.region == self.region && has(h, piece);
+        if self.holders.iter().any(known) {
+            return None;
         }
-        if patient && !self.is_home(piece) {
+        let waited = now.saturating_sub(self.begun);
+        let rank = self.rank(waited, piece);
+        if waited < TAKEOVER * rank {
             return None;
         }
-        let regional = self.first_region(piece).filter(|r| **r != self.region);
-        let first = regional.map(|r| self.ranked(piece, |h| h.region == *r));
-        let sources = far
-            .into_iter()
-            .chain(first.unwrap_or_default().into_iter().take(1));
-        if let Some(addr) = self.usable(now, piece, sources) {
-            return Some(PieceSource::Holder(addr));
+        let far = |h: &&Holder| h.region != self.region;
+        if self.far_fetches() >= FAR_FETCHES {
+            return None;
+        }
+        if let Some(source) = self.holder_of(now, piece, far) {
+            return Some(source);
         }
-        let first = self.first_region(piece).is_none_or(|r| *r == self.region);
-        let allowed = first || !patient;
-        (allowed && self.origin_until <= now).then_some(PieceSource::Origin)
+        let first = self.first_region(piece) == &self.region;
+        let origins = self.fetching.values().filter(|s| **s == PieceSource::Origin);
+        let free = origins.count() < ORIGIN_FETCHES && self.origin_until <= now;
+        (free && (first || waited >= FAR_PATIENCE)).then_some(PieceSource::Origin)
     }
 
-    fn usable<'a>(
+    fn far_fetches(&self) -> usize {
+        let far = |s: &&PieceSource| match s {
+            PieceSource::Origin => false,
+            PieceSource::Holder(addr) => {
+                let mut holders = self.holders.iter();
+                holders.any(|h| h.addr == *addr && h.region != self.region)
+            }
+        };
+        self.fetching.values().filter(far).count()
+    }
+
+    fn holder_of(
         &self,
         now: Moment,
         piece: u32,
-        sources: impl Iterator<Item = &'a Holder>,
-    ) -> Option<SocketAddr> {
-        sources
-            .map(|h| h.addr)
-            .find(|a| self.avoided.get(&(*a, piece)).is_none_or(|t| *t <= now))
-    }
-
-    fn ranked(&self, piece: u32, keep: impl Fn(&Holder) -> bool) -> Vec<&Holder> {
-        let mut list: Vec<&Holder> = self.holders.iter().filter(|h| keep(h)).collect();
-        list.sort_by_key(|h| rank(&h.vm, piece));
-        list
+        among: impl Fn(&&Holder) -> bool,
+    ) -> Option<PieceSource> {
+        let usable = |h: &&Holder| self.avoided.get(&h.addr).is_none_or(|t| *t <= now);
+        self.holders
+            .iter()
+            .filter(|h| has(h, piece) && among(h) && usable(h))
+            .min_by_key(|h| {
+                let source = PieceSource::Holder(h.addr);
+                let busy = self.fetching.values().filter(|s| **s == source).count();
+                (busy, fastrand::u32(..))
+            })
+            .map(|h| PieceSource::Holder(h.addr))
     }
 
-    fn is_home(&self, piece: u32) -> bool {
-        !self
-            .holders
-            .iter()
-            .any(|h| h.region == self.region && self.outranks(h, piece))
+    /// Agents of the region that bring the piece before this one.
+    fn rank(&self, waited: Duration, piece: u32) -> u32 {
+        let own = self.weight(&self.own, piece);
+        let counts = |h: &&Holder| {
+            let alive = waited < HEARING_TIME || h.pieces.is_some();
+            h.region == self.region && alive && self.weight(&h.vm, piece) < own
+        };
+        u32::try_from(self.holders.iter().filter(counts).count()).unwrap_or(u32::MAX)
     }
 
-    fn outranks(&self, holder: &Holder, piece: u32) -> bool {
-        rank(&holder.vm, piece) < rank(&self.own, piece)
+    /// Rendezvous weight of a name for a piece; the lowest is first in rank.
+    fn weight(&self, name: &str, piece: u32) -> u64 {
+        let hash = self.hashes.get(name).copied();
+        mix(hash.unwrap_or_else(|| id_hash(name)), u64::from(piece))
     }
 
     /// Region whose home draws a piece from the origin.
-    fn first_region(&self, piece: u32) -> Option<&RegionId> {
+    fn first_region(&self, piece: u32) -> &RegionId {
         self.holders
             .iter()
             .map(|h| &h.region)
             .chain([&self.region])
-            .min_by_key(|r| (rank(r, piece), (*r).clone()))
-    }
-
-    fn state(&self, piece: u32) -> State {
-        usize::try_from(piece)
-            .ok()
-            .and_then(|i| self.states.get(i).copied())
-            .unwrap_or(State::Held)
-    }
-
-    fn set(&mut self, piece: u32, state: State) {
-        if let Ok(i) = usize::try_from(piece)
-            && let Some(s) = self.states.get_mut(i)
-        {
-            *s = state;
-        }
+            .min_by_key(|r| (self.weight(r, piece), r.as_str()))
+            .unwrap_or(&self.region)
     }
 }
 
-/// Rendezvous rank of a name for a piece, first rank lowest.
-fn rank(name: &str, piece: u32) -> u64 {
-    mix(id_hash(name), u64::from(piece))
+fn has(holder: &Holder, piece: u32) -> bool {
+    holder.pieces.as_ref().is_some_and(|p| p.contains(piece))
 }
+
--- a/components/domain/src/settings.rs
+++ b/components/domain/src/settings.rs
@@ -26,6 +26,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Bounds that operators promise to callers.
     pub bounds: Bounds,
+    /// Bytes that the VM's link carries in a second.
+    pub link: f64,
 }
 
 impl NodePlace {
--- a/components/feed/src/feed.rs
+++ b/components/feed/src/feed.rs
@@ -27,6 +27,10 @@
 /// Longest answer of a peer, in bytes.
 const PEER_ANSWER_LIMIT: usize = 8 << 20;
 
+/// Time beyond a read's wait after which its answer is overdue: records in it may
+/// be older than the answer.
+const OVERDUE: Duration = Duration::from_millis(600);
+
 /// Which records a process follows, and how closely.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Role {
@@ -194,12 +198,18 @@
 
     fn decode(&self, state: &mut State, topic: Topic, change: &Change) -> Option<ViewChange> {
         let now = now();
+        // After a gap the record may be as old as the last confirmation.
+        let last = state.confirmation.at().unwrap_or(now);
+        let written = match now.saturating_sub(last) > self.wait(Topic::Fleet) + OVERDUE {
+            true => last,
+            false => now,
+        };
         let (key, value) = (change.key.as_str(), change.value.as_ref());
         match topic {
             Topic::Fleet => {
                 let record = value.map(|v| self.platform.fleet_record(key, v));
                 let record = usable(record.transpose())?;
-                state.view.fleet_record(now, key, record)
+                state.view.fleet_record(written, key, record)
             }
             Topic::Upstreams => {
                 let entry = value.map(|v| self.platform.upstream(key, v));
--- a/components/feed/src/lib.rs
+++ b/components/feed/src/lib.rs
@@ -10,6 +10,6 @@
 
 pub use feed::{Feed, Role};
 pub use member::Member;
-pub use notice::{EngineNotice, EntryNotice, Notice};
+pub use notice::{EngineNotice, EntryNotice, Notice, PiecesNotice};
 pub use peer_handler::{PeerHandler, PieceShelf};
 pub use post::Post;
--- a/components/feed/src/notice.rs
+++ b/components/feed/src/notice.rs
@@ -8,6 +8,8 @@
     Entry(EntryNotice),
     /// An agent tells the entries about its engine.
     Engine(EngineNotice),
+    /// An agent tells the others which pieces it holds.
+    Pieces(PiecesNotice),
 }
 
 /// What an entry has in flight.
@@ -39,3 +41,16 @@
     /// Model and version that it holds.
     pub held: Vec<(CompactString, u64)>,
 }
+
+/// Which pieces of a version an agent holds.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PiecesNotice {
+    /// Where the agent answers.
+    pub holder: std::net::SocketAddr,
+    /// Model.
+    pub model: CompactString,
+    /// Version of the weights.
+    pub version: u64,
+    /// The pieces, as [`dispatch::PieceSet`] has them.
+    pub words: Vec<u64>,
+}
--- a/components/gateway/src/desk.rs
+++ b/components/gateway/src/desk.rs
@@ -9,7 +9,7 @@
     Waiter, Wanted,
 };
 use domain::{
-    EngineSpec, Moment, NodePlace, Platform, ServiceId, Target, UpstreamId, UpstreamState, VmId,
+    EngineSpec, Moment, NodePlace, Platform, ServiceId, Target, UpstreamId, VmId,
     now,
 };
 use feed::{EngineNotice, EntryNotice, Feed};
@@ -232,11 +232,10 @@
     }
 
     fn wanted(&self, job: &Job, tried: &[UpstreamId]) -> Option<Wanted> {
-        let weights = job.ask.model.as_deref().and_then(|m| {
-            let (version, since) = self.feed.view(|v| v.wanted(m))?;
-            let bound = self.node.bounds.weights.saturating_sub(WEIGHTS_MARGIN);
-            (now() >= since + bound).then_some(version)
-        });
+        let bound = self.node.bounds.weights.saturating_sub(WEIGHTS_MARGIN);
+        let before = now().saturating_sub(bound);
+        let weights = job.ask.model.as_deref();
+        let weights = weights.and_then(|m| self.feed.view(|v| v.declared(m, before)));
         Some(Wanted {
             homes: job.homes()?,
             tried: tried.to_vec(),
@@ -510,13 +509,6 @@
         self.pump_waiting();
     }
 
-    /// Whether any upstream is known that takes work.
-    pub fn has_upstreams(&self) -> bool {
-        let state = self.state();
-        let mut seats = state.services.values().flat_map(|s| s.seats.iter());
-        seats.any(|s| s.upstream.state == UpstreamState::Ready)
-    }
-
     fn state(&self) -> MutexGuard<'_, State<P>> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -164,6 +164,7 @@
         match post.receive().await {
             Notice::Entry(notice) => desk.entry_notice(notice),
             Notice::Engine(notice) => desk.engine_notice(notice),
+            Notice::Pieces(_) => log::debug!("gateway: notice for agents ignored"),
         }
     }
 }
--- a/components/loader/src/loader.rs
+++ b/components/loader/src/loader.rs
@@ -1,3 +1,4 @@
+use std::collections::HashMap;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -5,11 +6,13 @@
 
 use anyhow::Context;
 use bytes::Bytes;
-use dispatch::{FetchFailure, Fetching, Holder, PieceSource, Swarm, SwarmStep};
+use dispatch::{Fetching, Holder, PieceSet, PieceSource, Swarm, SwarmStep};
 use domain::{
     AgentPlace, EngineApi, EngineReport, ModelId, Moment, PieceSpec, Platform, WeightVersion, now,
 };
-use feed::{EngineNotice, Feed, Notice, PeerHandler, Post, Role};
+use event_listener::Event;
+use feed::{EngineNotice, Feed, Notice, PeerHandler, PiecesNotice, Post, Role};
+use futures_lite::FutureExt;
 use http::Method;
 use serde_json::json;
 use smol::net::TcpListener;
@@ -24,8 +27,21 @@
 const LOOK_PAUSE: Duration = Duration::from_millis(150);
 /// Pause between two notices while nothing changes.
 const NOTICE_PAUSE: Duration = Duration::from_millis(900);
-/// Fetches in flight at a time.
-const FETCHES: usize = 4;
+/// Pause between two notices to near agents about pieces.
+const NEAR_PAUSE: Duration = Duration::from_millis(60);
+/// Pause between two notices to all agents about pieces.
+const FAR_PAUSE: Duration = Duration::from_millis(120);
+/// Age up to which an agent's word about its pieces counts.
+const HEARD_MEMORY: Duration = Duration::from_secs(3);
+/// Time before the bound on a version at which the last engine is ordered: from
+/// the order on nothing begins on older weights.
+const SWITCH_TIME: Duration = Duration::from_millis(1700);
+/// Time from the declaration of a version to the first planned switch; by then
+/// the first agents have all pieces.
+const FIRST_SWITCH: Duration = Duration::from_millis(2300);
+/// Fetches in flight at a time: one arrives while the next is asked for. More
+/// would queue on the link before the requests for the engine.
+const FETCHES: usize = 3;
 /// Longest wait for a piece from another agent, whose link takes about 35 ms
 /// a piece and serves several.
 const PEER_LIMIT: Duration = Duration::from_millis(2500);
@@ -53,8 +69,18 @@
     feed: Arc<Feed<P>>,
     shelf: Arc<Shelf<P::Engines>>,
     post: Post,
+    news: Event,
     pool: Arc<Pool>,
     status: Mutex<Status>,
+    heard: Mutex<HashMap<SocketAddr, Heard>>,
+}
+
+/// What another agent holds, as it last said.
+struct Heard {
+    model: ModelId,
+    version: WeightVersion,
+    pieces: PieceSet,
+    at: Moment,
 }
 
 #[derive(Debug, Default)]
@@ -71,6 +97,8 @@
     version: WeightVersion,
     pieces: PieceSpec,
     origin: Option<SocketAddr>,
+    /// When it was declared.
+    since: Moment,
 }
 
 impl<P: Platform> Loader<P> {
@@ -89,7 +117,7 @@
         let inner = SocketAddr::new(node.ip, node.port);
         let feed = Arc::new(Feed::new(self.platform.clone(), node, Role::Agent, |_| {}));
         let engines = self.platform.engines().clone();
-        let shelf = Arc::new(Shelf::new(engines, self.place.engine));
+        let shelf = Arc::new(Shelf::new(engines, self.place.engine, self.place.node.link));
         let handler = PeerHandler::new(feed.clone(), shelf.clone(), self.metrics);
         let limits = ListenerLimits {
             connections: 256,
@@ -105,14 +133,17 @@
             feed: feed.clone(),
             shelf,
             post: Post::open(inner).await.context("post: cannot listen")?,
+            news: Event::new(),
             pool: Arc::default(),
             status: Mutex::default(),
+            heard: Mutex::default(),
         });
         decision("loader", "started", Outcome::Change, json!({ "engine": agent.place.engine }));
         let tasks = [
             spawn(async move { listener.accept(socket).await }),
             spawn(feed.follow()),
             spawn(agent.clone().watch()),
+            spawn(agent.clone().hear()),
             spawn(agent.bring()),
         ];
         stop.await;
@@ -210,15 +241,15 @@
             let plan = v.plan()?;
             let engine = plan.services.get(&self.place.service)?.engine.as_ref()?;
             let origin = plan.services.values().find_map(|s| s.origin);
-            let declared = v.all_wanted().next().map(|(m, w)| (m.clone(), w));
             // Without a declaration version 1 is the one to hold.
-            let model = declared.clone().map(|(m, _)| m);
-            let model = model.or_else(|| engine.models.first().cloned())?;
+            let first = || Some((engine.models.first()?, 1, Duration::ZERO));
+            let (model, version, since) = v.newest().next().or_else(first)?;
             Some(Goal {
-                model,
-                version: declared.map_or(1, |(_, w)| w),
+                model: model.clone(),
+                version,
                 pieces: engine.pieces,
                 origin,
+                since,
             })
         })
     }
@@ -268,37 +299,94 @@
         self.switch(goal, &mut swarm).await
     }
 
+    /// Hears what other agents hold.
+    async fn hear(self: Arc<Self>) {
+        loop {
+            let Notice::Pieces(notice) = self.post.receive().await else {
+                continue;
+            };
+            let heard = Heard {
+                model: notice.model,
+                version: notice.version,
+                pieces: notice.words.into(),
+                at: now(),
+            };
+            self.heard().insert(notice.holder, heard);
+            self.news.notify(usize::MAX);
+        }
+    }
+
+    /// Tells other agents which pieces are here.
+    async fn tell_pieces(&self, goal: &Goal, pieces: &PieceSet, everyone: bool) {
+        let node = &self.place.node;
+        let notice = Notice::Pieces(PiecesNotice {
+            holder: SocketAddr::new(node.ip, node.port),
+            model: goal.model.clone(),
+            version: goal.version,
+            words: pieces.words().to_vec(),
+        });
+        let holders = self.holders(goal);
+        let to = holders
+            .iter()
+            .filter(|h| everyone || h.region == node.region);
+        let to: Vec<SocketAddr> = to.map(|h| h.addr).collect();
+        self.post.send(&notice, &to).await;
+    }
+
     /// Fetches all pieces; false when another version is wanted meanwhile.
     async fn gather(&self, goal: &Goal, swarm: &mut Swarm) -> bool {
         let (done, results) = async_channel::unbounded();
-        let mut fetching: Vec<Task<()>> = Vec::new();
+        let mut tasks: Vec<Task<()>> = Vec::new();
         let mut running = 0;
+        let mut told: Option<(PieceSet, Moment)> = None;
+        let mut told_all = Duration::ZERO;
         loop {
             if self.goal().as_ref() != Some(goal) || self.status().report.is_none() {
                 return false;
             }
             swarm.set_holders(self.holders(goal));
-            let mut wake = None;
-            while running < FETCHES {
+            let complete = loop {
+                if running >= FETCHES {
+                    break false;
+                }
                 match swarm.next(now()) {
                     SwarmStep::Fetch(f) => {
                         running += 1;
-                        fetching.push(self.begin(goal, f, done.clone()));
-                    }
-                    SwarmStep::Wait(until) => {
-                        wake = Some(until);
-                        break;
+                        tasks.push(self.begin(goal, f, done.clone()));
                     }
-                    SwarmStep::Complete => return true,
+                    SwarmStep::Wait => break false,
+                    SwarmStep::Complete => break true,
                 }
-            }
-            let pause = wake.map_or(PEER_LIMIT, |w| w.saturating_sub(now()));
-            let Some(Ok((fetching_was, result))) = within(pause, results.recv()).await else {
-                continue;
             };
-            running -= 1;
-            fetching.retain(|t| !t.is_finished());
-            self.finish(goal, swarm, &fetching_was, result).await;
+            let moment = now();
+            let due = match &told {
+                Some((set, at)) => set != swarm.held() && moment >= *at + NEAR_PAUSE,
+                None => true,
+            };
+            let everyone = complete || moment >= told_all + FAR_PAUSE;
+            if due || everyone {
+                self.tell_pieces(goal, swarm.held(), everyone).await;
+                told = Some((swarm.held().clone(), moment));
+                if everyone {
+                    told_all = moment;
+                }
+            }
+            if complete {
+                return true;
+            }
+            let news = self.news.listen();
+            let arrived = async { Some(results.recv().await) }.or(async {
+                match running < FETCHES {
+                    true => drop(within(NEAR_PAUSE, news).await),
+                    false => drop(Timer::after(NEAR_PAUSE).await),
+                }
+                None
+            });
+            if let Some(Ok((fetching, result))) = arrived.await {
+                running -= 1;
+                tasks.retain(|t| !t.is_finished());
+                self.finish(goal, swarm, &fetching, result).await;
+            }
         }
     }
 
@@ -306,7 +394,7 @@
         &self,
         goal: &Goal,
         fetching: Fetching,
-        done: async_channel::Sender<(Fetching, Result<Bytes, FetchFailure>)>,
+        done: async_channel::Sender<(Fetching, Option<Bytes>)>,
     ) -> Task<()> {
         let (engines, goal) = (self.platform.engines().clone(), goal.clone());
         let pool = self.pool.clone();
@@ -320,32 +408,28 @@
         })
     }
 
+    /// Stages a fetched piece if it is the right one.
     async fn finish(
         &self,
         goal: &Goal,
         swarm: &mut Swarm,
         fetching: &Fetching,
-        result: Result<Bytes, FetchFailure>,
+        result: Option<Bytes>,
     ) {
         let piece = fetching.piece;
-        let failure = match result {
-            Ok(bytes) if self.shelf.is_piece(&goal.model, goal.version, piece, &bytes) => {
+        if let Some(bytes) = result {
+            if self.shelf.is_piece(&goal.model, goal.version, piece, &bytes) {
                 match self.stage(goal, piece, bytes).await {
                     Ok(()) => return swarm.hold(piece),
-                    Err(e) => {
-                        log::warn!("loader: piece {piece} not staged: {e}");
-                        FetchFailure::Failed
-                    }
+                    Err(e) => log::warn!("loader: piece {piece} not staged: {e}"),
                 }
-            }
-            Ok(_) => {
-                let fields = json!({ "piece": piece, "source": format!("{:?}", fetching.source) });
+            } else {
+                let source = format!("{:?}", fetching.source);
+                let fields = json!({ "piece": piece, "source": source });
                 decision("loader", "wrong digest", Outcome::Failure, fields);
-                FetchFailure::Failed
             }
-            Err(failure) => failure,
-        };
-        swarm.fail(now(), fetching, failure);
+        }
+        swarm.fail(now(), fetching);
     }
 
     async fn stage(&self, goal: &Goal, piece: u32, bytes: Bytes) -> Result<(), domain::EngineError> {
@@ -357,19 +441,55 @@
         Ok(())
     }
 
-    /// Verifies everything that is staged once more and orders the engine.
+    /// Waits for the engine's turn, verifies everything that is staged once more
+    /// and orders the engine.
     async fn switch(&self, goal: &Goal, swarm: &mut Swarm) -> anyhow::Result<()> {
+        let turn = self.turn(goal);
+        while now() < turn {
+            if self.goal().as_ref() != Some(goal) {
+                return Ok(());
+            }
+            self.tell_pieces(goal, swarm.held(), true).await;
+            Timer::after((turn.saturating_sub(now())).min(FAR_PAUSE)).await;
+        }
+        if !self.verify(goal, swarm).await {
+            return Ok(());
+        }
         self.status().switching = true;
         self.tell().await;
-        let result = self.order(goal, swarm).await;
+        Timer::after(CLOSE_LAG).await;
+        let result = self.order(goal).await;
         self.status().switching = false;
         self.tell().await;
         result
     }
 
-    async fn order(&self, goal: &Goal, swarm: &mut Swarm) -> anyhow::Result<()> {
-        let begun = now();
-        for round in 0.. {
+    /// When the engine switches. Engines take turns, so that the others carry
+    /// the load meanwhile; those that serve nothing or have skipped a version
+    /// do not wait.
+    fn turn(&self, goal: &Goal) -> Moment {
+        let held = self.status().report.as_ref().and_then(|r| {
+            let same = r.models.iter().filter(|h| h.model == goal.model);
+            same.map(|h| h.version).max()
+        });
+        if held.is_none_or(|h| h + 1 < goal.version) {
+            return now();
+        }
+        let holders = self.holders(goal);
+        let own = self.place.node.ip.to_string();
+        let before = holders.iter().filter(|h| h.vm.as_str() < own.as_str());
+        // Neighbours in the order of addresses are in one failure domain; the
+        // golden ratio spreads them over the window.
+        let place = u32::try_from(before.count()).unwrap_or(0);
+        let share = (f64::from(place) * 0.618_033_988_75).fract();
+        let last = self.place.node.bounds.weights.saturating_sub(SWITCH_TIME);
+        let window = last.saturating_sub(FIRST_SWITCH);
+        goal.since + FIRST_SWITCH + window.mul_f64(share)
+    }
+
+    /// Verifies everything that is staged; false when another version is wanted.
+    async fn verify(&self, goal: &Goal, swarm: &mut Swarm) -> bool {
+        loop {
             let mut wrong = 0;
             for piece in 0..goal.pieces.count {
                 let whole = self.shelf.verified(&goal.model, goal.version, piece).await;
@@ -379,17 +499,17 @@
                 }
             }
             if wrong == 0 {
-                break;
+                return true;
             }
-            let fields = json!({ "pieces": wrong, "round": round });
+            let fields = json!({ "pieces": wrong, "version": goal.version });
             decision("loader", "staged pieces spoilt", Outcome::Failure, fields);
             if !self.gather(goal, swarm).await {
-                return Ok(());
+                return false;
             }
         }
-        if let Some(rest) = CLOSE_LAG.checked_sub(now().saturating_sub(begun)) {
-            Timer::after(rest).await;
-        }
+    }
+
+    async fn order(&self, goal: &Goal) -> anyhow::Result<()> {
         self.look().await;
         let report = self.status().report.clone();
         let report = report.context("the engine does not answer")?;
@@ -469,15 +589,30 @@
                 vm: u.addr.ip().to_string().into(),
                 addr: self.feed.peer_addr(u.addr.ip()),
                 region: self.place.node.region_of(&u.domain).into(),
-                complete: u
-                    .models
-                    .iter()
-                    .any(|h| h.model == goal.model && h.version == goal.version),
+                pieces: self.pieces_of(u, goal),
             };
             others.map(holder).collect()
         })
     }
 
+    /// What another agent holds of a version, by its own word or its engine's.
+    fn pieces_of(&self, upstream: &domain::Upstream, goal: &Goal) -> Option<PieceSet> {
+        let same = |h: &domain::HeldModel| h.model == goal.model && h.version == goal.version;
+        if upstream.models.iter().any(same) {
+            return Some(PieceSet::full(goal.pieces.count));
+        }
+        let addr = self.feed.peer_addr(upstream.addr.ip());
+        let heard = self.heard();
+        let heard = heard.get(&addr)?;
+        let current = heard.model == goal.model && heard.version == goal.version;
+        let recent = now().saturating_sub(heard.at) < HEARD_MEMORY;
+        (current && recent).then(|| heard.pieces.clone())
+    }
+
+    fn heard(&self) -> MutexGuard<'_, HashMap<SocketAddr, Heard>> {
+        self.heard.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn status(&self) -> MutexGuard<'_, Status> {
         self.status.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -488,37 +623,29 @@
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
-async fn from_origin<E: EngineApi>(
-    engines: &E,
-    goal: &Goal,
-    piece: u32,
-) -> Result<Bytes, FetchFailure> {
-    let origin = goal.origin.ok_or(FetchFailure::Failed)?;
+async fn from_origin<E: EngineApi>(engines: &E, goal: &Goal, piece: u32) -> Option<Bytes> {
+    let origin = goal.origin?;
     let read = engines
         .origin_piece(origin, &goal.model, goal.version, piece)
         .await;
-    read.map_err(|e| {
-        log::info!("loader: piece {piece}: {e}");
-        FetchFailure::Failed
-    })
+    read.inspect_err(|e| log::info!("loader: piece {piece}: {e}"))
+        .ok()
 }
 
-async fn from_peer(
-    pool: &Pool,
-    addr: SocketAddr,
-    goal: &Goal,
-    piece: u32,
-) -> Result<Bytes, FetchFailure> {
+async fn from_peer(pool: &Pool, addr: SocketAddr, goal: &Goal, piece: u32) -> Option<Bytes> {
     let path = format!("/piece/{}/{}/{piece}", goal.model, goal.version);
     let max = goal.pieces.bytes.max(1) * 2;
     let answer = fetch(pool, addr, Method::GET, &path, Bytes::new(), PEER_LIMIT, max).await;
     match answer {
-        Ok(a) if a.status == 200 => Ok(a.body),
-        Ok(_) => Err(FetchFailure::NotYet),
+        Ok(a) if a.status == 200 => Some(a.body),
+        Ok(a) => {
+            log::info!("loader: piece {piece} of {addr}: status {}", a.status);
+            None
+        }
         Err(e) => {
             log::info!("loader: piece {piece}: {e}");
             pool.forget(addr);
-            Err(FetchFailure::Failed)
+            None
         }
     }
 }
--- a/components/loader/src/shelf.rs
+++ b/components/loader/src/shelf.rs
@@ -1,17 +1,22 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use bytes::Bytes;
 use domain::{EngineApi, ModelId, WeightVersion};
 use feed::PieceShelf;
 use sha2::{Digest, Sha256};
+use smol::Timer;
 
 /// The pieces that are staged at the engine, as far as they are verified. The
 /// bytes stay at the engine; only digests are kept here.
 pub struct Shelf<E> {
     engines: E,
     engine: SocketAddr,
+    /// Bytes that the VM's link carries in a second.
+    link: f64,
+    upload: Arc<smol::lock::Mutex<()>>,
     state: Mutex<State>,
 }
 
@@ -24,11 +29,14 @@
 }
 
 impl<E: EngineApi> Shelf<E> {
-    /// The shelf at the engine with address `engine`.
-    pub fn new(engines: E, engine: SocketAddr) -> Self {
+    /// The shelf at the engine with address `engine` on a VM whose link carries
+    /// `link` bytes a second.
+    pub fn new(engines: E, engine: SocketAddr, link: f64) -> Self {
         Shelf {
             engines,
             engine,
+            link: link.max(1.0),
+            upload: Arc::default(),
             state: Mutex::default(),
         }
     }
@@ -99,7 +107,17 @@
         if staged != Some(version) {
             return None;
         }
-        self.verified(model, version, number).await
+        let bytes = self.verified(model, version, number).await?;
+        // One piece at a time: the tokens of live streams leave over the same
+        // link and would wait behind every piece that is queued there.
+        let turn = self.upload.lock_arc().await;
+        let time = Duration::from_secs_f64(bytes.len() as f64 / self.link);
+        transport::spawn(async move {
+            Timer::after(time).await;
+            drop(turn);
+        })
+        .detach();
+        Some(bytes)
     }
 
     fn digests(&self, model: &str, version: u64) -> Option<Vec<[u8; 32]>> {
