--- a/components/dispatch/src/fleet_view.rs
+++ b/components/dispatch/src/fleet_view.rs
@@ -11,6 +11,11 @@
 /// this long to come back; the platform promises about two seconds.
 const RETURN_TIME: Duration = Duration::from_millis(2200);
 
+/// Longest use of an upstream whose entry is removed after the backlog of an
+/// outage was read; within the bound on leaving upstreams.
+const LIVE_LAPSE: Duration = Duration::from_millis(1000);
+/// Age up to which a peer's word that it reads the store counts.
+const ELSEWHERE_MEMORY: Duration = Duration::from_millis(2500);
 /// Declared versions remembered for a model; older ones are long in force.
 const MAX_VERSIONS: usize = 16;
 
@@ -39,9 +44,13 @@
     wanted: HashMap<ModelId, Vec<(WeightVersion, Moment)>>,
     keys: HashMap<CompactString, ModelId>,
     upstreams: HashMap<UpstreamId, Upstream>,
-    lapsed: HashMap<UpstreamId, ()>,
+    /// Upstreams whose entries lapsed, and until when they are used.
+    lapsed: HashMap<UpstreamId, Moment>,
     away: bool,
+    /// A peer read the store last at this moment.
+    elsewhere: Option<Moment>,
     returned: Option<Moment>,
+    caught_up: bool,
 }
 
 impl FleetView {
@@ -77,14 +86,29 @@
         self.upstreams.get(id)
     }
 
-    /// Records whether the list of upstreams can be read.
+    /// Records whether this process can read the list of upstreams.
     pub fn store_reachable(&mut self, now: Moment, reachable: bool) {
-        if reachable && self.away {
+        if reachable && self.away && !self.is_up_elsewhere(now) {
             self.returned = Some(now);
+            for until in self.lapsed.values_mut() {
+                *until = (*until).min(now + RETURN_TIME);
+            }
         }
+        self.caught_up = reachable && !self.away;
         self.away = !reachable;
     }
 
+    /// Records that a peer can read the store: it is away for this process only,
+    /// and what is removed from it is gone.
+    pub fn store_elsewhere(&mut self, now: Moment) {
+        self.elsewhere = Some(now);
+    }
+
+    fn is_up_elsewhere(&self, now: Moment) -> bool {
+        self.elsewhere
+            .is_some_and(|at| now.saturating_sub(at) < ELSEWHERE_MEMORY)
+    }
+
     /// Takes over a record of the operators, which was written at `now` at the
     /// earliest; older versions never come back.
     pub fn fleet_record(
@@ -144,8 +168,8 @@
         if !self.upstreams.contains_key(id) {
             return None;
         }
-        if self.is_returning(now) {
-            self.lapsed.insert(id.into(), ());
+        if let Some(until) = self.lapse(now) {
+            self.lapsed.insert(id.into(), until);
             return Some(ViewChange::Lapsed(id.into()));
         }
         self.upstreams.remove(id);
@@ -154,18 +178,51 @@
 
     /// Upstreams that have not come back in time after the store's return.
     pub fn expire(&mut self, now: Moment) -> Vec<UpstreamId> {
-        if self.lapsed.is_empty() || self.is_returning(now) {
-            return Vec::new();
-        }
-        let gone: Vec<UpstreamId> = self.lapsed.drain().map(|(id, ())| id).collect();
+        let late = |_: &UpstreamId, until: &mut Moment| *until <= now;
+        let gone: Vec<UpstreamId> = self.lapsed.extract_if(late).map(|(id, _)| id).collect();
         for id in &gone {
             self.upstreams.remove(id);
         }
         gone
     }
 
-    /// Whether removals may come from an outage rather than from the upstream.
-    fn is_returning(&self, now: Moment) -> bool {
-        self.away || self.returned.is_some_and(|r| now < r + RETURN_TIME)
+    /// Until when an upstream is used whose entry is removed now; none where the
+    /// removal cannot come from an outage of the store.
+    fn lapse(&self, now: Moment) -> Option<Moment> {
+        if self.away {
+            return (!self.is_up_elsewhere(now)).then_some(Duration::MAX);
+        }
+        let back_by = self.returned? + RETURN_TIME;
+        if now >= back_by {
+            return None;
+        }
+        // What is removed after the backlog was read may have left on its own.
+        Some(match self.caught_up {
+            true => back_by.min(now + LIVE_LAPSE),
+            false => back_by,
+        })
+    }
+
+    /// Takes over what a peer knows of declared versions: `versions` with the
+    /// moments of their declaration.
+    pub fn declared_elsewhere(&mut self, model: &ModelId, versions: &[(WeightVersion, Moment)]) {
+        let own = self.wanted.entry(model.clone()).or_default();
+        // What is newer than anything here comes with its record.
+        let newest = own.last().map_or(0, |(v, _)| *v);
+        for (version, at) in versions {
+            match own.iter_mut().find(|(v, _)| v == version) {
+                Some((_, known)) if known.is_zero() => *known = *at,
+                Some(_) => {}
+                None if *version < newest => own.push((*version, *at)),
+                None => {}
+            }
+        }
+        own.sort_by_key(|(v, _)| *v);
+    }
+
+    /// Declared versions and the moments of their declaration; zero where the
+    /// moment is not known.
+    pub fn all_declared(&self) -> impl Iterator<Item = (&ModelId, &[(WeightVersion, Moment)])> {
+        self.wanted.iter().map(|(m, v)| (m, v.as_slice()))
     }
 }
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -13,6 +13,7 @@
 mod seat;
 mod seats;
 mod swarm;
+mod switch_plan;
 
 pub use confirmation::{Confirmation, Standing};
 pub use crash_watch::{CrashWatch, Verdict};
@@ -24,4 +25,5 @@
 pub use room::{Admit, Room, RoomRules, Waiter};
 pub use seat::Seat;
 pub use seats::{Choice, SeatKey, Seats, Wanted};
+pub use switch_plan::{Candidate, SwitchPlan, SwitchStep};
 pub use swarm::{Fetching, Holder, PieceSource, Swarm, SwarmStep};
--- /dev/null
+++ b/components/dispatch/src/switch_plan.rs
@@ -0,0 +1,104 @@
+use std::time::Duration;
+
+use domain::{Moment, WeightVersion};
+
+/// Time before the bound on a version at which the last engine is ordered: from
+/// the order on nothing begins on older weights.
+const LAST_ORDER: Duration = Duration::from_millis(1700);
+/// Time from the declaration of a version to the first planned order; by then
+/// the first agents have all pieces.
+const FIRST_ORDER: Duration = Duration::from_millis(2300);
+/// An older version is skipped when a newer one is expected at most this long
+/// after the older one's bound: less than a second switch costs.
+const SKIP_SLACK: Duration = Duration::from_millis(1000);
+/// Share of the pieces from which the pace of a fetch says something.
+const KNOWN_PACE: f64 = 0.1;
+
+/// A declared version that the engine does not hold.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Candidate {
+    /// Number of the version.
+    pub version: WeightVersion,
+    /// When it was declared.
+    pub since: Moment,
+    /// Share of its pieces that are here, 0 to 1.
+    pub share: f64,
+}
+
+/// What an agent does with its engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SwitchStep {
+    /// Order the engine to load this version now.
+    Load(WeightVersion),
+    /// Get everything ready for this version; its turn comes.
+    Prepare(WeightVersion),
+    /// There is nothing to load yet.
+    Wait,
+}
+
+/// Decides which declared version an engine loads and when.
+///
+/// Answers a new version in the middle of a burst: an engine that switches
+/// serves nobody for some seconds, so engines take turns within the bound. Two
+/// versions in quick succession cost one switch where the newer one arrives in
+/// time, and two where it does not, for example while the origin is down.
+#[derive(Debug, Clone, Copy)]
+pub struct SwitchPlan {
+    /// From the declaration of a version to the last start on an older one.
+    pub bound: Duration,
+    /// Place of the engine in the order of turns, 0 to 1.
+    pub turn: f64,
+}
+
+impl SwitchPlan {
+    /// What to do now for an engine that holds `held`; candidates in the order
+    /// of their versions.
+    pub fn next(
+        &self,
+        now: Moment,
+        held: Option<WeightVersion>,
+        candidates: &[Candidate],
+    ) -> SwitchStep {
+        let newer = |c: &&Candidate| held.is_none_or(|h| c.version > h);
+        let complete = candidates.iter().filter(newer).filter(|c| c.share >= 1.0);
+        let Some(best) = complete.max_by_key(|c| c.version) else {
+            return SwitchStep::Wait;
+        };
+        let next = candidates.iter().find(|c| c.version > best.version);
+        if now < self.turn_of(best, held, candidates) {
+            return SwitchStep::Prepare(best.version);
+        }
+        if held.is_some() && next.is_some_and(|n| self.arrives_in_time(now, best, n)) {
+            return SwitchStep::Wait;
+        }
+        SwitchStep::Load(best.version)
+    }
+
+    /// When the engine loads a version. One that serves nothing, or soon may
+    /// serve nothing, does not wait.
+    fn turn_of(
+        &self,
+        candidate: &Candidate,
+        held: Option<WeightVersion>,
+        candidates: &[Candidate],
+    ) -> Moment {
+        let Some(held) = held else {
+            return Duration::ZERO;
+        };
+        let skipped = |c: &Candidate| c.version > held && c.version < candidate.version;
+        if candidates.iter().any(skipped) {
+            return Duration::ZERO;
+        }
+        let window = self.bound.saturating_sub(LAST_ORDER + FIRST_ORDER);
+        candidate.since + FIRST_ORDER + window.mul_f64(self.turn.clamp(0.0, 1.0))
+    }
+
+    fn arrives_in_time(&self, now: Moment, older: &Candidate, newer: &Candidate) -> bool {
+        if newer.share < KNOWN_PACE {
+            return false;
+        }
+        let elapsed = now.saturating_sub(newer.since);
+        let expected = newer.since + elapsed.div_f64(newer.share);
+        expected <= older.since + self.bound + SKIP_SLACK
+    }
+}
--- a/components/feed/src/feed.rs
+++ b/components/feed/src/feed.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use dispatch::{Confirmation, FleetView, Mirror, Standing, ViewChange};
-use domain::{Batch, Change, Journal, JournalError, Moment, NodePlace, Platform, Read, VmId, now};
+use domain::{Batch, Change, Journal, JournalError, ModelId, Moment, NodePlace, Platform, Read, VmId, now};
 use event_listener::{Event, EventListener};
 use http::Method;
 use serde_json::json;
@@ -31,6 +31,13 @@
 /// be older than the answer.
 const OVERDUE: Duration = Duration::from_millis(600);
 
+/// Age of a peer's confirmation up to which it can read the store.
+const PEER_FRESH: Duration = Duration::from_millis(2400);
+/// Questions for the ages of versions after the start.
+const AGE_QUESTIONS: usize = 8;
+/// Pause before each of them.
+const AGE_PAUSE: Duration = Duration::from_millis(250);
+
 /// Which records a process follows, and how closely.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Role {
@@ -135,6 +142,7 @@
             .iter()
             .map(|t| transport::spawn(self.clone().follow_topic(*t)))
             .collect();
+        self.clone().learn_ages().await;
         for task in others {
             task.await;
         }
@@ -198,8 +206,9 @@
 
     fn decode(&self, state: &mut State, topic: Topic, change: &Change) -> Option<ViewChange> {
         let now = now();
-        // After a gap the record may be as old as the last confirmation.
-        let last = state.confirmation.at().unwrap_or(now);
+        // After a gap the record may be as old as the last confirmation, and
+        // at the start it may be of any age.
+        let last = state.confirmation.at().unwrap_or_default();
         let written = match now.saturating_sub(last) > self.wait(Topic::Fleet) + OVERDUE {
             true => last,
             false => now,
@@ -288,7 +297,11 @@
             let Some(batch) = batch else { continue };
             self.apply(topic, batch.into(), Mirror::extend);
         }
+        self.learn_declared(asked, &records.declared);
         if let Some(age) = records.age {
+            if Duration::from_millis(age) < PEER_FRESH {
+                self.state().view.store_elsewhere(asked);
+            }
             // The peer's age counts from when it was asked at the earliest.
             let at = asked.saturating_sub(Duration::from_millis(age));
             self.state().confirmation.confirm(at);
@@ -296,6 +309,30 @@
         Ok(())
     }
 
+    fn learn_declared(&self, asked: Moment, declared: &[(ModelId, Vec<(u64, u64)>)]) {
+        let mut state = self.state();
+        for (model, versions) in declared {
+            let moment = |(v, age): &(u64, u64)| (*v, asked.saturating_sub(Duration::from_millis(*age)));
+            let versions: Vec<_> = versions.iter().map(moment).collect();
+            state.view.declared_elsewhere(model, &versions);
+        }
+    }
+
+    /// Asks peers when versions were declared that were so before the start of
+    /// this process.
+    async fn learn_ages(self: Arc<Self>) {
+        for _ in 0..AGE_QUESTIONS {
+            Timer::after(AGE_PAUSE).await;
+            let unknown = self.view(|v| {
+                let mut versions = v.all_declared().flat_map(|(_, l)| l.iter());
+                versions.any(|(_, at)| at.is_zero())
+            });
+            if unknown {
+                self.ask_peers().await;
+            }
+        }
+    }
+
     /// Answers a peer's question for records.
     pub(crate) fn answer(&self, question: &RecordsQuestion) -> RecordsAnswer {
         let state = self.state();
@@ -307,9 +344,18 @@
             .confirmation
             .at()
             .map(|at: Moment| now().saturating_sub(at));
+        let ages = |versions: &[(u64, Moment)]| {
+            let known = versions.iter().filter(|(_, at)| !at.is_zero());
+            known
+                .map(|(v, at)| (*v, millis(now().saturating_sub(*at))))
+                .collect()
+        };
+        let declared = state.view.all_declared();
+        let declared = declared.map(|(m, list)| (m.clone(), ages(list))).collect();
         RecordsAnswer {
             topics,
-            age: age.map(|a| u64::try_from(a.as_millis()).unwrap_or(u64::MAX)),
+            declared,
+            age: age.map(millis),
         }
     }
 
@@ -374,6 +420,10 @@
     }
 }
 
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn index(topic: Topic) -> usize {
     match topic {
         Topic::Fleet => 0,
--- a/components/feed/src/peer_messages.rs
+++ b/components/feed/src/peer_messages.rs
@@ -21,6 +21,8 @@
     pub topics: [Option<RawBatch>; 3],
     /// Milliseconds since the operators' records were confirmed.
     pub age: Option<u64>,
+    /// Declared versions of each model, with milliseconds since the declaration.
+    pub declared: Vec<(CompactString, Vec<(u64, u64)>)>,
 }
 
 /// Records on the wire.
--- /dev/null
+++ b/components/loader/src/agent.rs
@@ -0,0 +1,233 @@
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use dispatch::{Holder, PieceSet};
+use domain::{
+    AgentPlace, EngineApi, EngineReport, HeldModel, ModelId, Moment, Platform, Upstream,
+    WeightVersion, now,
+};
+use event_listener::Event;
+use feed::{EngineNotice, Feed, Notice, PiecesNotice, Post};
+use serde_json::json;
+use smol::Timer;
+use telemetry::{Outcome, decision};
+use transport::Pool;
+
+use crate::goal::Goal;
+use crate::shelf::Shelf;
+
+/// Pause between two looks at the engine, which cost nothing from its own VM.
+const LOOK_PAUSE: Duration = Duration::from_millis(150);
+/// Pause between two notices to entries while nothing changes.
+const NOTICE_PAUSE: Duration = Duration::from_millis(900);
+/// Age up to which an agent's word about its pieces counts.
+const HEARD_MEMORY: Duration = Duration::from_secs(3);
+
+/// What one process knows of its engine and of other agents.
+pub struct Agent<P: Platform> {
+    pub(crate) platform: P,
+    pub(crate) place: AgentPlace,
+    pub(crate) feed: Arc<Feed<P>>,
+    pub(crate) shelf: Arc<Shelf<P::Engines>>,
+    pub(crate) pool: Pool,
+    /// Notified when another agent has told what it holds.
+    pub(crate) news: Event,
+    post: Post,
+    status: Mutex<Status>,
+    heard: Mutex<HashMap<(SocketAddr, WeightVersion), Heard>>,
+}
+
+/// What another agent holds of a version, as it last said.
+struct Heard {
+    model: ModelId,
+    pieces: PieceSet,
+    at: Moment,
+}
+
+#[derive(Debug, Default)]
+struct Status {
+    report: Option<EngineReport>,
+    switching: bool,
+    told: Option<(EngineNotice, Moment)>,
+}
+
+impl<P: Platform> Agent<P> {
+    /// An agent at `place`.
+    pub fn new(
+        platform: P,
+        place: AgentPlace,
+        feed: Arc<Feed<P>>,
+        shelf: Arc<Shelf<P::Engines>>,
+        post: Post,
+    ) -> Self {
+        Agent {
+            platform,
+            place,
+            feed,
+            shelf,
+            pool: Pool::default(),
+            news: Event::new(),
+            post,
+            status: Mutex::default(),
+            heard: Mutex::default(),
+        }
+    }
+
+    /// Looks at the engine again and again and tells the entries.
+    pub async fn watch(self: Arc<Self>) {
+        loop {
+            self.look().await;
+            self.tell().await;
+            Timer::after(LOOK_PAUSE).await;
+        }
+    }
+
+    /// Reads the engine's report.
+    pub async fn look(&self) {
+        let report = self.platform.engines().report(self.place.engine).await;
+        let mut status = self.status();
+        match report {
+            Ok(report) => {
+                let born = status.report.as_ref().map(|r| r.born);
+                if born.is_some_and(|b| b != report.born) {
+                    // What was staged may be gone with the former start.
+                    self.shelf.forget_staged();
+                    let fields = json!({ "born": report.born });
+                    decision("loader", "engine restarted", Outcome::Change, fields);
+                }
+                status.report = Some(report);
+            }
+            Err(e) => {
+                if status.report.take().is_some() {
+                    let fields = json!({ "error": e.to_string() });
+                    decision("loader", "engine lost", Outcome::Change, fields);
+                }
+            }
+        }
+    }
+
+    /// What the engine last said of itself; none while it does not answer.
+    pub fn report(&self) -> Option<EngineReport> {
+        self.status().report.clone()
+    }
+
+    /// Version of a model that the engine holds.
+    pub fn held(&self, model: &str) -> Option<WeightVersion> {
+        let status = self.status();
+        let models = status.report.iter().flat_map(|r| r.models.iter());
+        let versions = models.filter(|h| h.model == model).map(|h| h.version);
+        versions.max()
+    }
+
+    /// Marks the engine as closed for an order, or open again, and tells it.
+    pub async fn set_switching(&self, switching: bool) {
+        self.status().switching = switching;
+        self.tell().await;
+    }
+
+    /// Tells the entries what the engine holds and whether it takes work.
+    async fn tell(&self) {
+        let Some(notice) = self.due_notice() else {
+            return;
+        };
+        let to: Vec<SocketAddr> = self.feed.members().iter().map(|m| m.addr).collect();
+        self.post.send(&Notice::Engine(notice), &to).await;
+    }
+
+    fn due_notice(&self) -> Option<EngineNotice> {
+        let mut status = self.status();
+        let report = status.report.as_ref()?;
+        let held = report.models.iter();
+        let notice = EngineNotice {
+            engine: self.place.engine,
+            born: report.born,
+            switching: status.switching || report.busy,
+            held: held.map(|h| (h.model.clone(), h.version)).collect(),
+        };
+        let now = now();
+        let told = status.told.as_ref();
+        if told.is_some_and(|(n, at)| *n == notice && now < *at + NOTICE_PAUSE) {
+            return None;
+        }
+        status.told = Some((notice.clone(), now));
+        Some(notice)
+    }
+
+    /// Hears what other agents hold.
+    pub async fn hear(self: Arc<Self>) {
+        loop {
+            let Notice::Pieces(notice) = self.post.receive().await else {
+                continue;
+            };
+            let heard = Heard {
+                model: notice.model,
+                pieces: notice.words.into(),
+                at: now(),
+            };
+            let key = (notice.holder, notice.version);
+            {
+                let mut all = self.heard();
+                all.retain(|_, h| now().saturating_sub(h.at) < HEARD_MEMORY);
+                all.insert(key, heard);
+            }
+            self.news.notify(usize::MAX);
+        }
+    }
+
+    /// Tells other agents which pieces are here.
+    pub async fn tell_pieces(&self, goal: &Goal, pieces: &PieceSet, everyone: bool) {
+        let node = &self.place.node;
+        let notice = Notice::Pieces(PiecesNotice {
+            holder: SocketAddr::new(node.ip, node.port),
+            model: goal.model.clone(),
+            version: goal.version,
+            words: pieces.words().to_vec(),
+        });
+        let holders = self.holders(goal);
+        let to = holders
+            .iter()
+            .filter(|h| everyone || h.region == node.region);
+        let to: Vec<SocketAddr> = to.map(|h| h.addr).collect();
+        self.post.send(&notice, &to).await;
+    }
+
+    /// Other agents of the service.
+    pub fn holders(&self, goal: &Goal) -> Vec<Holder> {
+        let node = &self.place.node;
+        self.feed.view(|v| {
+            let others = v
+                .upstreams()
+                .filter(|u| u.service == self.place.service && u.addr.ip() != node.ip);
+            let holder = |u: &Upstream| Holder {
+                vm: u.addr.ip().to_string().into(),
+                addr: self.feed.peer_addr(u.addr.ip()),
+                region: node.region_of(&u.domain).into(),
+                pieces: self.pieces_of(u, goal),
+            };
+            others.map(holder).collect()
+        })
+    }
+
+    /// What another agent holds of a version, by its own word or its engine's.
+    fn pieces_of(&self, upstream: &Upstream, goal: &Goal) -> Option<PieceSet> {
+        let same = |h: &HeldModel| h.model == goal.model && h.version == goal.version;
+        if upstream.models.iter().any(same) {
+            return Some(PieceSet::full(goal.pieces.count));
+        }
+        let addr = self.feed.peer_addr(upstream.addr.ip());
+        let heard = self.heard();
+        let heard = heard.get(&(addr, goal.version))?;
+        let recent = now().saturating_sub(heard.at) < HEARD_MEMORY;
+        (heard.model == goal.model && recent).then(|| heard.pieces.clone())
+    }
+
+    fn heard(&self) -> MutexGuard<'_, HashMap<(SocketAddr, WeightVersion), Heard>> {
+        self.heard.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn status(&self) -> MutexGuard<'_, Status> {
+        self.status.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/components/loader/src/gatherer.rs
@@ -0,0 +1,277 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::{Sender, unbounded};
+use bytes::Bytes;
+use dispatch::{Fetching, PieceSet, PieceSource, Swarm, SwarmStep};
+use domain::{EngineApi, Moment, Platform, now};
+use futures_lite::FutureExt;
+use http::Method;
+use serde_json::json;
+use smol::{Task, Timer};
+use telemetry::{Outcome, decision};
+use transport::{Pool, fetch, spawn, within};
+
+use crate::agent::Agent;
+use crate::agreement::{Agreement, Digests};
+use crate::goal::Goal;
+
+/// Fetches in flight at a time: some are asked for while one arrives. More
+/// would queue on the link before the requests for the engine.
+const FETCHES: usize = 3;
+/// Pause between two notices to near agents about pieces.
+const NEAR_PAUSE: Duration = Duration::from_millis(60);
+/// Pause between two notices to all agents about pieces.
+const FAR_PAUSE: Duration = Duration::from_millis(120);
+/// Pause between two notices once everything is here.
+const COMPLETE_PAUSE: Duration = Duration::from_millis(500);
+/// Longest wait for a piece from another agent, whose link takes about 35 ms
+/// a piece and serves several.
+const PEER_LIMIT: Duration = Duration::from_millis(2500);
+/// Longest wait for digests from another agent.
+const DIGESTS_LIMIT: Duration = Duration::from_millis(500);
+/// Pause after failed questions for digests.
+const DIGESTS_PAUSE: Duration = Duration::from_millis(200);
+/// Agents asked for digests in one round.
+const DIGESTS_PEERS: usize = 3;
+/// Longest list of digests that is read, in bytes.
+const DIGESTS_BYTES: usize = 1 << 20;
+
+/// Brings the pieces of one version into this agent's memory.
+pub struct Gatherer<P: Platform> {
+    agent: Arc<Agent<P>>,
+    goal: Goal,
+    told: Option<(PieceSet, Moment)>,
+    told_all: Moment,
+}
+
+impl<P: Platform> Gatherer<P> {
+    /// A gatherer of the pieces of `goal`.
+    pub fn new(agent: Arc<Agent<P>>, goal: Goal) -> Self {
+        Gatherer {
+            agent,
+            goal,
+            told: None,
+            told_all: Duration::ZERO,
+        }
+    }
+
+    /// Fetches until every piece is here, then tells others as long as the task
+    /// lives.
+    pub async fn run(mut self) {
+        let begun = now();
+        let digests = self.digests().await;
+        let (model, version) = (self.goal.model.clone(), self.goal.version);
+        self.agent.shelf.trust(&model, version, digests);
+        let node = &self.agent.place.node;
+        let (own, region) = (node.ip.to_string().into(), node.region.clone());
+        let mut swarm = Swarm::new(begun, own, region, self.goal.pieces.count);
+        self.take_staged(&mut swarm).await;
+        self.gather(&mut swarm).await;
+        let took = now().saturating_sub(begun).as_secs_f64();
+        let fields = json!({ "model": model, "version": version, "took_s": took });
+        decision("loader", "pieces complete", Outcome::Change, fields);
+        loop {
+            self.agent.tell_pieces(&self.goal, swarm.held(), true).await;
+            Timer::after(COMPLETE_PAUSE).await;
+        }
+    }
+
+    async fn digests(&self) -> Digests {
+        if let Some(known) = self.agent.shelf.trusted(&self.goal.model, self.goal.version) {
+            return known;
+        }
+        let mut agreement = Agreement::default();
+        loop {
+            if let Some(agreed) = self.agent.ask_digests(&self.goal, &mut agreement).await {
+                return agreed;
+            }
+            Timer::after(DIGESTS_PAUSE).await;
+        }
+    }
+
+    /// Takes over what survived a restart of the engine or of this process.
+    async fn take_staged(&self, swarm: &mut Swarm) {
+        let (agent, goal) = (&self.agent, &self.goal);
+        let engines = agent.platform.engines();
+        let held = agent.shelf.held(&goal.model, goal.version);
+        let staged = match engines.staged(agent.place.engine, &goal.model).await {
+            Ok(staged) => staged,
+            Err(e) => {
+                log::info!("gatherer: staged pieces not listed: {e}");
+                Vec::new()
+            }
+        };
+        // One look tells whether another version lies there.
+        for number in staged {
+            let read = agent.shelf.verified(&goal.model, goal.version, number);
+            let Some(bytes) = read.await else { break };
+            if agent.shelf.keep(&goal.model, goal.version, number, bytes) {
+                swarm.hold(number);
+            }
+        }
+        let kept = (0..goal.pieces.count).filter(|n| held.contains(*n));
+        kept.for_each(|n| swarm.hold(n));
+    }
+
+    async fn gather(&mut self, swarm: &mut Swarm) {
+        let (done, results) = unbounded();
+        let mut tasks: Vec<Task<()>> = Vec::new();
+        let mut running = 0;
+        loop {
+            swarm.set_holders(self.agent.holders(&self.goal));
+            let mut step = SwarmStep::Wait;
+            while running < FETCHES {
+                step = swarm.next(now());
+                let SwarmStep::Fetch(fetching) = step else {
+                    break;
+                };
+                running += 1;
+                tasks.push(self.begin(fetching, done.clone()));
+                step = SwarmStep::Wait;
+            }
+            self.tell(swarm.held()).await;
+            if step == SwarmStep::Complete {
+                return;
+            }
+            let news = self.agent.news.listen();
+            let arrived = async { Some(results.recv().await) }.or(async {
+                match running < FETCHES {
+                    true => drop(within(NEAR_PAUSE, news).await),
+                    false => drop(Timer::after(NEAR_PAUSE).await),
+                }
+                None
+            });
+            if let Some(Ok((fetching, result))) = arrived.await {
+                running -= 1;
+                tasks.retain(|t| !t.is_finished());
+                self.finish(swarm, &fetching, result);
+            }
+        }
+    }
+
+    async fn tell(&mut self, held: &PieceSet) {
+        let moment = now();
+        let near = match &self.told {
+            Some((set, at)) => set != held && moment >= *at + NEAR_PAUSE,
+            None => true,
+        };
+        let everyone = moment >= self.told_all + FAR_PAUSE;
+        if near || everyone {
+            self.agent.tell_pieces(&self.goal, held, everyone).await;
+            self.told = Some((held.clone(), moment));
+            if everyone {
+                self.told_all = moment;
+            }
+        }
+    }
+
+    fn begin(&self, fetching: Fetching, done: Sender<(Fetching, Option<Bytes>)>) -> Task<()> {
+        let (agent, goal) = (self.agent.clone(), self.goal.clone());
+        spawn(async move {
+            let result = match fetching.source {
+                PieceSource::Origin => {
+                    from_origin(agent.platform.engines(), &goal, fetching.piece).await
+                }
+                PieceSource::Holder(addr) => {
+                    from_peer(&agent.pool, addr, &goal, fetching.piece).await
+                }
+            };
+            // The receiver is gone when the version is no longer wanted.
+            let _ = done.send((fetching, result)).await;
+        })
+    }
+
+    fn finish(&self, swarm: &mut Swarm, fetching: &Fetching, result: Option<Bytes>) {
+        let goal = &self.goal;
+        let Some(bytes) = result else {
+            return swarm.fail(now(), fetching);
+        };
+        let shelf = &self.agent.shelf;
+        if shelf.keep(&goal.model, goal.version, fetching.piece, bytes) {
+            return swarm.hold(fetching.piece);
+        }
+        let fields = json!({
+            "version": goal.version,
+            "piece": fetching.piece,
+            "source": format!("{:?}", fetching.source),
+        });
+        decision("loader", "wrong digest", Outcome::Failure, fields);
+        swarm.fail(now(), fetching);
+    }
+}
+
+impl<P: Platform> Agent<P> {
+    /// Digests of a version that two sources agree on; none when one round of
+    /// questions has not settled it.
+    pub(crate) async fn agreed_digests(&self, goal: &Goal) -> Option<Digests> {
+        let known = self.shelf.trusted(&goal.model, goal.version);
+        if known.is_some() {
+            return known;
+        }
+        self.ask_digests(goal, &mut Agreement::default()).await
+    }
+
+    async fn ask_digests(&self, goal: &Goal, agreement: &mut Agreement) -> Option<Digests> {
+        let count = usize::try_from(goal.pieces.count).unwrap_or(usize::MAX);
+        if let Some(origin) = goal.origin {
+            let engines = self.platform.engines();
+            match engines.digests(origin, &goal.model, goal.version).await {
+                Ok(list) => {
+                    self.shelf.note_read(&goal.model, goal.version, list.clone());
+                    if let Some(agreed) = agreement.vote(list, count) {
+                        return Some(agreed);
+                    }
+                }
+                Err(e) => log::info!("gatherer: digests: {e}"),
+            }
+        }
+        let mut peers = self.holders(goal);
+        fastrand::shuffle(&mut peers);
+        let path = format!("/piece/{}/{}", goal.model, goal.version);
+        for peer in peers.iter().take(DIGESTS_PEERS) {
+            let list = digests_of(&self.pool, peer.addr, &path).await;
+            let agreed = list.and_then(|l| agreement.vote(l, count));
+            if agreed.is_some() {
+                return agreed;
+            }
+        }
+        None
+    }
+}
+
+async fn from_origin<E: EngineApi>(engines: &E, goal: &Goal, piece: u32) -> Option<Bytes> {
+    let origin = goal.origin?;
+    let read = engines
+        .origin_piece(origin, &goal.model, goal.version, piece)
+        .await;
+    read.inspect_err(|e| log::info!("gatherer: piece {piece}: {e}"))
+        .ok()
+}
+
+async fn from_peer(pool: &Pool, addr: SocketAddr, goal: &Goal, piece: u32) -> Option<Bytes> {
+    let path = format!("/piece/{}/{}/{piece}", goal.model, goal.version);
+    let max = goal.pieces.bytes.max(1) * 2;
+    let answer = fetch(pool, addr, Method::GET, &path, Bytes::new(), PEER_LIMIT, max).await;
+    match answer {
+        Ok(a) if a.status == 200 => Some(a.body),
+        Ok(a) => {
+            log::info!("gatherer: piece {piece} of {addr}: status {}", a.status);
+            None
+        }
+        Err(e) => {
+            log::info!("gatherer: piece {piece}: {e}");
+            pool.forget(addr);
+            None
+        }
+    }
+}
+
+async fn digests_of(pool: &Pool, addr: SocketAddr, path: &str) -> Option<Digests> {
+    let get = Method::GET;
+    let answer = fetch(pool, addr, get, path, Bytes::new(), DIGESTS_LIMIT, DIGESTS_BYTES);
+    let answer = answer.await.ok().filter(|a| a.status == 200)?;
+    let (list, rest) = answer.body.as_chunks::<32>();
+    rest.is_empty().then(|| list.to_vec())
+}
--- a/components/loader/src/lib.rs
+++ b/components/loader/src/lib.rs
@@ -1,8 +1,12 @@
 //! The agent on a platform whose upstreams are called directly: brings declared
 //! weights to the engine on the same VM and orders it to load them.
 
+mod agent;
+mod agreement;
+mod gatherer;
+mod goal;
 mod loader;
-mod origin_digests;
 mod shelf;
+mod switcher;
 
 pub use loader::Loader;
--- a/components/loader/src/shelf.rs
+++ b/components/loader/src/shelf.rs
@@ -4,13 +4,18 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use domain::{EngineApi, ModelId, WeightVersion};
+use dispatch::PieceSet;
+use domain::{EngineApi, EngineError, ModelId, WeightVersion};
 use feed::PieceShelf;
 use sha2::{Digest, Sha256};
 use smol::Timer;
 
-/// The pieces that are staged at the engine, as far as they are verified. The
-/// bytes stay at the engine; only digests are kept here.
+use crate::agreement::Digests;
+
+type Key = (ModelId, WeightVersion);
+
+/// The pieces on this VM: in memory while a version is being brought, staged at
+/// the engine once it is complete.
 pub struct Shelf<E> {
     engines: E,
     engine: SocketAddr,
@@ -22,10 +27,14 @@
 
 #[derive(Default)]
 struct State {
-    /// Digests by model and version, as this agent trusts them.
-    digests: HashMap<(ModelId, WeightVersion), Vec<[u8; 32]>>,
-    /// Version of each staged piece that was verified.
-    staged: HashMap<(ModelId, u32), WeightVersion>,
+    /// Digests that are agreed.
+    trusted: HashMap<Key, Digests>,
+    /// Digests as this agent has them from the origin.
+    read: HashMap<Key, Digests>,
+    /// Verified pieces in memory.
+    pieces: HashMap<Key, HashMap<u32, Bytes>>,
+    /// Version whose pieces are staged.
+    staged: Option<Key>,
 }
 
 impl<E: EngineApi> Shelf<E> {
@@ -42,58 +51,93 @@
     }
 
     /// Trusts the digests of a version.
-    pub fn trust(&self, model: &str, version: WeightVersion, digests: Vec<[u8; 32]>) {
-        self.state().digests.insert((model.into(), version), digests);
+    pub fn trust(&self, model: &str, version: WeightVersion, digests: Digests) {
+        self.state().trusted.insert((model.into(), version), digests);
     }
 
-    /// The digests of a version, where they are trusted.
-    pub fn agreed(&self, model: &str, version: WeightVersion) -> Option<Vec<[u8; 32]>> {
-        self.state().digests.get(&(model.into(), version)).cloned()
+    /// Keeps digests as the origin told them, for other agents.
+    pub fn note_read(&self, model: &str, version: WeightVersion, digests: Digests) {
+        self.state().read.insert((model.into(), version), digests);
     }
 
-    /// Whether the digests of a version are trusted.
-    pub fn knows(&self, model: &str, version: WeightVersion) -> bool {
-        self.state().digests.contains_key(&(model.into(), version))
+    /// The agreed digests of a version.
+    pub fn trusted(&self, model: &str, version: WeightVersion) -> Option<Digests> {
+        self.state().trusted.get(&(model.into(), version)).cloned()
     }
 
-    /// Whether bytes are the piece of a version.
-    pub fn is_piece(&self, model: &str, version: WeightVersion, number: u32, bytes: &[u8]) -> bool {
-        let found: [u8; 32] = Sha256::digest(bytes).into();
+    /// Keeps a piece in memory if its digest is the agreed one.
+    pub fn keep(&self, model: &str, version: WeightVersion, number: u32, bytes: Bytes) -> bool {
+        let fits = self.is_piece(model, version, number, &bytes);
+        if fits {
+            let mut state = self.state();
+            let pieces = state.pieces.entry((model.into(), version)).or_default();
+            pieces.insert(number, bytes);
+        }
+        fits
+    }
+
+    /// Pieces of a version in memory.
+    pub fn held(&self, model: &str, version: WeightVersion) -> PieceSet {
+        let mut set = PieceSet::default();
         let state = self.state();
-        let digests = state.digests.get(&(model.into(), version));
-        let index = usize::try_from(number).unwrap_or(usize::MAX);
-        digests.and_then(|d| d.get(index)) == Some(&found)
+        let pieces = state.pieces.get(&(model.into(), version));
+        pieces.into_iter().flatten().for_each(|(n, _)| set.insert(*n));
+        set
+    }
+
+    /// Drops a version from memory.
+    pub fn drop_pieces(&self, model: &str, version: WeightVersion) {
+        self.state().pieces.remove(&(model.into(), version));
+    }
+
+    /// Drops all versions but these from memory.
+    pub fn retain(&self, wanted: impl Fn(WeightVersion) -> bool) {
+        self.state().pieces.retain(|(_, v), _| wanted(*v));
+    }
+
+    /// Takes the version as staged, for example because the engine serves it.
+    pub fn note_staged(&self, model: &str, version: WeightVersion) {
+        self.state().staged = Some((model.into(), version));
+    }
+
+    /// Nothing is known to be staged, for example after a restart of the engine.
+    pub fn forget_staged(&self) {
+        self.state().staged = None;
     }
 
-    /// Records that a verified piece is staged.
-    pub fn note_staged(&self, model: &str, version: WeightVersion, number: u32) {
-        self.state().staged.insert((model.into(), number), version);
+    /// Whether a version is staged as far as is known.
+    pub fn is_staged(&self, model: &str, version: WeightVersion) -> bool {
+        self.state().staged == Some((model.into(), version))
     }
 
-    /// Forgets what is staged, for example after a restart of the engine.
-    pub fn forget(&self) {
-        self.state().staged.clear();
+    /// Stages what is in memory of a version.
+    pub async fn stage(&self, model: &str, version: WeightVersion) -> Result<(), EngineError> {
+        self.forget_staged();
+        let pieces = self.state().pieces.get(&(model.into(), version)).cloned();
+        for (number, bytes) in pieces.into_iter().flatten() {
+            let staging = self.engines.stage(self.engine, model, number, bytes);
+            staging.await?;
+        }
+        self.note_staged(model, version);
+        Ok(())
     }
 
     /// Reads a staged piece back; none unless it is the right one.
     pub async fn verified(&self, model: &str, version: WeightVersion, number: u32) -> Option<Bytes> {
         let read = self.engines.staged_piece(self.engine, model, number).await;
-        let bytes = match read {
-            Ok(bytes) => bytes?,
-            Err(e) => {
-                log::warn!("shelf: piece {number} of {model} not read: {e}");
-                return None;
-            }
-        };
-        if self.is_piece(model, version, number, &bytes) {
-            return Some(bytes);
-        }
-        let mut state = self.state();
-        let key = (ModelId::from(model), number);
-        if state.staged.get(&key) == Some(&version) {
-            state.staged.remove(&key);
-        }
-        None
+        let read = read.unwrap_or_else(|e| {
+            log::warn!("shelf: piece {number} of {model} not read: {e}");
+            None
+        });
+        read.filter(|bytes| self.is_piece(model, version, number, bytes))
+    }
+
+    fn is_piece(&self, model: &str, version: WeightVersion, number: u32, bytes: &[u8]) -> bool {
+        let found: [u8; 32] = Sha256::digest(bytes).into();
+        let state = self.state();
+        let digests = state.trusted.get(&(model.into(), version));
+        let index = usize::try_from(number).unwrap_or(usize::MAX);
+        digests.and_then(|d| d.get(index)) == Some(&found)
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -103,11 +147,19 @@
 
 impl<E: EngineApi> PieceShelf for Shelf<E> {
     async fn piece(&self, model: &str, version: u64, number: u32) -> Option<Bytes> {
-        let staged = self.state().staged.get(&(model.into(), number)).copied();
-        if staged != Some(version) {
-            return None;
-        }
-        let bytes = self.verified(model, version, number).await?;
+        let key = (model.into(), version);
+        let kept = {
+            let state = self.state();
+            let pieces = state.pieces.get(&key);
+            pieces.and_then(|p| p.get(&number)).cloned()
+        };
+        let bytes = match kept {
+            Some(bytes) => bytes,
+            None if self.is_staged(model, version) => {
+                self.verified(model, version, number).await?
+            }
+            None => return None,
+        };
         // One piece at a time: the tokens of live streams leave over the same
         // link and would wait behind every piece that is queued there.
         let turn = self.upload.lock_arc().await;
@@ -120,7 +172,9 @@
         Some(bytes)
     }
 
-    fn digests(&self, model: &str, version: u64) -> Option<Vec<[u8; 32]>> {
-        self.agreed(model, version)
+    fn digests(&self, model: &str, version: u64) -> Option<Digests> {
+        let key = (model.into(), version);
+        let state = self.state();
+        state.read.get(&key).or(state.trusted.get(&key)).cloned()
     }
 }
