--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 mod room;
 mod seat;
 mod seats;
+mod start_time;
 mod swarm;
 mod switch_plan;
 
@@ -23,7 +24,8 @@
 pub use piece_set::PieceSet;
 pub use repeat_budget::RepeatBudget;
 pub use room::{Admit, Room, RoomRules, Waiter};
-pub use seat::Seat;
+pub use seat::{Seat, SeatLoad};
 pub use seats::{Choice, SeatKey, Seats, Wanted};
 pub use switch_plan::{Candidate, SwitchPlan, SwitchStep};
+pub use start_time::StartTime;
 pub use swarm::{Fetching, Holder, PieceSource, Swarm, SwarmStep};
--- a/components/dispatch/src/room.rs
+++ b/components/dispatch/src/room.rs
@@ -8,8 +8,9 @@
 const PACE_WEIGHT: f64 = 0.1;
 /// A queue that has not moved for this long has no known pace.
 const PACE_MEMORY: Duration = Duration::from_secs(2);
-/// Shortest advised wait.
-const MIN_RETRY: Duration = Duration::from_millis(700);
+/// Shortest advised wait: a burst lasts longer, and whoever comes back later
+/// than callers' patience differs is known to come back.
+const MIN_RETRY: Duration = Duration::from_millis(1000);
 /// Longest advised wait; callers come back after at most a third of the time
 /// that they have left.
 const MAX_RETRY: Duration = Duration::from_millis(1900);
--- a/components/dispatch/src/seat.rs
+++ b/components/dispatch/src/seat.rs
@@ -13,9 +13,21 @@
 const FULL_PAUSE: Duration = Duration::from_millis(60);
 /// Longest pause after repeated refusals.
 const MAX_FULL_PAUSE: Duration = Duration::from_millis(500);
+/// Time in which other entries may send to the same upstream without anyone
+/// knowing: the pause between two of their notices and the way of one.
+const BLIND: Duration = Duration::from_millis(80);
 /// Window of the cold limit.
 const COLD_WINDOW: Duration = Duration::from_secs(1);
 
+/// Requests at an upstream.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct SeatLoad {
+    /// Requests in flight.
+    pub requests: u32,
+    /// Tokens of prompts whose first event has not arrived.
+    pub unread: u64,
+}
+
 /// What is known of one upstream and what this entry has sent to it.
 #[derive(Debug, Clone)]
 pub struct Seat {
@@ -25,10 +37,10 @@
     pub region: domain::RegionId,
     /// Number that entries use for the upstream among themselves.
     pub tag: u32,
-    /// Requests in flight from this entry.
-    pub own: u32,
-    /// Requests in flight from other entries, as they last said.
-    pub others: u32,
+    /// What is in flight from this entry.
+    pub own: SeatLoad,
+    /// What is in flight from other entries, as they last said.
+    pub others: SeatLoad,
     /// The agent of the upstream has closed it for an order.
     pub switching: bool,
     /// Share of exchanges that failed lately.
@@ -37,7 +49,7 @@
     pause: Duration,
     full_pause: Duration,
     cold_until: Moment,
-    sent: VecDeque<Moment>,
+    sent: VecDeque<(Moment, u32)>,
 }
 
 impl Seat {
@@ -48,8 +60,8 @@
             upstream,
             region: region.into(),
             tag,
-            own: 0,
-            others: 0,
+            own: SeatLoad::default(),
+            others: SeatLoad::default(),
             switching: false,
             failures: 0.0,
             paused: Duration::ZERO,
@@ -67,9 +79,21 @@
         self.upstream = upstream;
     }
 
-    /// Requests in flight from all entries.
-    pub fn load(&self) -> u32 {
-        self.own + self.others
+    /// What is in flight from all of `entries` entries. Others are expected to
+    /// have sent what this one has since their last word: an upstream that has
+    /// just become free looks best to all of them.
+    pub fn load(&self, now: Moment, entries: u32) -> SeatLoad {
+        let others = entries.saturating_sub(1);
+        let recent = self.sent.iter().rev();
+        let recent = recent.take_while(|(at, _)| now.saturating_sub(*at) < BLIND);
+        let blind = recent.fold(SeatLoad::default(), |sum, (_, prompt)| SeatLoad {
+            requests: sum.requests + 1,
+            unread: sum.unread + u64::from(*prompt),
+        });
+        SeatLoad {
+            requests: self.own.requests + self.others.requests + blind.requests * others,
+            unread: self.own.unread + self.others.unread + blind.unread * u64::from(others),
+        }
     }
 
     /// Whether it may be used at all now.
@@ -87,27 +111,33 @@
         let recent = self
             .sent
             .iter()
-            .filter(|at| now.saturating_sub(**at) < COLD_WINDOW)
+            .filter(|(at, _)| now.saturating_sub(*at) < COLD_WINDOW)
             .count();
         f64::from(u32::try_from(recent).unwrap_or(u32::MAX)) + 1.0 <= rate
     }
 
-    /// Records a request that is about to be sent.
-    pub fn send(&mut self, now: Moment) {
-        self.own += 1;
+    /// Records a request of `prompt` tokens that is about to be sent.
+    pub fn send(&mut self, now: Moment, prompt: u32) {
+        self.own.requests += 1;
+        self.own.unread += u64::from(prompt);
         while self
             .sent
             .front()
-            .is_some_and(|at| now.saturating_sub(*at) >= COLD_WINDOW)
+            .is_some_and(|(at, _)| now.saturating_sub(*at) >= COLD_WINDOW)
         {
             self.sent.pop_front();
         }
-        self.sent.push_back(now);
+        self.sent.push_back((now, prompt));
+    }
+
+    /// Records that a prompt of `prompt` tokens was read, or given up.
+    pub fn read(&mut self, prompt: u32) {
+        self.own.unread = self.own.unread.saturating_sub(u64::from(prompt));
     }
 
     /// Records the end of a request.
     pub fn end(&mut self) {
-        self.own = self.own.saturating_sub(1);
+        self.own.requests = self.own.requests.saturating_sub(1);
     }
 
     /// Records that it answered.
--- a/components/dispatch/src/seats.rs
+++ b/components/dispatch/src/seats.rs
@@ -1,16 +1,21 @@
 use std::collections::HashMap;
+use std::time::Duration;
 
 use domain::{
     FailureDomainId, ModelId, Moment, RegionId, ServiceId, Upstream, UpstreamId, WeightVersion,
 };
 
-use crate::Seat;
+use crate::{Seat, SeatLoad, StartTime};
 
 /// Load, as a share of the slots, that a request avoids by leaving its region.
 /// Lines between regions are thin, so a near upstream may be this much busier.
 const REMOTE_PENALTY: f64 = 0.45;
 /// The same for another failure domain of the region.
 const DOMAIN_PENALTY: f64 = 0.05;
+/// Weight of a second of expected start time against load.
+const START_PENALTY: f64 = 4.0;
+/// Unread tokens up to which an upstream takes a request that is late already.
+const LATE_UNREAD: u64 = 1500;
 /// Weight of the failure rate against load.
 const FAILURE_PENALTY: f64 = 2.0;
 /// Penalty of an upstream that is still slow after its start.
@@ -30,6 +35,10 @@
     pub model: Option<ModelId>,
     /// Oldest weight version that is good enough.
     pub weights: Option<WeightVersion>,
+    /// Tokens of its prompt.
+    pub prompt: u32,
+    /// Moment by which its first event is due, where it can be on time.
+    pub due: Option<Moment>,
 }
 
 /// Outcome of a choice.
@@ -51,6 +60,8 @@
     domain: FailureDomainId,
     region: RegionId,
     cold_rate: Option<f64>,
+    start_time: StartTime,
+    entries: u32,
 }
 
 impl Seats {
@@ -62,6 +73,8 @@
             domain,
             region,
             cold_rate: None,
+            start_time: StartTime::new(None),
+            entries: 1,
         }
     }
 
@@ -75,6 +88,21 @@
         self.cold_rate = rate;
     }
 
+    /// Entries that send to these upstreams, this one included.
+    pub fn set_entries(&mut self, entries: u32) {
+        self.entries = entries.max(1);
+    }
+
+    /// Takes over the cost model of the service.
+    pub fn set_start_time(&mut self, start_time: StartTime) {
+        self.start_time = start_time;
+    }
+
+    /// Time to the first token of a prompt at an idle upstream.
+    pub fn best_start(&self, prompt: u32) -> Duration {
+        self.start_time.expect(0, prompt)
+    }
+
     /// Adds an upstream or takes over its changed entry. A new start under the
     /// same id begins anew.
     pub fn list(&mut self, now: Moment, upstream: &Upstream, region: &str, tag: u32) {
@@ -122,10 +150,17 @@
                 continue;
             }
             fits = true;
-            if !self.has_room(now, seat) {
+            let load = seat.load(now, self.entries);
+            let start = self.start_time.expect(load.unread, wanted.prompt);
+            let in_time = match wanted.due {
+                Some(due) => now + start <= due,
+                // What is late anyway does not make others late.
+                None => load.unread <= LATE_UNREAD,
+            };
+            if !in_time || !self.has_room(now, seat, load) {
                 continue;
             }
-            let score = self.score(now, seat);
+            let score = self.score(now, seat, load, start);
             if best.is_none_or(|(s, _)| score < s) {
                 best = Some((score, seat));
             }
@@ -146,13 +181,14 @@
         home && held && !wanted.tried.contains(&seat.upstream.id)
     }
 
-    fn has_room(&self, now: Moment, seat: &Seat) -> bool {
+    fn has_room(&self, now: Moment, seat: &Seat, load: SeatLoad) -> bool {
         let cold = seat.is_cold(now) && self.cold_rate.is_some_and(|r| !seat.bears(now, r));
-        seat.is_open(now) && !cold && seat.load() < seat.upstream.slots
+        seat.is_open(now) && !cold && load.requests < seat.upstream.slots
     }
 
-    fn score(&self, now: Moment, seat: &Seat) -> f64 {
-        let mut score = f64::from(seat.load()) / f64::from(seat.upstream.slots.max(1));
+    fn score(&self, now: Moment, seat: &Seat, load: SeatLoad, start: Duration) -> f64 {
+        let mut score = f64::from(load.requests) / f64::from(seat.upstream.slots.max(1));
+        score += start.as_secs_f64() * START_PENALTY;
         if seat.region != self.region {
             score += REMOTE_PENALTY;
         } else if seat.upstream.domain != self.domain {
--- /dev/null
+++ b/components/dispatch/src/start_time.rs
@@ -0,0 +1,45 @@
+use std::time::Duration;
+
+use domain::EngineSpec;
+
+/// Way to an upstream and back, and the work of the entry.
+const WAY: Duration = Duration::from_millis(15);
+/// First answer of a plain service, which has no cost model.
+const PLAIN_START: Duration = Duration::from_millis(70);
+
+/// Expected time to the first token of a request at an engine.
+///
+/// Answers the moment after many places have become free at once: an engine
+/// reads prompts one after the other, so the last of sixteen that arrive
+/// together begins late although every one found a free place.
+#[derive(Debug, Clone, PartialEq)]
+pub struct StartTime {
+    engine: Option<EngineSpec>,
+}
+
+impl StartTime {
+    /// The times of a service; `engine` is the cost model of model engines.
+    pub fn new(engine: Option<EngineSpec>) -> Self {
+        StartTime { engine }
+    }
+
+    /// Time to the first token of a prompt of `prompt` tokens, behind `unread`
+    /// tokens of other prompts.
+    pub fn expect(&self, unread: u64, prompt: u32) -> Duration {
+        let Some(engine) = &self.engine else {
+            return PLAIN_START;
+        };
+        let pass = engine.step * engine.stride;
+        let tokens = unread.saturating_add(u64::from(prompt));
+        let chunks = tokens.div_ceil(u64::from(engine.chunk.max(1)));
+        let chunks = u32::try_from(chunks).unwrap_or(u32::MAX);
+        let tokens = f64::from(u32::try_from(tokens).unwrap_or(u32::MAX));
+        let reading = Duration::from_secs_f64(tokens / engine.read_rate);
+        // Half a pass until the engine looks at its queue, then one pass of the
+        // writers after each piece that is read.
+        WAY + pass / 2 + reading + pass * chunks.min(MAX_CHUNKS)
+    }
+}
+
+/// Pieces of prompts for which passes are counted; more than any objective holds.
+const MAX_CHUNKS: u32 = 1000;
--- a/components/domain/src/service_spec.rs
+++ b/components/domain/src/service_spec.rs
@@ -31,6 +31,8 @@
     pub read_rate: f64,
     /// Steps between two admissions to the batch.
     pub stride: u32,
+    /// Prompt tokens read between two passes of the writers.
+    pub chunk: u32,
     /// Mean tokens of a prompt and of an answer.
     pub usual: (u32, u32),
     /// Models that the engines may hold.
--- a/components/feed/src/notice.rs
+++ b/components/feed/src/notice.rs
@@ -21,8 +21,8 @@
     pub start: u64,
     /// Number of the notice.
     pub number: u64,
-    /// Requests in flight at each upstream, by its tag.
-    pub loads: Vec<(u32, u16)>,
+    /// Requests in flight at each upstream, by its tag, and unread tokens.
+    pub loads: Vec<(u32, u16, u32)>,
     /// Fingerprints of requests that crashed upstreams lately.
     pub crashes: Vec<u64>,
     /// The entry is going away.
--- a/components/gateway/src/desk.rs
+++ b/components/gateway/src/desk.rs
@@ -5,11 +5,11 @@
 use async_channel::{Receiver, Sender, bounded};
 use compact_str::CompactString;
 use dispatch::{
-    Admit, Choice, CrashWatch, RepeatBudget, Room, RoomRules, Seat, Seats, Verdict, ViewChange,
+    Admit, Choice, CrashWatch, RepeatBudget, Room, RoomRules, Seat, SeatLoad, Seats, StartTime, Verdict, ViewChange,
     Waiter, Wanted,
 };
 use domain::{
-    EngineSpec, Moment, NodePlace, Platform, ServiceId, Target, UpstreamId, VmId,
+    Moment, NodePlace, Platform, ServiceId, Target, UpstreamId, VmId,
     now,
 };
 use feed::{EngineNotice, EntryNotice, Feed};
@@ -26,11 +26,9 @@
 /// Time before a bound on weight versions from which older ones get nothing:
 /// a request may wait in the engine's queue before it begins.
 const WEIGHTS_MARGIN: Duration = Duration::from_millis(1500);
-/// First-token time of a plain service.
-const PLAIN_START: Duration = Duration::from_millis(90);
-/// What a first token takes beside the engine's own steps: the way there and
-/// back and the reading of neighbours' prompts.
-const START_OVERHEAD: Duration = Duration::from_millis(60);
+/// Share by which the patience of callers differs; only who has less left than
+/// that has been here before.
+const PATIENCE_SPREAD: f64 = 0.16;
 /// Longest wait of a request that can no longer be on time.
 const LATE_WAIT: Duration = Duration::from_millis(500);
 /// Crashes told to other entries again and again.
@@ -50,7 +48,7 @@
     start: u64,
     number: u64,
     heard: Moment,
-    loads: HashMap<u32, u32>,
+    loads: HashMap<u32, SeatLoad>,
 }
 
 struct Ticket<P: Platform> {
@@ -125,10 +123,15 @@
             return;
         };
         let rate = self.cold_rate(&upstream.service);
+        let engine = self.feed.view(|v| {
+            let spec = v.plan()?.services.get(&upstream.service)?;
+            spec.engine.clone()
+        });
         let region = self.node.region_of(&upstream.domain).to_owned();
         let mut state = self.state();
         let service = state.service(&upstream.service, &self.node);
         service.seats.set_cold_rate(rate);
+        service.seats.set_start_time(StartTime::new(engine));
         service.seats.list(now(), &upstream, &region, tag_of(id));
         state.share_loads();
     }
@@ -157,7 +160,11 @@
         let mut state = self.state();
         let most = state.patience.entry(route.into()).or_default();
         *most = (*most).max(patience);
-        arrived.saturating_sub(*most - patience)
+        let age = *most - patience;
+        match age < most.mul_f64(PATIENCE_SPREAD) {
+            true => arrived,
+            false => arrived.saturating_sub(age),
+        }
     }
 
     /// Finds a place for a request; waits for one where that makes sense.
@@ -183,9 +190,13 @@
 
     fn ask(self: &Arc<Self>, job: &Job, wanted: Wanted) -> Asked<P> {
         let now = now();
-        let start = self.start_time(job);
+        let mut wanted = wanted;
         let mut state = self.state();
         let service = state.service(&job.service, &self.node);
+        let due = job.first + job.route.objective;
+        let on_time_until = due.saturating_sub(service.seats.best_start(wanted.prompt));
+        let on_time = on_time_until > now;
+        wanted.due = on_time.then_some(due);
         if service.room.is_empty() {
             match self.choose(service, now, &wanted) {
                 Choice::Send(key) => {
@@ -196,8 +207,6 @@
                 Choice::Full => {}
             }
         }
-        let on_time_until = job.first + job.route.objective.saturating_sub(start);
-        let on_time = on_time_until > now;
         let until = match on_time {
             true => on_time_until,
             false => now + LATE_WAIT.min(job.left(now) / 4),
@@ -219,18 +228,6 @@
         }
     }
 
-    /// Time from the start at an upstream to the first event, roughly.
-    fn start_time(&self, job: &Job) -> Duration {
-        let prompt = job.ask.tokens.map_or(0, |t| t.prompt);
-        self.feed.view(|v| {
-            let spec = v.plan().and_then(|p| p.services.get(&job.service));
-            match spec.and_then(|s| s.engine.as_ref()) {
-                Some(engine) => START_OVERHEAD + first_token(engine, prompt),
-                None => PLAIN_START,
-            }
-        })
-    }
-
     fn wanted(&self, job: &Job, tried: &[UpstreamId]) -> Option<Wanted> {
         let bound = self.node.bounds.weights.saturating_sub(WEIGHTS_MARGIN);
         let before = now().saturating_sub(bound);
@@ -241,6 +238,8 @@
             tried: tried.to_vec(),
             model: job.ask.model.clone(),
             weights,
+            prompt: job.ask.tokens.map_or(0, |t| t.prompt),
+            due: None,
         })
     }
 
@@ -267,9 +266,12 @@
             tag: 0,
             born: 0,
             weights: None,
+            unread: wanted.prompt,
+            since: now,
+            first: None,
         };
         if let Some(seat) = service.seats.seat(key) {
-            seat.send(now);
+            seat.send(now, wanted.prompt);
             hold.target.addr = seat.upstream.addr;
             hold.tag = seat.tag;
             hold.born = seat.upstream.born;
@@ -281,19 +283,8 @@
         hold
     }
 
-    /// Gives a place back and passes it on.
-    pub(crate) fn release(self: &Arc<Self>, service: &ServiceId, id: &str, born: u64) {
-        if let Some(s) = self.state().services.get_mut(service)
-            && let Some(seat) = s.seats.seat(id)
-            && seat.upstream.born == born
-        {
-            seat.end();
-        }
-        self.pump(service);
-    }
-
     /// Gives free places to waiting requests.
-    fn pump(self: &Arc<Self>, name: &ServiceId) {
+    pub(crate) fn pump(self: &Arc<Self>, name: &ServiceId) {
         // Holds that nobody takes are dropped outside of the lock.
         let mut orphans = Vec::new();
         {
@@ -421,8 +412,12 @@
         state.notices += 1;
         let seats = state.services.values().flat_map(|s| s.seats.iter());
         let loads = seats
-            .filter(|s| s.own > 0)
-            .map(|s| (s.tag, u16::try_from(s.own).unwrap_or(u16::MAX)))
+            .filter(|s| s.own.requests > 0)
+            .map(|s| {
+                let requests = u16::try_from(s.own.requests).unwrap_or(u16::MAX);
+                let unread = u32::try_from(s.own.unread).unwrap_or(u32::MAX);
+                (s.tag, requests, unread)
+            })
             .collect();
         EntryNotice {
             vm: self.node.vm.clone(),
@@ -458,7 +453,11 @@
         if notice.leaving {
             state.peers.remove(&notice.vm);
         } else {
-            let loads = notice.loads.into_iter().map(|(t, n)| (t, u32::from(n)));
+            let load = |(tag, requests, unread): (u32, u16, u32)| {
+                let (requests, unread) = (u32::from(requests), u64::from(unread));
+                (tag, SeatLoad { requests, unread })
+            };
+            let loads = notice.loads.into_iter().map(load);
             let peer = Peer {
                 start: notice.start,
                 number: notice.number,
@@ -543,10 +542,16 @@
     }
 
     fn share_loads(&mut self) {
+        let entries = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
         for service in self.services.values_mut() {
+            service.seats.set_entries(entries);
             for seat in service.seats.iter_mut() {
                 let told = self.peers.values().filter_map(|p| p.loads.get(&seat.tag));
-                seat.others = told.sum();
+                let sum = |a: SeatLoad, b: &SeatLoad| SeatLoad {
+                    requests: a.requests + b.requests,
+                    unread: a.unread + b.unread,
+                };
+                seat.others = told.fold(SeatLoad::default(), sum);
             }
         }
     }
@@ -596,10 +601,3 @@
 fn crash_key<P: Platform>(hold: &Hold<P>) -> u64 {
     u64::from(hold.tag)
 }
-
-/// Time of an engine from taking a prompt to its first token, with a full batch.
-fn first_token(engine: &EngineSpec, prompt: u32) -> Duration {
-    let steps = engine.step * engine.stride;
-    let read = f64::from(prompt.max(engine.usual.0)) / engine.read_rate;
-    steps * 3 / 2 + Duration::from_secs_f64(read)
-}
--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -319,6 +319,9 @@
                 "request": job.ask.attempt,
                 "route": job.route.name,
                 "upstream": hold.target.id,
+                "age_ms": millis(job.arrived.saturating_sub(job.first)),
+                "waited_ms": millis(hold.since.saturating_sub(job.arrived)),
+                "first_ms": hold.first.map(|at| millis(at.saturating_sub(job.arrived))),
                 "took_ms": millis(took),
             });
             write("dispatch", "answered", left_out, fields);
--- a/components/gateway/src/hold.rs
+++ b/components/gateway/src/hold.rs
@@ -17,10 +17,33 @@
     pub born: u64,
     /// Weight version that the upstream must still have.
     pub weights: Option<WeightVersion>,
+    /// Tokens of the prompt that the upstream has yet to read.
+    pub unread: u32,
+    /// When the request got the place.
+    pub since: domain::Moment,
+    /// When its first event arrived.
+    pub first: Option<domain::Moment>,
+}
+
+impl<P: Platform> Hold<P> {
+    /// Records that the first event has arrived.
+    pub fn started(&mut self) {
+        self.first.get_or_insert_with(domain::now);
+        let unread = std::mem::take(&mut self.unread);
+        if unread > 0 {
+            self.desk.note(self, |s| s.read(unread));
+            self.desk.pump(&self.service);
+        }
+    }
 }
 
 impl<P: Platform> Drop for Hold<P> {
     fn drop(&mut self) {
-        self.desk.release(&self.service, &self.target.id, self.born);
+        let unread = self.unread;
+        self.desk.note(self, |s| {
+            s.read(unread);
+            s.end();
+        });
+        self.desk.pump(&self.service);
     }
 }
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -71,7 +71,10 @@
     async fn next(&mut self) -> Next {
         match self.exchange.body.next().await {
             Ok(Some(bytes)) => match self.events.push(&bytes) {
-                Some(events) => Next::Part(events),
+                Some(events) => {
+                    self.hold.started();
+                    Next::Part(events)
+                }
                 None => Next::Nothing,
             },
             Ok(None) => {
--- a/components/telemetry/src/decisions.rs
+++ b/components/telemetry/src/decisions.rs
@@ -9,7 +9,7 @@
 /// Lines that may wait for a slow reader of standard output.
 const QUEUE: usize = 2048;
 /// Lines of one kind a second for successes, which explain little afterwards.
-const SUCCESSES: u32 = 10;
+const SUCCESSES: u32 = 1000;
 /// Lines of one kind a second for refusals and failures.
 const FAILURES: u32 = 60;
 /// Lines of one kind a second for changes of what the process believes.
