--- a/components/feed/src/feed.rs
+++ b/components/feed/src/feed.rs
@@ -186,9 +186,6 @@
         if topic == Topic::Fleet {
             self.state().confirmation.confirm(asked);
         }
-        if topic == Topic::Upstreams {
-            self.expire();
-        }
         Ok(())
     }
 
@@ -240,7 +237,8 @@
         }
     }
 
-    fn expire(&self) {
+    /// Lets go of upstreams that have not come back after an outage of the store.
+    pub fn expire(&self) {
         let gone = self.state().view.expire(now());
         self.tell(gone.into_iter().map(ViewChange::Gone).collect());
     }
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -173,6 +173,9 @@
     for turn in 0_u64.. {
         Timer::after(TICK).await;
         desk.tick();
+        if turn % 4 == 0 {
+            dispatcher.feed.expire();
+        }
         if turn % 64 == 0 {
             dispatcher.pool.sweep();
         }
--- a/components/loader/src/agent.rs
+++ b/components/loader/src/agent.rs
@@ -80,6 +80,7 @@
         loop {
             self.look().await;
             self.tell().await;
+            self.feed.expire();
             Timer::after(LOOK_PAUSE).await;
         }
     }
