--- /dev/null
+++ b/components/dispatch/tests/room.rs
@@ -0,0 +1,108 @@
+//! The queue before the upstreams.
+
+mod fixture;
+
+use dispatch::{Admit, Room, RoomRules, Waiter, Wanted};
+use domain::Moment;
+use fixture::{ms, start};
+
+fn room() -> Room {
+    Room::new(RoomRules { places: 64 })
+}
+
+fn waiter(id: u64, until: Moment) -> Waiter {
+    Waiter {
+        id,
+        rank: 1,
+        until,
+        on_time: true,
+        wanted: Wanted::default(),
+    }
+}
+
+#[test]
+fn who_can_be_on_time_goes_before_who_cannot() {
+    let mut room = room();
+    let now = start();
+    let late = Waiter {
+        on_time: false,
+        ..waiter(1, now + ms(100))
+    };
+    room.offer(now, late);
+    room.offer(now, waiter(2, now + ms(300)));
+    room.offer(now, waiter(3, now + ms(200)));
+
+    let order: Vec<u64> = room.iter().map(|w| w.id).collect();
+
+    assert_eq!(order, [3, 2, 1]);
+}
+
+#[test]
+fn the_more_urgent_rank_goes_first() {
+    let mut room = room();
+    let now = start();
+    room.offer(now, waiter(1, now + ms(100)));
+    let urgent = Waiter {
+        rank: 0,
+        ..waiter(2, now + ms(300))
+    };
+    room.offer(now, urgent);
+
+    let order: Vec<u64> = room.iter().map(|w| w.id).collect();
+
+    assert_eq!(order, [2, 1]);
+}
+
+/// Load pattern: twice as many requests arrive as can begin. Whoever would wait
+/// beyond the limit is told at once instead of waiting in vain.
+#[test]
+fn a_request_that_cannot_begin_in_time_is_refused_at_once() {
+    let mut room = room();
+    let mut now = start();
+    let (mut expired, mut refused, mut id) = (0, 0, 0);
+
+    for step in 0..2000_u64 {
+        now = start() + ms(step);
+        expired += room.expire(now).len();
+        if step % 10 == 0 {
+            id += 1;
+            if room.offer(now, waiter(id, now + ms(200))) != Admit::Wait {
+                refused += 1;
+            }
+        }
+        let first = room.iter().next().map(|w| w.id);
+        if step % 20 == 0
+            && let Some(first) = first
+        {
+            room.start(now, first);
+        }
+    }
+
+    assert!(refused > 60, "refused {refused} of 200");
+    assert!(expired < refused, "expired {expired}, refused {refused}");
+    assert!(room.retry_after(now) >= ms(1000));
+}
+
+#[test]
+fn requests_that_waited_too_long_are_let_go() {
+    let mut room = room();
+    let now = start();
+    room.offer(now, waiter(1, now + ms(100)));
+    room.offer(now, waiter(2, now + ms(300)));
+
+    let gone = room.expire(now + ms(150));
+
+    assert_eq!(gone, [1]);
+    assert_eq!(room.len(), 1);
+}
+
+#[test]
+fn a_full_room_refuses() {
+    let mut room = Room::new(RoomRules { places: 1 });
+    let now = start();
+    room.offer(now, waiter(1, now + ms(100)));
+
+    let second = room.offer(now, waiter(2, now + ms(100)));
+
+    assert!(matches!(second, Admit::Refuse { .. }));
+}
--- /dev/null
+++ b/components/dispatch/tests/streams_and_budgets.rs
@@ -0,0 +1,92 @@
+//! Events of streams, the budget of repeats, requests that crash upstreams.
+
+mod fixture;
+
+use dispatch::{CrashWatch, EventSplitter, RepeatBudget, Verdict};
+use fixture::{bounds, ms, secs, start};
+use testkit::check_seeds;
+
+#[test]
+fn a_stream_cut_anywhere_yields_whole_events_only() {
+    let stream = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
+    check_seeds(200, |u| {
+        let mut splitter = EventSplitter::default();
+        let mut out = Vec::new();
+        let mut rest = &stream[..u.choose_index(stream.len() + 1)?];
+        let cut = rest.len();
+        while !rest.is_empty() {
+            let (part, later) = rest.split_at(1 + u.choose_index(rest.len())?);
+            out.extend(splitter.push(part).unwrap_or_default());
+            rest = later;
+        }
+        let whole = stream[..cut]
+            .windows(2)
+            .rposition(|w| w == b"\n\n")
+            .map_or(0, |i| i + 2);
+        assert_eq!(out, &stream[..whole]);
+        let events = whole / 15;
+        let last = (events > 0).then(|| events.to_string());
+        assert_eq!(splitter.last_id().map(str::to_owned), last);
+        Ok(())
+    });
+}
+
+#[test]
+fn repeats_of_all_entries_stay_within_the_budget() {
+    let entries = 3;
+    let mut budgets: Vec<_> = (0..entries).map(|_| RepeatBudget::new(&bounds())).collect();
+    let mut repeats: Vec<u64> = Vec::new();
+
+    for step in 0..30_000_u64 {
+        let now = start() + ms(step);
+        for budget in &mut budgets {
+            if step % 20 == 0 {
+                budget.request(now);
+            }
+            if budget.spend(now, entries) {
+                repeats.push(step);
+            }
+        }
+    }
+
+    // Any 10 s: 0.2 of 3 x 500 requests, and 100.
+    let most = (0..20_000)
+        .step_by(100)
+        .map(|from| repeats.iter().filter(|s| (from..from + 10_000).contains(*s)).count())
+        .max();
+    assert!(most <= Some(400), "{most:?}");
+    assert!(most >= Some(200), "{most:?}");
+}
+
+#[test]
+fn lost_answers_alone_charge_nobody() {
+    let mut watch = CrashWatch::default();
+
+    for i in 0..20 {
+        watch.broke(start() + secs(i), 1, 7);
+    }
+
+    assert_eq!(watch.check(start() + secs(20), 7), Verdict::Run);
+}
+
+#[test]
+fn a_request_that_takes_two_upstreams_down_is_refused() {
+    let mut watch = CrashWatch::default();
+    for upstream in [1, 2] {
+        watch.broke(start(), upstream, 7);
+        watch.refused(start() + ms(50), upstream);
+    }
+
+    assert_eq!(watch.check(start() + ms(100), 7), Verdict::Refuse);
+    assert_eq!(watch.check(start() + ms(100), 8), Verdict::Run);
+}
+
+#[test]
+fn neighbours_in_one_crash_go_on() {
+    let mut watch = CrashWatch::default();
+    watch.broke(start(), 1, 7);
+    watch.broke(start() + ms(1), 1, 8);
+
+    assert_eq!(watch.check(start() + ms(100), 7), Verdict::Run);
+    assert_eq!(watch.check(start() + ms(100), 8), Verdict::Run);
+}
--- /dev/null
+++ b/components/dispatch/tests/swarm.rs
@@ -0,0 +1,219 @@
+//! Who fetches which piece from whom, for a whole fleet in virtual time.
+
+mod fixture;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use dispatch::{Fetching, Holder, PieceSource, Swarm, SwarmStep};
+use fixture::{ms, secs, start};
+
+const PIECES: u32 = 64;
+const FETCHES: usize = 3;
+/// Time of a piece over an agent's link.
+const PIECE_TIME: Duration = Duration::from_millis(35);
+/// Time of a piece over the origin's link.
+const ORIGIN_TIME: Duration = Duration::from_millis(27);
+const STEP: Duration = Duration::from_millis(5);
+/// How often agents tell each other what they hold.
+const NOTICE: Duration = Duration::from_millis(100);
+
+struct Flight {
+    agent: usize,
+    fetching: Fetching,
+    until: Duration,
+}
+
+/// Agents that share three regions, an origin, and links that carry one piece
+/// at a time.
+struct Fleet {
+    swarms: Vec<Swarm>,
+    dead: Vec<usize>,
+    flights: Vec<Flight>,
+    free: HashMap<Option<usize>, Duration>,
+    from_origin: u32,
+    between_regions: u32,
+    origin_up: bool,
+}
+
+fn addr(agent: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, u8::try_from(agent).unwrap()], 7700))
+}
+
+fn region(agent: usize) -> String {
+    ["north", "middle", "south"][agent % 3].to_owned()
+}
+
+impl Fleet {
+    fn new(agents: usize) -> Self {
+        let swarm = |a| {
+            let vm = addr(a).ip().to_string().into();
+            Swarm::new(start(), vm, region(a).into(), PIECES)
+        };
+        Fleet {
+            swarms: (0..agents).map(swarm).collect(),
+            dead: Vec::new(),
+            flights: Vec::new(),
+            free: HashMap::new(),
+            from_origin: 0,
+            between_regions: 0,
+            origin_up: true,
+        }
+    }
+
+    fn tell(&mut self) {
+        let holder = |(a, s): (usize, &Swarm)| Holder {
+            vm: addr(a).ip().to_string().into(),
+            addr: addr(a),
+            region: region(a).into(),
+            pieces: (!self.dead.contains(&a)).then(|| s.held().clone()),
+        };
+        let holders: Vec<Holder> = self.swarms.iter().enumerate().map(holder).collect();
+        for swarm in &mut self.swarms {
+            swarm.set_holders(holders.clone());
+        }
+    }
+
+    /// Begins what an agent wants; a source serves one piece after the other.
+    fn begin(&mut self, now: Duration, agent: usize) {
+        while self.flights.iter().filter(|f| f.agent == agent).count() < FETCHES {
+            let SwarmStep::Fetch(fetching) = self.swarms[agent].next(now) else {
+                return;
+            };
+            let (source, time) = match &fetching.source {
+                PieceSource::Origin => (None, ORIGIN_TIME),
+                PieceSource::Holder(a) => {
+                    let IpAddrLast(last) = (*a).into();
+                    (Some(usize::from(last)), PIECE_TIME)
+                }
+            };
+            let begin = self.free.get(&source).copied().unwrap_or(now).max(now);
+            self.free.insert(source, begin + time);
+            self.flights.push(Flight {
+                agent,
+                fetching,
+                until: begin + time,
+            });
+        }
+    }
+
+    fn land(&mut self, now: Duration) {
+        let (landed, flying) = self.flights.drain(..).partition(|f| f.until <= now);
+        self.flights = flying;
+        for flight in landed {
+            let Flight {
+                agent, fetching, ..
+            } = flight;
+            let failed = match &fetching.source {
+                PieceSource::Origin => !self.origin_up,
+                PieceSource::Holder(a) => {
+                    let IpAddrLast(last) = (*a).into();
+                    let source = usize::from(last);
+                    self.between_regions += u32::from(region(source) != region(agent));
+                    self.dead.contains(&source)
+                }
+            };
+            if failed {
+                self.swarms[agent].fail(now, &fetching);
+                continue;
+            }
+            self.from_origin += u32::from(fetching.source == PieceSource::Origin);
+            self.swarms[agent].hold(fetching.piece);
+        }
+    }
+
+    /// Time until every living agent is complete.
+    fn run(&mut self, limit: Duration) -> Option<Duration> {
+        let mut now = start();
+        let mut told = Duration::ZERO;
+        while now < start() + limit {
+            if now >= told + NOTICE {
+                self.tell();
+                told = now;
+            }
+            for agent in 0..self.swarms.len() {
+                if !self.dead.contains(&agent) {
+                    self.begin(now, agent);
+                }
+            }
+            now += STEP;
+            self.land(now);
+            let living = (0..self.swarms.len()).filter(|a| !self.dead.contains(a));
+            if living.into_iter().all(|a| self.swarms[a].is_complete()) {
+                return Some(now - start());
+            }
+        }
+        None
+    }
+}
+
+struct IpAddrLast(u8);
+
+impl From<SocketAddr> for IpAddrLast {
+    fn from(addr: SocketAddr) -> Self {
+        match addr.ip() {
+            std::net::IpAddr::V4(v4) => IpAddrLast(v4.octets()[3]),
+            std::net::IpAddr::V6(_) => unreachable!("agents of the test have IPv4 addresses"),
+        }
+    }
+}
+
+#[test]
+fn one_copy_leaves_the_origin_and_one_crosses_each_line() {
+    let mut fleet = Fleet::new(24);
+
+    let took = fleet.run(secs(10)).expect("complete");
+
+    assert!(took < secs(5), "{took:?}");
+    assert!(fleet.from_origin <= PIECES * 3 / 2, "{}", fleet.from_origin);
+    assert!(
+        fleet.between_regions <= PIECES * 2 * 3 / 2,
+        "{}",
+        fleet.between_regions
+    );
+}
+
+#[test]
+fn time_grows_slowly_with_the_fleet() {
+    let small = Fleet::new(12).run(secs(20)).expect("complete");
+
+    let large = Fleet::new(60).run(secs(20)).expect("complete");
+
+    assert!(large < small * 2, "{small:?} {large:?}");
+}
+
+#[test]
+fn dead_homes_are_replaced() {
+    let mut fleet = Fleet::new(24);
+    fleet.dead = vec![0, 4, 8];
+
+    let took = fleet.run(secs(20)).expect("complete");
+
+    assert!(took < secs(12), "{took:?}");
+}
+
+#[test]
+fn a_neighbour_serves_while_the_origin_is_down() {
+    let mut fleet = Fleet::new(12);
+    fleet.origin_up = false;
+    (0..PIECES).for_each(|p| fleet.swarms[0].hold(p));
+
+    let took = fleet.run(secs(30)).expect("complete");
+
+    assert_eq!(fleet.from_origin, 0);
+    assert!(took < secs(20), "{took:?}");
+}
+
+#[test]
+fn a_lost_piece_is_fetched_again() {
+    let mut swarm = Swarm::new(start(), "a".into(), "north".into(), 1);
+    swarm.hold(0);
+
+    swarm.lose(0);
+
+    assert!(matches!(
+        swarm.next(start() + ms(10)),
+        SwarmStep::Fetch(Fetching { piece: 0, .. })
+    ));
+}
--- /dev/null
+++ b/components/dispatch/tests/switch_plan.rs
@@ -0,0 +1,93 @@
+//! When an engine loads which version.
+
+mod fixture;
+
+use dispatch::{Candidate, SwitchPlan, SwitchStep};
+use fixture::{ms, secs, start};
+
+fn plan(turn: f64) -> SwitchPlan {
+    SwitchPlan {
+        bound: secs(8),
+        turn,
+    }
+}
+
+fn candidate(version: u64, since_s: u64, share: f64) -> Candidate {
+    Candidate {
+        version,
+        since: start() + secs(since_s),
+        share,
+    }
+}
+
+#[test]
+fn an_empty_engine_loads_as_soon_as_everything_is_there() {
+    let all = [candidate(1, 0, 1.0)];
+
+    let step = plan(0.9).next(start() + ms(100), None, &all);
+
+    assert_eq!(step, SwitchStep::Load(1));
+}
+
+#[test]
+fn engines_take_turns_within_the_bound() {
+    let all = [candidate(2, 0, 1.0)];
+    let ordered = |turn| {
+        (0..8000)
+            .map(|t| start() + ms(t))
+            .find(|t| plan(turn).next(*t, Some(1), &all) == SwitchStep::Load(2))
+            .map(|t| t - start())
+    };
+
+    let (first, middle, last) = (ordered(0.0), ordered(0.5), ordered(0.999));
+
+    assert!(first < middle && middle < last);
+    assert!(last < Some(ms(6500)), "{last:?}");
+}
+
+#[test]
+fn incomplete_weights_are_never_ordered() {
+    let all = [candidate(2, 0, 0.99)];
+
+    let step = plan(0.0).next(start() + secs(7), Some(1), &all);
+
+    assert_eq!(step, SwitchStep::Wait);
+}
+
+/// Load pattern: two versions within four seconds.
+#[test]
+fn a_version_is_skipped_when_the_next_arrives_in_time() {
+    let all = [candidate(2, 0, 1.0), candidate(3, 4, 0.5)];
+
+    let step = plan(0.9).next(start() + ms(6000), Some(1), &all);
+
+    assert_eq!(step, SwitchStep::Wait);
+}
+
+/// Load pattern: the origin goes down between two versions.
+#[test]
+fn a_version_is_not_skipped_for_one_that_does_not_arrive() {
+    let all = [candidate(2, 0, 1.0), candidate(3, 2, 0.05)];
+
+    let step = plan(0.9).next(start() + ms(6200), Some(1), &all);
+
+    assert_eq!(step, SwitchStep::Load(2));
+}
+
+#[test]
+fn an_engine_that_skipped_a_version_does_not_wait_for_its_turn() {
+    let all = [candidate(2, 0, 0.5), candidate(3, 4, 1.0)];
+
+    let step = plan(0.9).next(start() + ms(6800), Some(1), &all);
+
+    assert_eq!(step, SwitchStep::Load(3));
+}
+
+#[test]
+fn an_engine_never_goes_back() {
+    let all = [candidate(2, 0, 1.0)];
+
+    let step = plan(0.0).next(start() + secs(7), Some(3), &all);
+
+    assert_eq!(step, SwitchStep::Wait);
+}
