--- a/components/dispatch/src/fleet_view.rs
+++ b/components/dispatch/src/fleet_view.rs
@@ -67,12 +67,16 @@
     /// The newest version of a model that was declared at `before` or earlier.
     pub fn declared(&self, model: &str, before: Moment) -> Option<WeightVersion> {
         let versions = self.wanted.get(model)?.iter();
-        versions.filter(|(_, at)| *at <= before).map(|(v, _)| *v).max()
+        versions
+            .filter(|(_, at)| *at <= before)
+            .map(|(v, _)| *v)
+            .max()
     }
 
     /// The newest declared version of each model and when it was declared.
     pub fn newest(&self) -> impl Iterator<Item = (&ModelId, WeightVersion, Moment)> {
-        let last = |(m, v): (_, &Vec<(WeightVersion, Moment)>)| v.last().map(|(v, at)| (m, *v, *at));
+        let last =
+            |(m, v): (_, &Vec<(WeightVersion, Moment)>)| v.last().map(|(v, at)| (m, *v, *at));
         self.wanted.iter().filter_map(last)
     }
 
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -26,6 +26,6 @@
 pub use room::{Admit, Room, RoomRules, Waiter};
 pub use seat::{Seat, SeatLoad};
 pub use seats::{Choice, SeatKey, Seats, Wanted};
-pub use switch_plan::{Candidate, SwitchPlan, SwitchStep};
 pub use start_time::StartTime;
 pub use swarm::{Fetching, Holder, PieceSource, Swarm, SwarmStep};
+pub use switch_plan::{Candidate, SwitchPlan, SwitchStep};
--- a/components/dispatch/src/piece_set.rs
+++ b/components/dispatch/src/piece_set.rs
@@ -58,5 +58,8 @@
 }
 
 fn place(piece: u32) -> (usize, u32) {
-    (usize::try_from(piece / 64).unwrap_or(usize::MAX), piece % 64)
+    (
+        usize::try_from(piece / 64).unwrap_or(usize::MAX),
+        piece % 64,
+    )
 }
--- a/components/dispatch/src/repeat_budget.rs
+++ b/components/dispatch/src/repeat_budget.rs
@@ -46,9 +46,10 @@
     /// share is used up.
     pub fn spend(&mut self, now: Moment, entries: usize) -> bool {
         self.step(now);
-        let (requests, repeats) = self.steps.iter().fold((0, 0), |(q, r), s| {
-            (q + s.requests, r + s.repeats)
-        });
+        let (requests, repeats) = self
+            .steps
+            .iter()
+            .fold((0, 0), |(q, r), s| (q + s.requests, r + s.repeats));
         let share = self.slack / f64::from(u32::try_from(entries.max(1)).unwrap_or(u32::MAX));
         let allowed = (self.ratio * f64::from(requests) + share) * SAFETY;
         if f64::from(repeats) + 1.0 > allowed {
--- a/components/dispatch/src/room.rs
+++ b/components/dispatch/src/room.rs
@@ -85,7 +85,11 @@
 
     /// Asks for a place.
     pub fn offer(&mut self, now: Moment, waiter: Waiter) -> Admit {
-        let ahead = self.waiting.iter().filter(|w| goes_before(w, &waiter)).count();
+        let ahead = self
+            .waiting
+            .iter()
+            .filter(|w| goes_before(w, &waiter))
+            .count();
         let wait = self.expected_wait(now, ahead);
         if self.waiting.len() >= self.rules.places || now + wait > waiter.until {
             return Admit::Refuse {
--- a/components/dispatch/src/seats.rs
+++ b/components/dispatch/src/seats.rs
@@ -137,12 +137,7 @@
 
     /// Chooses the upstream with the lowest load among those with room, near
     /// ones first. `evacuated` tells the failure domains that are out of service.
-    pub fn choose(
-        &self,
-        now: Moment,
-        wanted: &Wanted,
-        evacuated: impl Fn(&str) -> bool,
-    ) -> Choice {
+    pub fn choose(&self, now: Moment, wanted: &Wanted, evacuated: impl Fn(&str) -> bool) -> Choice {
         let mut best: Option<(f64, &Seat)> = None;
         let mut fits = false;
         for seat in self.seats.values() {
--- a/components/dispatch/src/swarm.rs
+++ b/components/dispatch/src/swarm.rs
@@ -207,8 +207,11 @@
         if let Some(source) = self.holder_of(now, piece, far) {
             return Some(source);
         }
-        let first = self.first_region(piece) == &self.region;
-        let origins = self.fetching.values().filter(|s| **s == PieceSource::Origin);
+        let first = *self.first_region(piece) == self.region;
+        let origins = self
+            .fetching
+            .values()
+            .filter(|s| **s == PieceSource::Origin);
         let free = origins.count() < ORIGIN_FETCHES && self.origin_until <= now;
         (free && (first || waited >= FAR_PATIENCE)).then_some(PieceSource::Origin)
     }
@@ -272,4 +275,3 @@
 fn has(holder: &Holder, piece: u32) -> bool {
     holder.pieces.as_ref().is_some_and(|p| p.contains(piece))
 }
-
--- a/components/dispatch/tests/records.rs
+++ b/components/dispatch/tests/records.rs
@@ -33,7 +33,10 @@
 #[test]
 fn a_key_that_the_newest_state_lacks_was_dropped() {
     let mut mirror = Mirror::default();
-    mirror.reset(batch(3, vec![change("a", 1, Some("1")), change("b", 2, Some("2"))]));
+    mirror.reset(batch(
+        3,
+        vec![change("a", 1, Some("1")), change("b", 2, Some("2"))],
+    ));
 
     let changed = mirror.reset(batch(9, vec![change("b", 2, Some("2"))]));
 
@@ -54,12 +57,18 @@
 #[test]
 fn a_peer_gets_what_it_misses_also_removals() {
     let mut mirror = Mirror::default();
-    mirror.extend(batch(2, vec![change("a", 0, Some("1")), change("b", 1, Some("2"))]));
+    mirror.extend(batch(
+        2,
+        vec![change("a", 0, Some("1")), change("b", 1, Some("2"))],
+    ));
     mirror.extend(batch(3, vec![change("a", 2, None)]));
 
     let missed = mirror.since(1).unwrap();
 
-    assert_eq!(missed.changes, [change("b", 1, Some("2")), change("a", 2, None)]);
+    assert_eq!(
+        missed.changes,
+        [change("b", 1, Some("2")), change("a", 2, None)]
+    );
 }
 
 #[test]
@@ -141,7 +150,10 @@
     view.fleet_record(zero, "w", Some(FleetRecord::Weights("m".into(), 3)));
     let before = view.declared("m", start());
 
-    view.declared_elsewhere(&"m".into(), &[(2, start() - secs(3)), (3, start() + secs(1))]);
+    view.declared_elsewhere(
+        &"m".into(),
+        &[(2, start() - secs(3)), (3, start() + secs(1))],
+    );
 
     assert_eq!(before, Some(3));
     assert_eq!(view.declared("m", start()), Some(2));
--- a/components/dispatch/tests/seats.rs
+++ b/components/dispatch/tests/seats.rs
@@ -19,7 +19,10 @@
 
 #[test]
 fn near_upstreams_go_first_until_they_are_much_busier() {
-    let mut seats = seats(&[upstream("near", "a", Some(1)), upstream("far", "b", Some(1))]);
+    let mut seats = seats(&[
+        upstream("near", "a", Some(1)),
+        upstream("far", "b", Some(1)),
+    ]);
     let now = start();
 
     let idle = seats.choose(now, &wanted(now), nowhere);
@@ -79,7 +82,10 @@
 
 #[test]
 fn homes_bind() {
-    let seats = seats(&[upstream("north", "a", Some(1)), upstream("south", "b", Some(1))]);
+    let seats = seats(&[
+        upstream("north", "a", Some(1)),
+        upstream("south", "b", Some(1)),
+    ]);
     let home = Wanted {
         homes: vec!["south".into()],
         ..wanted(start())
--- a/components/dispatch/tests/streams_and_budgets.rs
+++ b/components/dispatch/tests/streams_and_budgets.rs
@@ -52,7 +52,12 @@
     // Any 10 s: 0.2 of 3 x 500 requests, and 100.
     let most = (0..20_000)
         .step_by(100)
-        .map(|from| repeats.iter().filter(|s| (from..from + 10_000).contains(*s)).count())
+        .map(|from| {
+            repeats
+                .iter()
+                .filter(|s| (from..from + 10_000).contains(*s))
+                .count()
+        })
         .max();
     assert!(most <= Some(400), "{most:?}");
     assert!(most >= Some(200), "{most:?}");
--- a/components/domain/src/lib.rs
+++ b/components/domain/src/lib.rs
@@ -17,7 +17,8 @@
 pub use journal::{Batch, Change, Journal, JournalError, Read};
 pub use plan::{Account, CallerLimits, Plan};
 pub use platform::{
-    BadRecord, Dialect, EngineApi, EngineError, FleetRecord, Outbound, Platform, RequestError, Target,
+    BadRecord, Dialect, EngineApi, EngineError, FleetRecord, Outbound, Platform, RequestError,
+    Target,
 };
 pub use route::{RequestKind, Route};
 pub use service_spec::{EngineSpec, PieceSpec, ServiceSpec};
--- a/components/domain/src/platform.rs
+++ b/components/domain/src/platform.rs
@@ -116,10 +116,17 @@
 /// The engine beside an agent, and the origin of weights.
 pub trait EngineApi: Clone + Send + Sync + 'static {
     /// What the engine says of itself.
-    fn report(&self, engine: SocketAddr) -> impl Future<Output = Result<EngineReport, EngineError>> + Send;
+    fn report(
+        &self,
+        engine: SocketAddr,
+    ) -> impl Future<Output = Result<EngineReport, EngineError>> + Send;
 
     /// Pieces that are staged at the engine.
-    fn staged(&self, engine: SocketAddr, model: &str) -> impl Future<Output = Result<Vec<u32>, EngineError>> + Send;
+    fn staged(
+        &self,
+        engine: SocketAddr,
+        model: &str,
+    ) -> impl Future<Output = Result<Vec<u32>, EngineError>> + Send;
 
     /// Reads a staged piece; none where it is not staged.
     fn staged_piece(
--- a/components/feed/src/feed.rs
+++ b/components/feed/src/feed.rs
@@ -5,7 +5,9 @@
 
 use bytes::Bytes;
 use dispatch::{Confirmation, FleetView, Mirror, Standing, ViewChange};
-use domain::{Batch, Change, Journal, JournalError, ModelId, Moment, NodePlace, Platform, Read, VmId, now};
+use domain::{
+    Batch, Change, Journal, JournalError, ModelId, Moment, NodePlace, Platform, Read, VmId, now,
+};
 use event_listener::{Event, EventListener};
 use http::Method;
 use serde_json::json;
@@ -310,7 +312,8 @@
     fn learn_declared(&self, asked: Moment, declared: &[(ModelId, Vec<(u64, u64)>)]) {
         let mut state = self.state();
         for (model, versions) in declared {
-            let moment = |(v, age): &(u64, u64)| (*v, asked.saturating_sub(Duration::from_millis(*age)));
+            let moment =
+                |(v, age): &(u64, u64)| (*v, asked.saturating_sub(Duration::from_millis(*age)));
             let versions: Vec<_> = versions.iter().map(moment).collect();
             state.view.declared_elsewhere(model, &versions);
         }
@@ -435,7 +438,12 @@
     match record {
         Ok(record) => Some(record),
         Err(e) => {
-            decision("feed", "bad record", Outcome::Failure, json!({ "error": e.to_string() }));
+            decision(
+                "feed",
+                "bad record",
+                Outcome::Failure,
+                json!({ "error": e.to_string() }),
+            );
             None
         }
     }
--- a/components/gateway/src/desk.rs
+++ b/components/gateway/src/desk.rs
@@ -5,13 +5,10 @@
 use async_channel::{Receiver, Sender, bounded};
 use compact_str::CompactString;
 use dispatch::{
-    Admit, Choice, CrashWatch, RepeatBudget, Room, RoomRules, Seat, SeatLoad, Seats, StartTime, Verdict, ViewChange,
-    Waiter, Wanted,
-};
-use domain::{
-    Moment, NodePlace, Platform, ServiceId, Target, UpstreamId, VmId,
-    now,
+    Admit, Choice, CrashWatch, RepeatBudget, Room, RoomRules, Seat, SeatLoad, Seats, StartTime,
+    Verdict, ViewChange, Waiter, Wanted,
 };
+use domain::{Moment, NodePlace, Platform, ServiceId, Target, UpstreamId, VmId, now};
 use feed::{EngineNotice, EntryNotice, Feed};
 use serde_json::json;
 use telemetry::{Outcome, decision};
@@ -442,7 +439,12 @@
                 return;
             }
         } else {
-            decision("desk", "entry heard", Outcome::Change, json!({ "entry": notice.vm }));
+            decision(
+                "desk",
+                "entry heard",
+                Outcome::Change,
+                json!({ "entry": notice.vm }),
+            );
         }
         for fingerprint in notice.crashes {
             if !state.charged.contains(&fingerprint) {
@@ -532,7 +534,12 @@
         let before = self.peers.len();
         self.peers.retain(|vm, p| {
             if silent(p) {
-                decision("desk", "entry silent", Outcome::Change, json!({ "entry": vm }));
+                decision(
+                    "desk",
+                    "entry silent",
+                    Outcome::Change,
+                    json!({ "entry": vm }),
+                );
             }
             !silent(p)
         });
--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -4,7 +4,7 @@
 use async_channel::bounded;
 use bytes::Bytes;
 use dispatch::{EventSplitter, Standing, Verdict};
-use domain::{Dialect, Platform, RequestKind, Reply, UpstreamId, now};
+use domain::{Dialect, Platform, RequestKind, UpstreamId, now};
 use feed::Feed;
 use http::Response;
 use serde_json::json;
@@ -17,15 +17,20 @@
 use crate::job::Job;
 use crate::refusal::Refusal;
 use crate::relay::{Relay, millis};
-use crate::send::{NotRun, Sent, send};
+use crate::send::{Answered, NotRun, Sent, send};
 
 /// Longest answer that is collected before it is passed on, in bytes.
 const ANSWER_LIMIT: usize = 8 << 20;
 /// Most upstreams that one request is offered to, refusals included.
 const MAX_OFFERS: usize = 4;
-/// Part of the objective after which a refused request is not offered again.
+/// Advised wait where the queue knows none.
 const DEFAULT_BUSY_WAIT: Duration = Duration::from_millis(900);
 
+/// Parts of a stream that may wait for a slow caller.
+const PARTS_AHEAD: usize = 8;
+/// Added to an upstream's failure rate for a failure of its own.
+const OWN_FAILURE_PENALTY: f64 = 0.02;
+
 /// Carries requests to upstreams.
 pub struct Dispatcher<P: Platform> {
     pub(crate) platform: P,
@@ -40,72 +45,77 @@
     Final(Refusal),
 }
 
-/// What has become of the request so far.
+/// What has become of a request so far.
+#[derive(Default)]
 struct Course {
     tried: Vec<UpstreamId>,
     runs: u32,
     offers: usize,
+    /// It may be running, or has run.
+    sent: bool,
+    /// What the caller is told if no further attempt succeeds.
+    worst: Option<Refusal>,
+    /// An upstream's own failure, passed on if no further attempt succeeds.
+    failure: Option<Response<AnswerBody>>,
+}
+
+impl Course {
+    /// Records why an attempt did not succeed. One that may have run is never
+    /// followed by "not run".
+    fn note(&mut self, refusal: Refusal) {
+        match self.worst {
+            Some(Refusal::Broken | Refusal::TimedOut) => {}
+            _ => self.worst = Some(refusal),
+        }
+    }
 }
 
 impl<P: Platform> Dispatcher<P> {
     /// Answers one request.
     pub async fn dispatch(self: &Arc<Self>, job: Job) -> Response<AnswerBody> {
+        let job = Arc::new(job);
+        let mut course = Course::default();
         let left = job.left(now());
-        let mut sent = false;
-        let answer = within(left, self.attempts(job, &mut sent)).await;
+        let answer = within(left, self.attempts(&job, &mut course)).await;
         answer.unwrap_or_else(|| {
             // Whatever was in flight is cancelled by now.
-            let refusal = match sent {
+            let refusal = match course.sent {
                 true => Refusal::TimedOut,
                 false => Refusal::OutOfTime,
             };
-            refusal.response(self.platform.dialect())
+            self.refuse(&job, refusal, &course)
         })
     }
 
-    async fn attempts(self: &Arc<Self>, job: Job, sent: &mut bool) -> Response<AnswerBody> {
+    async fn attempts(
+        self: &Arc<Self>,
+        job: &Arc<Job>,
+        course: &mut Course,
+    ) -> Response<AnswerBody> {
         self.desk.count(&job.service);
-        let mut job = Some(job);
-        let mut course = Course {
-            tried: Vec::new(),
-            runs: 0,
-            offers: 0,
-        };
-        let mut worst: Option<Refusal> = None;
-        loop {
-            let Some(current) = job.as_ref() else {
-                break;
-            };
-            if let Some(refusal) = self.stop(current, &course) {
-                return self.refuse(current, worst.unwrap_or(refusal), &course);
+        let refusal = loop {
+            if let Some(refusal) = self.stop(job, course) {
+                break refusal;
             }
-            let hold = match self.desk.place(current, &course.tried).await {
+            let hold = match self.desk.place(job, &course.tried).await {
                 Placed::At(hold) => hold,
-                Placed::Busy(wait) => {
-                    let refusal = worst.unwrap_or(Refusal::Busy(wait));
-                    return self.refuse(current, refusal, &course);
-                }
-                Placed::Nobody => {
-                    let refusal = worst.unwrap_or(Refusal::Busy(DEFAULT_BUSY_WAIT));
-                    return self.refuse(current, refusal, &course);
-                }
+                Placed::Busy(wait) => break Refusal::Busy(wait),
+                Placed::Nobody => break Refusal::Busy(DEFAULT_BUSY_WAIT),
             };
-            if course.offers > 0 && !self.desk.may_repeat(&current.service) {
-                let refusal = worst.unwrap_or(Refusal::Busy(DEFAULT_BUSY_WAIT));
-                return self.refuse(current, refusal, &course);
+            if course.offers > 0 && !self.desk.may_repeat(&job.service) {
+                break Refusal::Busy(DEFAULT_BUSY_WAIT);
             }
-            match self.attempt(&mut job, hold, &mut course, sent).await {
+            match self.attempt(job, hold, course).await {
                 Step::Done(response) => return response,
-                Step::Final(refusal) => {
-                    if let Some(job) = &job {
-                        return self.refuse(job, refusal, &course);
-                    }
-                    break;
-                }
-                Step::Again(refusal) => worst = Some(graver(worst, refusal)),
+                Step::Final(refusal) => break refusal,
+                Step::Again(refusal) => course.note(refusal),
             }
+        };
+        course.note(refusal);
+        if let Some(failure) = course.failure.take() {
+            return failure;
         }
-        Refusal::Broken.response(self.platform.dialect())
+        self.refuse(job, course.worst.unwrap_or(refusal), course)
     }
 
     /// Why the request must not be sent now, if so.
@@ -121,35 +131,23 @@
     }
 
     /// Sends the request to one upstream.
-    async fn attempt(
-        self: &Arc<Self>,
-        slot: &mut Option<Job>,
-        hold: Hold<P>,
-        course: &mut Course,
-        sent: &mut bool,
-    ) -> Step {
-        let Some(job) = slot.as_ref() else {
-            return Step::Final(Refusal::Broken);
-        };
+    async fn attempt(self: &Arc<Self>, job: &Arc<Job>, hold: Hold<P>, course: &mut Course) -> Step {
         course.tried.push(hold.target.id.clone());
         course.offers += 1;
         // Until it is proven otherwise the request may run from here on.
-        let before = std::mem::replace(sent, true);
-        let outcome = send(&self.platform, &self.pool, job, &hold, None).await;
-        match outcome {
-            Sent::Answer(exchange, reply) => {
+        let before = std::mem::replace(&mut course.sent, true);
+        match send(&self.platform, &self.pool, job, &hold, None).await {
+            Sent::Answer(answered) => {
                 course.runs += 1;
-                if job.route.kind.is_stream() && exchange.head.status.is_success() {
-                    let Some(job) = slot.take() else {
-                        return Step::Final(Refusal::Broken);
-                    };
+                let success = answered.exchange.head.status.is_success();
+                if job.route.kind.is_stream() && success {
                     let tried = std::mem::take(&mut course.tried);
-                    return Step::Done(self.stream(job, exchange, reply, hold, tried));
+                    return Step::Done(self.stream(job, answered, hold, tried));
                 }
-                self.collect(job, exchange, reply, hold).await
+                self.collect(job, *answered, hold, course).await
             }
             Sent::NotRun(why) => {
-                *sent = before;
+                course.sent = before;
                 self.not_run(job, &hold, why, course)
             }
             Sent::Unknown(why) => {
@@ -210,7 +208,14 @@
 
     /// Reads an answer whole before it is passed on, so that a cut one can be
     /// told from a complete one.
-    async fn collect(&self, job: &Job, exchange: Exchange, reply: Reply, hold: Hold<P>) -> Step {
+    async fn collect(
+        &self,
+        job: &Job,
+        answered: Answered,
+        hold: Hold<P>,
+        course: &mut Course,
+    ) -> Step {
+        let Answered { exchange, reply } = answered;
         let Exchange { head, mut body } = exchange;
         let bytes = match body.collect(ANSWER_LIMIT).await {
             Ok(bytes) => bytes,
@@ -219,40 +224,36 @@
         if !reply.closing {
             body.release(&self.pool, reply.keep);
         }
-        let failed = head.status.is_server_error();
-        if failed {
-            self.desk.note(&hold, |s| s.failures += 0.02);
-        }
         self.answered(job, &hold, now().saturating_sub(job.arrived));
-        if failed && job.route.kind == RequestKind::Safe && self.may_try_again(job, &hold) {
-            return Step::Again(Refusal::Broken);
-        }
         let headers = self.platform.dialect().answer(&head);
-        Step::Done(assemble(&head, headers, AnswerBody::Whole(Some(bytes))))
-    }
-
-    /// Whether an upstream's own failure may be followed by another attempt.
-    fn may_try_again(&self, _job: &Job, _hold: &Hold<P>) -> bool {
-        false
+        let response = assemble(&head, headers, AnswerBody::Whole(Some(bytes)));
+        if !head.status.is_server_error() {
+            return Step::Done(response);
+        }
+        self.desk.note(&hold, |s| s.failures += OWN_FAILURE_PENALTY);
+        if job.route.kind != RequestKind::Safe {
+            return Step::Done(response);
+        }
+        // Another upstream may do better; if none does, this is the answer.
+        course.failure.get_or_insert(response);
+        Step::Again(Refusal::Broken)
     }
 
     fn stream(
         self: &Arc<Self>,
-        job: Job,
-        exchange: Exchange,
-        reply: Reply,
+        job: &Arc<Job>,
+        answered: Box<Answered>,
         hold: Hold<P>,
         tried: Vec<UpstreamId>,
     ) -> Response<AnswerBody> {
-        let mut headers = self.platform.dialect().answer(&exchange.head);
+        let head = answered.exchange.head.clone();
+        let mut headers = self.platform.dialect().answer(&head);
         headers.remove(http::header::CONTENT_LENGTH);
-        let head = exchange.head.clone();
-        let (sender, parts) = bounded::<Result<Bytes, crate::Cut>>(8);
+        let (sender, parts) = bounded::<Result<Bytes, crate::Cut>>(PARTS_AHEAD);
         let relay = Relay {
             dispatcher: self.clone(),
-            job,
-            exchange,
-            reply,
+            job: job.clone(),
+            answered,
             hold,
             tried,
             events: EventSplitter::default(),
@@ -270,7 +271,7 @@
         job: &Job,
         tried: &mut Vec<UpstreamId>,
         last: Option<&str>,
-    ) -> Option<(Exchange, Reply, Hold<P>)> {
+    ) -> Option<(Box<Answered>, Hold<P>)> {
         let attempts = usize::try_from(job.route.attempts).unwrap_or(usize::MAX);
         for _ in 0..MAX_OFFERS {
             if tried.len() >= attempts || self.stop_resume(job) {
@@ -283,9 +284,9 @@
                 return None;
             }
             match send(&self.platform, &self.pool, job, &hold, last).await {
-                Sent::Answer(exchange, reply) if exchange.head.status.is_success() => {
+                Sent::Answer(answered) if answered.exchange.head.status.is_success() => {
                     tried.push(hold.target.id.clone());
-                    return Some((exchange, reply, hold));
+                    return Some((answered, hold));
                 }
                 Sent::NotRun(NotRun::Unreachable) => {
                     self.desk.note(&hold, |s| s.failed(now()));
@@ -350,16 +351,6 @@
     }
 }
 
-/// The refusal to tell after a further attempt: one that may have run is never
-/// followed by "not run".
-fn graver(earlier: Option<Refusal>, later: Refusal) -> Refusal {
-    match earlier {
-        Some(Refusal::Broken) => Refusal::Broken,
-        Some(Refusal::TimedOut) => Refusal::TimedOut,
-        _ => later,
-    }
-}
-
 fn assemble(
     head: &http::response::Parts,
     headers: http::HeaderMap,
--- a/components/gateway/src/front.rs
+++ b/components/gateway/src/front.rs
@@ -61,7 +61,10 @@
         Ok(Job {
             id: self.next.fetch_add(1, Ordering::Relaxed),
             fingerprint: fingerprint(&ask, &body),
-            first: self.dispatcher.desk.first_sent(&route.name, arrived, patience),
+            first: self
+                .dispatcher
+                .desk
+                .first_sent(&route.name, arrived, patience),
             head,
             ask,
             body,
@@ -126,5 +129,9 @@
         point -= weight;
     }
     // Routes name at least one service.
-    route.targets.first().map(|(s, _)| s.clone()).unwrap_or_default()
+    route
+        .targets
+        .first()
+        .map(|(s, _)| s.clone())
+        .unwrap_or_default()
 }
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -45,7 +45,12 @@
 
 impl<P: Platform> Gateway<P> {
     /// An entry at `place` that may use `descriptors` sockets.
-    pub fn new(platform: P, place: EntryPlace, descriptors: usize, metrics: fn() -> String) -> Self {
+    pub fn new(
+        platform: P,
+        place: EntryPlace,
+        descriptors: usize,
+        metrics: fn() -> String,
+    ) -> Self {
         Gateway {
             platform,
             place,
@@ -59,11 +64,16 @@
         let node = self.place.node.clone();
         let slot: Arc<OnceLock<Arc<Desk<P>>>> = Arc::default();
         let sink = slot.clone();
-        let feed = Feed::new(self.platform.clone(), node.clone(), Role::Entry, move |change| {
-            if let Some(desk) = sink.get() {
-                desk.changed(change);
-            }
-        });
+        let feed = Feed::new(
+            self.platform.clone(),
+            node.clone(),
+            Role::Entry,
+            move |change| {
+                if let Some(desk) = sink.get() {
+                    desk.changed(change);
+                }
+            },
+        );
         let feed = Arc::new(feed);
         let desk = Arc::new(Desk::new(feed.clone(), node.clone()));
         // Set once, before the feed starts.
@@ -103,16 +113,34 @@
             spawn(hear(desk.clone(), post.clone())),
             spawn(tick(desk.clone(), dispatcher.clone())),
         ];
-        decision("gateway", "started", Outcome::Change, json!({ "callers": self.place.callers }));
+        decision(
+            "gateway",
+            "started",
+            Outcome::Change,
+            json!({ "callers": self.place.callers }),
+        );
         stop.await;
-        decision("gateway", "stopping", Outcome::Change, json!({ "open": front.open() }));
+        decision(
+            "gateway",
+            "stopping",
+            Outcome::Change,
+            json!({ "open": front.open() }),
+        );
         readiness.leave();
         let farewell = spawn(farewell(feed.clone()));
         Timer::after(BALANCER_LAG).await;
         front.close();
-        let limit = node.bounds.grace.saturating_sub(BALANCER_LAG + GRACE_MARGIN);
+        let limit = node
+            .bounds
+            .grace
+            .saturating_sub(BALANCER_LAG + GRACE_MARGIN);
         let ended = within(limit, front.ended()).await.is_some();
-        decision("gateway", "stopped", Outcome::Change, json!({ "drained": ended }));
+        decision(
+            "gateway",
+            "stopped",
+            Outcome::Change,
+            json!({ "drained": ended }),
+        );
         drop(farewell);
         drop(tasks);
         Ok(())
--- a/components/gateway/src/refusal.rs
+++ b/components/gateway/src/refusal.rs
@@ -61,10 +61,9 @@
             Refusal::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::NoRoute => StatusCode::NOT_FOUND,
             Refusal::BadKey => StatusCode::UNAUTHORIZED,
-            Refusal::NotReady
-            | Refusal::Busy(_)
-            | Refusal::Quarantined
-            | Refusal::OutOfTime => StatusCode::SERVICE_UNAVAILABLE,
+            Refusal::NotReady | Refusal::Busy(_) | Refusal::Quarantined | Refusal::OutOfTime => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Refusal::Broken => StatusCode::BAD_GATEWAY,
             Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -4,22 +4,22 @@
 use async_channel::Sender;
 use bytes::Bytes;
 use dispatch::EventSplitter;
-use domain::{Platform, Reply, now};
+use domain::{Platform, now};
 use serde_json::json;
 use telemetry::{Outcome, decision};
-use transport::{Exchange, within};
+use transport::within;
 
 use crate::Cut;
 use crate::dispatcher::Dispatcher;
 use crate::hold::Hold;
 use crate::job::Job;
+use crate::send::Answered;
 
 /// A stream on its way from upstreams to its caller.
 pub struct Relay<P: Platform> {
     pub(crate) dispatcher: Arc<Dispatcher<P>>,
-    pub(crate) job: Job,
-    pub(crate) exchange: Exchange,
-    pub(crate) reply: Reply,
+    pub(crate) job: Arc<Job>,
+    pub(crate) answered: Box<Answered>,
     pub(crate) hold: Hold<P>,
     pub(crate) tried: Vec<domain::UpstreamId>,
     pub(crate) events: EventSplitter,
@@ -69,7 +69,7 @@
     }
 
     async fn next(&mut self) -> Next {
-        match self.exchange.body.next().await {
+        match self.answered.exchange.body.next().await {
             Ok(Some(bytes)) => match self.events.push(&bytes) {
                 Some(events) => {
                     self.hold.started();
@@ -103,12 +103,11 @@
             .dispatcher
             .resume(&self.job, &mut self.tried, last.as_deref())
             .await;
-        let Some((exchange, reply, hold)) = next else {
+        let Some((answered, hold)) = next else {
             return false;
         };
         self.log("stream resumed", Outcome::Change, &hold.target.id);
-        self.exchange = exchange;
-        self.reply = reply;
+        self.answered = answered;
         self.hold = hold;
         true
     }
@@ -116,9 +115,9 @@
     fn finish(self) {
         let took = now().saturating_sub(self.job.arrived);
         self.dispatcher.answered(&self.job, &self.hold, took);
-        if !self.reply.closing {
-            let pool = &self.dispatcher.pool;
-            self.exchange.body.release(pool, self.reply.keep);
+        let Answered { exchange, reply } = *self.answered;
+        if !reply.closing {
+            exchange.body.release(&self.dispatcher.pool, reply.keep);
         }
     }
 
--- a/components/gateway/src/send.rs
+++ b/components/gateway/src/send.rs
@@ -19,10 +19,18 @@
 /// Least time for which a request is sent at all.
 const MIN_LEFT: Duration = Duration::from_millis(20);
 
+/// A usable answer whose body is still to be read.
+pub struct Answered {
+    /// The answer.
+    pub exchange: Exchange,
+    /// What its head says.
+    pub reply: Reply,
+}
+
 /// What became of one attempt at an upstream.
 pub enum Sent {
     /// The head of a usable answer.
-    Answer(Exchange, Reply),
+    Answer(Box<Answered>),
     /// Proven: it did not run and never will.
     NotRun(NotRun),
     /// It may have run.
@@ -146,7 +154,9 @@
         return Sent::Unknown("the answer is encoded".to_owned());
     }
     if matches!(status.as_u16(), 408 | 429 | 503) {
-        return Sent::Unknown(format!("status {status} without a word that it did not run"));
+        return Sent::Unknown(format!(
+            "status {status} without a word that it did not run"
+        ));
     }
-    Sent::Answer(exchange, reply)
+    Sent::Answer(Box::new(Answered { exchange, reply }))
 }
--- a/components/loader/src/gatherer.rs
+++ b/components/loader/src/gatherer.rs
@@ -79,7 +79,11 @@
     }
 
     async fn digests(&self) -> Digests {
-        if let Some(known) = self.agent.shelf.trusted(&self.goal.model, self.goal.version) {
+        if let Some(known) = self
+            .agent
+            .shelf
+            .trusted(&self.goal.model, self.goal.version)
+        {
             return known;
         }
         let mut agreement = Agreement::default();
@@ -219,7 +223,8 @@
             let engines = self.platform.engines();
             match engines.digests(origin, &goal.model, goal.version).await {
                 Ok(list) => {
-                    self.shelf.note_read(&goal.model, goal.version, list.clone());
+                    self.shelf
+                        .note_read(&goal.model, goal.version, list.clone());
                     if let Some(agreed) = agreement.vote(list, count) {
                         return Some(agreed);
                     }
@@ -253,7 +258,16 @@
 async fn from_peer(pool: &Pool, addr: SocketAddr, goal: &Goal, piece: u32) -> Option<Bytes> {
     let path = format!("/piece/{}/{}/{piece}", goal.model, goal.version);
     let max = goal.pieces.bytes.max(1) * 2;
-    let answer = fetch(pool, addr, Method::GET, &path, Bytes::new(), PEER_LIMIT, max).await;
+    let answer = fetch(
+        pool,
+        addr,
+        Method::GET,
+        &path,
+        Bytes::new(),
+        PEER_LIMIT,
+        max,
+    )
+    .await;
     match answer {
         Ok(a) if a.status == 200 => Some(a.body),
         Ok(a) => {
@@ -270,7 +284,15 @@
 
 async fn digests_of(pool: &Pool, addr: SocketAddr, path: &str) -> Option<Digests> {
     let get = Method::GET;
-    let answer = fetch(pool, addr, get, path, Bytes::new(), DIGESTS_LIMIT, DIGESTS_BYTES);
+    let answer = fetch(
+        pool,
+        addr,
+        get,
+        path,
+        Bytes::new(),
+        DIGESTS_LIMIT,
+        DIGESTS_BYTES,
+    );
     let answer = answer.await.ok().filter(|a| a.status == 200)?;
     let (list, rest) = answer.body.as_chunks::<32>();
     rest.is_empty().then(|| list.to_vec())
--- a/components/loader/src/shelf.rs
+++ b/components/loader/src/shelf.rs
@@ -52,7 +52,9 @@
 
     /// Trusts the digests of a version.
     pub fn trust(&self, model: &str, version: WeightVersion, digests: Digests) {
-        self.state().trusted.insert((model.into(), version), digests);
+        self.state()
+            .trusted
+            .insert((model.into(), version), digests);
     }
 
     /// Keeps digests as the origin told them, for other agents.
@@ -81,7 +83,10 @@
         let mut set = PieceSet::default();
         let state = self.state();
         let pieces = state.pieces.get(&(model.into(), version));
-        pieces.into_iter().flatten().for_each(|(n, _)| set.insert(*n));
+        pieces
+            .into_iter()
+            .flatten()
+            .for_each(|(n, _)| set.insert(*n));
         set
     }
 
@@ -123,7 +128,12 @@
     }
 
     /// Reads a staged piece back; none unless it is the right one.
-    pub async fn verified(&self, model: &str, version: WeightVersion, number: u32) -> Option<Bytes> {
+    pub async fn verified(
+        &self,
+        model: &str,
+        version: WeightVersion,
+        number: u32,
+    ) -> Option<Bytes> {
         let read = self.engines.staged_piece(self.engine, model, number).await;
         let read = read.unwrap_or_else(|e| {
             log::warn!("shelf: piece {number} of {model} not read: {e}");
@@ -155,9 +165,7 @@
         };
         let bytes = match kept {
             Some(bytes) => bytes,
-            None if self.is_staged(model, version) => {
-                self.verified(model, version, number).await?
-            }
+            None if self.is_staged(model, version) => self.verified(model, version, number).await?,
             None => return None,
         };
         // One piece at a time: the tokens of live streams leave over the same
--- a/components/loader/src/switcher.rs
+++ b/components/loader/src/switcher.rs
@@ -73,11 +73,7 @@
     }
 
     /// Begins and ends the fetching of versions.
-    fn gather(
-        self: &Arc<Self>,
-        goals: &[Goal],
-        gathering: &mut HashMap<WeightVersion, Task<()>>,
-    ) {
+    fn gather(self: &Arc<Self>, goals: &[Goal], gathering: &mut HashMap<WeightVersion, Task<()>>) {
         // An engine that does not answer can take nothing.
         if self.report().is_none() {
             gathering.clear();
@@ -228,7 +224,10 @@
             }
             let busy = self.report().is_some_and(|r| r.busy);
             ensure!(busy || elapsed < NO_EFFECT, "the order had no effect");
-            ensure!(elapsed < ORDER_LIMIT, "the engine does not report the version");
+            ensure!(
+                elapsed < ORDER_LIMIT,
+                "the engine does not report the version"
+            );
             Timer::after(LOAD_PAUSE).await;
         }
     }
--- a/components/transport/src/exchange.rs
+++ b/components/transport/src/exchange.rs
@@ -68,12 +68,13 @@
     pub async fn next(&mut self) -> Result<Option<Bytes>, TransportError> {
         let addr = self.connection.addr;
         loop {
-            let frame = within(self.gap, self.incoming.frame())
-                .await
-                .ok_or(TransportError::Silent {
-                    addr,
-                    limit: self.gap,
-                })?;
+            let frame =
+                within(self.gap, self.incoming.frame())
+                    .await
+                    .ok_or(TransportError::Silent {
+                        addr,
+                        limit: self.gap,
+                    })?;
             match frame {
                 None => return Ok(None),
                 Some(Err(e)) => {
--- a/components/transport/src/pool.rs
+++ b/components/transport/src/pool.rs
@@ -63,6 +63,5 @@
         Some(keep) => keep.saturating_sub(IDLE_MARGIN).min(IDLE_LIMIT),
         None => IDLE_LIMIT,
     };
-    !connection.sender.is_closed()
-        && Instant::now().duration_since(connection.idle_since) < limit
+    !connection.sender.is_closed() && Instant::now().duration_since(connection.idle_since) < limit
 }
