Origin: few connections, few bringers; versions wait while the store is away

Cause 2: declared just before the store went silent, versions came into force although no agent had heard of them.

--- a/components/dispatch/src/fleet_view.rs
+++ b/components/dispatch/src/fleet_view.rs
@@ -51,6 +51,8 @@
     elsewhere: Option<Moment>,
     returned: Option<Moment>,
     caught_up: bool,
+    /// Versions that were in force before the store went away.
+    overdue: HashMap<ModelId, WeightVersion>,
 }
 
 impl FleetView {
@@ -64,13 +66,19 @@
         self.evacuated.contains(domain)
     }
 
-    /// The newest version of a model that was declared at `before` or earlier.
-    pub fn declared(&self, model: &str, before: Moment) -> Option<WeightVersion> {
+    /// The newest version of a model whose time to come into force, `bound`, has
+    /// passed. The time does not run while the store is away: agents may not
+    /// have heard of the version, and older weights serve better than none.
+    pub fn in_force(&self, now: Moment, model: &str, bound: Duration) -> Option<WeightVersion> {
+        let overdue = self.overdue.get(model).copied();
+        if self.away && !self.is_up_elsewhere(now) {
+            return overdue;
+        }
+        let before = now.saturating_sub(bound);
+        let counts = |at: Moment| at.max(self.returned.unwrap_or_default());
         let versions = self.wanted.get(model)?.iter();
-        versions
-            .filter(|(_, at)| *at <= before)
-            .map(|(v, _)| *v)
-            .max()
+        let due = versions.filter(|(_, at)| counts(*at) <= before);
+        due.map(|(v, _)| *v).max().max(overdue)
     }
 
     /// The newest declared version of each model and when it was declared.
@@ -90,8 +98,17 @@
         self.upstreams.get(id)
     }
 
-    /// Records whether this process can read the list of upstreams.
-    pub fn store_reachable(&mut self, now: Moment, reachable: bool) {
+    /// Records whether this process can read the list of upstreams; `bound` is
+    /// the time in which declared versions come into force.
+    pub fn store_reachable(&mut self, now: Moment, reachable: bool, bound: Duration) {
+        if !reachable && !self.away {
+            let models: Vec<ModelId> = self.wanted.keys().cloned().collect();
+            for model in models {
+                if let Some(version) = self.in_force(now, &model, bound) {
+                    self.overdue.insert(model, version);
+                }
+            }
+        }
         if reachable && self.away && !self.is_up_elsewhere(now) {
             self.returned = Some(now);
             for until in self.lapsed.values_mut() {
--- a/components/dispatch/src/swarm.rs
+++ b/components/dispatch/src/swarm.rs
@@ -19,12 +19,18 @@
 const FAR_PATIENCE: Duration = Duration::from_millis(2600);
 /// Fetches from the origin that one agent has in flight: its link is narrow
 /// and its connections are few.
-const ORIGIN_FETCHES: usize = 1;
+const ORIGIN_FETCHES: usize = 2;
 
+/// Agents of a region that draw pieces from outside of it. The origin accepts a
+/// few dozen connections for all.
+const BRINGERS: usize = 5;
 /// Fetches from other regions that one agent has in flight: the lines between
 /// regions carry the live streams as well.
 const FAR_FETCHES: usize = 2;
 
+/// Stands for all pieces in ranks.
+const ALL_PIECES: u32 = u32::MAX;
+
 /// An agent that may hold pieces of the same version.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Holder {
@@ -245,14 +251,18 @@
             .map(|h| PieceSource::Holder(h.addr))
     }
 
-    /// Agents of the region that bring the piece before this one.
+    /// Agents of the region that bring the piece before this one: first those
+    /// that bring pieces at all, by their rank for this one, then the others.
     fn rank(&self, waited: Duration, piece: u32) -> u32 {
-        let own = self.weight(&self.own, piece);
-        let counts = |h: &&Holder| {
-            let alive = waited < HEARING_TIME || h.pieces.is_some();
-            h.region == self.region && alive && self.weight(&h.vm, piece) < own
-        };
-        u32::try_from(self.holders.iter().filter(counts).count()).unwrap_or(u32::MAX)
+        let alive =
+            |h: &&Holder| h.region == self.region && (waited < HEARING_TIME || h.pieces.is_some());
+        let neighbours = self.holders.iter().filter(alive).map(|h| &h.vm);
+        let mut order: Vec<&VmId> = neighbours.chain([&self.own]).collect();
+        order.sort_by_key(|vm| self.weight(vm, ALL_PIECES));
+        let bringers = order.len().min(BRINGERS);
+        order[..bringers].sort_by_key(|vm| self.weight(vm, piece));
+        let place = order.iter().position(|vm| **vm == self.own);
+        place.and_then(|p| u32::try_from(p).ok()).unwrap_or(0)
     }
 
     /// Rendezvous weight of a name for a piece; the lowest is first in rank.
--- a/components/dispatch/tests/records.rs
+++ b/components/dispatch/tests/records.rs
@@ -86,9 +86,9 @@
 fn an_upstream_that_lapsed_in_an_outage_is_used_until_it_must_be_back() {
     let mut view = FleetView::default();
     view.upstream_record(start(), "u", Some(upstream("u", "a", None)));
-    view.store_reachable(start() + secs(1), false);
+    view.store_reachable(start() + secs(1), false, secs(8));
     let back = start() + secs(6);
-    view.store_reachable(back, true);
+    view.store_reachable(back, true, secs(8));
 
     let change = view.upstream_record(back, "u", None);
     let early = view.expire(back + secs(2));
@@ -105,10 +105,10 @@
 fn an_upstream_removed_after_the_backlog_is_let_go_well_before_the_bound() {
     let mut view = FleetView::default();
     view.upstream_record(start(), "u", Some(upstream("u", "a", None)));
-    view.store_reachable(start(), false);
+    view.store_reachable(start(), false, secs(8));
     let back = start() + secs(5);
-    view.store_reachable(back, true);
-    view.store_reachable(back + ms(300), true);
+    view.store_reachable(back, true, secs(8));
+    view.store_reachable(back + ms(300), true, secs(8));
     let left = back + ms(1100);
 
     view.upstream_record(left, "u", None);
@@ -120,7 +120,7 @@
 fn what_a_connected_peer_says_is_gone_is_gone() {
     let mut view = FleetView::default();
     view.upstream_record(start(), "u", Some(upstream("u", "a", None)));
-    view.store_reachable(start(), false);
+    view.store_reachable(start(), false, secs(8));
     view.store_elsewhere(start() + secs(1));
 
     let change = view.upstream_record(start() + secs(2), "u", None);
@@ -137,8 +137,8 @@
     view.fleet_record(start(), "w", weights(2));
     view.fleet_record(start() + secs(2), "w", weights(3));
 
-    let after_first = view.declared("m", start() + secs(1));
-    let after_second = view.declared("m", start() + secs(2));
+    let after_first = view.in_force(start() + secs(8), "m", secs(8));
+    let after_second = view.in_force(start() + secs(10), "m", secs(8));
 
     assert_eq!((after_first, after_second), (Some(2), Some(3)));
 }
@@ -148,7 +148,8 @@
     let mut view = FleetView::default();
     let zero = std::time::Duration::ZERO;
     view.fleet_record(zero, "w", Some(FleetRecord::Weights("m".into(), 3)));
-    let before = view.declared("m", start());
+    let now = start() + secs(8);
+    let before = view.in_force(now, "m", secs(8));
 
     view.declared_elsewhere(
         &"m".into(),
@@ -156,7 +157,26 @@
     );
 
     assert_eq!(before, Some(3));
-    assert_eq!(view.declared("m", start()), Some(2));
+    assert_eq!(view.in_force(now, "m", secs(8)), Some(2));
+}
+
+/// Seen on a day on which the store went silent right after a declaration: all
+/// engines held the older weights, and nobody was served for six seconds.
+#[test]
+fn the_time_of_a_version_does_not_run_while_the_store_is_away() {
+    let mut view = FleetView::default();
+    let weights = |v| Some(FleetRecord::Weights("m".into(), v));
+    view.fleet_record(start(), "w", weights(2));
+    view.fleet_record(start() + secs(9), "w", weights(3));
+    view.store_reachable(start() + secs(10), false, secs(8));
+    let away = view.in_force(start() + secs(20), "m", secs(8));
+    let back = start() + secs(20);
+    view.store_reachable(back, true, secs(8));
+
+    let soon = view.in_force(back + secs(7), "m", secs(8));
+    let later = view.in_force(back + secs(8), "m", secs(8));
+
+    assert_eq!((away, soon, later), (Some(2), Some(2), Some(3)));
 }
 
 #[test]
--- a/components/feed/src/feed.rs
+++ b/components/feed/src/feed.rs
@@ -369,7 +369,8 @@
         let mut state = self.state();
         let reachable = error.is_none();
         if topic == Topic::Upstreams {
-            state.view.store_reachable(now(), reachable);
+            let bound = self.node.bounds.weights;
+            state.view.store_reachable(now(), reachable, bound);
         }
         let was = std::mem::replace(&mut state.reachable[index(topic)], reachable);
         drop(state);
--- a/components/gateway/src/desk.rs
+++ b/components/gateway/src/desk.rs
@@ -227,9 +227,8 @@
 
     fn wanted(&self, job: &Job, tried: &[UpstreamId]) -> Option<Wanted> {
         let bound = self.node.bounds.weights.saturating_sub(WEIGHTS_MARGIN);
-        let before = now().saturating_sub(bound);
-        let weights = job.ask.model.as_deref();
-        let weights = weights.and_then(|m| self.feed.view(|v| v.declared(m, before)));
+        let model = job.ask.model.as_deref();
+        let weights = model.and_then(|m| self.feed.view(|v| v.in_force(now(), m, bound)));
         Some(Wanted {
             homes: job.homes()?,
             tried: tried.to_vec(),
--- a/components/loader/src/gatherer.rs
+++ b/components/loader/src/gatherer.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use dispatch::{Fetching, PieceSet, PieceSource, Swarm, SwarmStep};
 use domain::{EngineApi, Moment, Platform, now};
+use fleet::{id_hash, mix};
 use futures_lite::FutureExt;
 use http::Method;
 use serde_json::json;
@@ -32,9 +33,13 @@
 /// Longest wait for digests from another agent.
 const DIGESTS_LIMIT: Duration = Duration::from_millis(500);
 /// Pause after failed questions for digests.
-const DIGESTS_PAUSE: Duration = Duration::from_millis(200);
+const DIGESTS_PAUSE: Duration = Duration::from_millis(150);
 /// Agents asked for digests in one round.
-const DIGESTS_PEERS: usize = 3;
+const DIGESTS_PEERS: usize = 4;
+/// Agents that ask the origin for digests at once.
+const EARLY_AGENTS: usize = 6;
+/// Round of questions in which every agent asks the origin.
+const ORIGIN_ROUND: u32 = 6;
 /// Longest list of digests that is read, in bytes.
 const DIGESTS_BYTES: usize = 1 << 20;
 
@@ -78,21 +83,23 @@
         }
     }
 
+    /// Digests that two sources agree on. The first agents in rank ask the
+    /// origin, the others ask them and turn to the origin only after a while.
     async fn digests(&self) -> Digests {
-        if let Some(known) = self
-            .agent
-            .shelf
-            .trusted(&self.goal.model, self.goal.version)
-        {
+        let (agent, goal) = (&self.agent, &self.goal);
+        if let Some(known) = agent.shelf.trusted(&goal.model, goal.version) {
             return known;
         }
         let mut agreement = Agreement::default();
-        loop {
-            if let Some(agreed) = self.agent.ask_digests(&self.goal, &mut agreement).await {
+        for round in 0_u32.. {
+            let direct = round >= ORIGIN_ROUND || agent.is_early(goal);
+            let agreed = agent.ask_digests(goal, &mut agreement, direct).await;
+            if let Some(agreed) = agreed {
                 return agreed;
             }
-            Timer::after(DIGESTS_PAUSE).await;
+            Timer::after(DIGESTS_PAUSE.mul_f64(0.7 + 0.6 * fastrand::f64())).await;
         }
+        Digests::new()
     }
 
     /// Takes over what survived a restart of the engine or of this process.
@@ -214,12 +221,29 @@
         if known.is_some() {
             return known;
         }
-        self.ask_digests(goal, &mut Agreement::default()).await
+        let direct = self.is_early(goal);
+        self.ask_digests(goal, &mut Agreement::default(), direct)
+            .await
+    }
+
+    /// Whether this agent is one of the first to ask the origin about a version.
+    fn is_early(&self, goal: &Goal) -> bool {
+        let rank = |vm: &str| mix(id_hash(vm), goal.version);
+        let own = rank(&self.place.node.ip.to_string());
+        let holders = self.holders(goal);
+        let before = holders.iter().filter(|h| rank(&h.vm) < own);
+        before.count() < EARLY_AGENTS
     }
 
-    async fn ask_digests(&self, goal: &Goal, agreement: &mut Agreement) -> Option<Digests> {
+    /// One round of questions, to the origin as well if `direct`.
+    async fn ask_digests(
+        &self,
+        goal: &Goal,
+        agreement: &mut Agreement,
+        direct: bool,
+    ) -> Option<Digests> {
         let count = usize::try_from(goal.pieces.count).unwrap_or(usize::MAX);
-        if let Some(origin) = goal.origin {
+        if let Some(origin) = goal.origin.filter(|_| direct) {
             let engines = self.platform.engines();
             match engines.digests(origin, &goal.model, goal.version).await {
                 Ok(list) => {
@@ -233,6 +257,9 @@
             }
         }
         let mut peers = self.holders(goal);
+        // Those who ask the origin know first.
+        peers.sort_by_cached_key(|h| mix(id_hash(&h.vm), goal.version));
+        peers.truncate(EARLY_AGENTS * 2);
         fastrand::shuffle(&mut peers);
         let path = format!("/piece/{}/{}", goal.model, goal.version);
         for peer in peers.iter().take(DIGESTS_PEERS) {
--- a/components/transport/src/simple.rs
+++ b/components/transport/src/simple.rs
@@ -19,9 +19,10 @@
 }
 
 /// Makes one small exchange within `limit` and reads at most `max` bytes.
-/// Uses an idle connection where there is one.
+/// Uses an idle connection of the pool where there is one; without a pool the
+/// connection is closed afterwards.
 pub async fn fetch(
-    pool: &Pool,
+    pool: impl Into<Option<&Pool>>,
     addr: SocketAddr,
     method: Method,
     path: &str,
@@ -29,6 +30,7 @@
     limit: Duration,
     max: usize,
 ) -> Result<Fetched, TransportError> {
+    let pool = pool.into();
     let broken = |reason: String| TransportError::Broken { addr, reason };
     let request = Request::builder()
         .method(method)
@@ -38,7 +40,7 @@
         .body(Full::new(body))
         .map_err(|e| broken(e.to_string()))?;
     let work = async {
-        let connection = match pool.take(addr) {
+        let connection = match pool.and_then(|p| p.take(addr)) {
             Some(c) => c,
             None => Connection::open(addr, limit).await?,
         };
@@ -53,7 +55,7 @@
             .headers
             .get(header::CONNECTION)
             .is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
-        if !closing {
+        if let Some(pool) = pool.filter(|_| !closing) {
             exchange.body.release(pool, None);
         }
         Ok(Fetched {
