--- a/components/feed/src/feed.rs
+++ b/components/feed/src/feed.rs
@@ -377,6 +377,8 @@
         if was == reachable {
             return;
         }
+        let up = f64::from(u8::from(reachable));
+        metrics::gauge!("turmerichold_store_reachable", "topic" => self.name(topic)).set(up);
         let what = if reachable { "regained" } else { "lost" };
         let fields = json!({
             "topic": self.name(topic),
@@ -392,7 +394,7 @@
             (Role::Entry, Topic::Fleet) => Duration::from_millis(900),
             (Role::Entry, _) => Duration::from_millis(2000),
             (Role::Agent, Topic::Fleet) => Duration::from_millis(5000),
-            (Role::Agent, _) => Duration::from_millis(5000),
+            (Role::Agent, _) => Duration::from_millis(15_000),
         }
     }
 
@@ -404,8 +406,8 @@
             (Role::Entry, Topic::Upstreams) => Duration::from_millis(250),
             (Role::Entry, Topic::Members) => Duration::from_millis(400),
             (Role::Agent, Topic::Fleet) => Duration::from_millis(30),
-            (Role::Agent, Topic::Upstreams) => Duration::from_millis(1500),
-            (Role::Agent, Topic::Members) => Duration::from_millis(1500),
+            (Role::Agent, Topic::Upstreams) => Duration::from_millis(2500),
+            (Role::Agent, Topic::Members) => Duration::from_millis(2500),
         }
     }
 
@@ -451,6 +453,9 @@
 }
 
 fn log_change(change: &ViewChange) {
+    if let ViewChange::Plan(version) = change {
+        metrics::gauge!("turmerichold_plan_version").set(*version as f64);
+    }
     let (what, fields) = match change {
         ViewChange::Plan(version) => ("plan", json!({ "version": version })),
         ViewChange::Domain(domain, true) => ("domain back", json!({ "failure_domain": domain })),
--- a/components/gateway/src/desk.rs
+++ b/components/gateway/src/desk.rs
@@ -354,6 +354,21 @@
         room.map_or(Duration::from_secs(1), |r| r.retry_after(now()))
     }
 
+    /// Publishes what is in flight and waiting.
+    pub fn publish(&self) {
+        let state = self.state();
+        for (name, service) in &state.services {
+            let open = service.seats.iter().filter(|s| s.is_open(now())).count();
+            let own: u32 = service.seats.iter().map(|s| s.own.requests).sum();
+            let gauge =
+                |metric: &'static str| metrics::gauge!(metric, "service" => name.to_string());
+            gauge("turmerichold_upstreams_open").set(open as f64);
+            gauge("turmerichold_requests_in_flight").set(own);
+            gauge("turmerichold_requests_waiting").set(service.room.len() as f64);
+        }
+        metrics::gauge!("turmerichold_entries_heard").set(state.peers.len() as f64);
+    }
+
     /// Counts a request towards the repeats that its service may get.
     pub fn count(&self, service: &ServiceId) {
         let mut state = self.state();
@@ -365,7 +380,10 @@
         let entries = self.entries();
         let mut state = self.state();
         let budget = &mut state.service(service, &self.node).budget;
-        budget.spend(now(), entries)
+        let allowed = budget.spend(now(), entries);
+        let outcome = if allowed { "sent" } else { "denied" };
+        metrics::counter!("turmerichold_repeats_total", "outcome" => outcome).increment(1);
+        allowed
     }
 
     /// Records what became of an exchange.
--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -315,6 +315,10 @@
         self.desk.note(hold, |s| s.answered());
         self.desk.answered(hold, job.fingerprint);
         metrics::histogram!("turmerichold_request_duration_seconds").record(took.as_secs_f64());
+        if let Some(first) = hold.first {
+            let first = first.saturating_sub(job.arrived).as_secs_f64();
+            metrics::histogram!("turmerichold_first_event_seconds").record(first);
+        }
         if let Some(left_out) = due("dispatch", "answered", Outcome::Success) {
             let fields = json!({
                 "request": job.ask.attempt,
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -206,6 +206,7 @@
         }
         if turn % 64 == 0 {
             dispatcher.pool.sweep();
+            desk.publish();
         }
     }
 }
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -106,6 +106,7 @@
         let Some((answered, hold)) = next else {
             return false;
         };
+        metrics::counter!("turmerichold_streams_resumed_total").increment(1);
         self.log("stream resumed", Outcome::Change, &hold.target.id);
         self.answered = answered;
         self.hold = hold;
--- a/components/loader/src/gatherer.rs
+++ b/components/loader/src/gatherer.rs
@@ -201,6 +201,11 @@
         };
         let shelf = &self.agent.shelf;
         if shelf.keep(&goal.model, goal.version, fetching.piece, bytes) {
+            let source = match fetching.source {
+                PieceSource::Origin => "origin",
+                PieceSource::Holder(_) => "agent",
+            };
+            metrics::counter!("turmerichold_pieces_total", "source" => source).increment(1);
             return swarm.hold(fetching.piece);
         }
         let fields = json!({
--- a/components/telemetry/src/decisions.rs
+++ b/components/telemetry/src/decisions.rs
@@ -9,7 +9,7 @@
 /// Lines that may wait for a slow reader of standard output.
 const QUEUE: usize = 2048;
 /// Lines of one kind a second for successes, which explain little afterwards.
-const SUCCESSES: u32 = 1000;
+const SUCCESSES: u32 = 10;
 /// Lines of one kind a second for refusals and failures.
 const FAILURES: u32 = 60;
 /// Lines of one kind a second for changes of what the process believes.
@@ -43,12 +43,16 @@
 /// Sends decisions to standard output, one JSON object a line. A blocked reader
 /// costs lines, never time.
 pub fn init_decisions(vm: &str) -> std::io::Result<()> {
+    init_decisions_to(vm, std::io::stdout())
+}
+
+/// Sends decisions to `out`, as [`init_decisions`] does.
+pub fn init_decisions_to(vm: &str, mut out: impl Write + Send + 'static) -> std::io::Result<()> {
     let (lines, queue) = sync_channel::<String>(QUEUE);
     std::thread::Builder::new()
         .name("decisions".to_owned())
         .stack_size(64 << 10)
         .spawn(move || {
-            let mut out = std::io::stdout();
             while let Ok(line) = queue.recv() {
                 // Nobody is left to be told when standard output is closed.
                 let _ = out.write_all(line.as_bytes());
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -27,6 +27,7 @@
   apply      puts an operators' text into force
   status     shows services, upstreams and the progress of models
   audit      shows who changed what, when and with what outcome
+  explain    tells the story of one request from the logs of processes
   manifest   makes the manifest of a file of weights
 
 Options
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -22,5 +22,5 @@
     let metrics = MetricsPage::shared()?;
     let platform = UsersPlatform::new(place.node.store);
     let gateway = Gateway::new(platform, place, settings.descriptors(), metrics);
-    transport::block_on(gateway.run(stop_signal()))
+    transport::block_on(gateway.run(stop_signal(settings)))
 }
--- a/src/cmd/loader.rs
+++ b/src/cmd/loader.rs
@@ -21,5 +21,5 @@
     telemetry::init_decisions(&place.node.vm)?;
     let metrics = MetricsPage::shared()?;
     let platform = UsersPlatform::new(place.node.store);
-    transport::block_on(Loader::new(platform, place, metrics).run(stop_signal()))
+    transport::block_on(Loader::new(platform, place, metrics).run(stop_signal(settings)))
 }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -5,6 +5,7 @@
 mod audit;
 mod check;
 mod entry;
+mod explain;
 mod gateway;
 mod loader;
 mod manifest;
@@ -22,6 +23,7 @@
 pub fn find(name: &str) -> Option<(&'static str, Call)> {
     Some(match name {
         "entry" => (entry::HELP, entry::run),
+        "explain" => (explain::HELP, explain::run),
         "gateway" => (gateway::HELP, gateway::run),
         "loader" => (loader::HELP, loader::run),
         "agent" => (agent::HELP, agent::run),
--- a/src/cmd/stop.rs
+++ b/src/cmd/stop.rs
@@ -1,9 +1,17 @@
+use adapter::Settings;
 use async_signal::{Signal, Signals};
-use futures_lite::StreamExt;
+use futures_lite::{FutureExt, StreamExt};
+use serde_json::json;
+use smol::Timer;
+use telemetry::{Outcome, decision};
 
-/// Resolves when the process is told to stop. Other signals change nothing:
-/// what the settings file says is in force from the next start.
-pub async fn stop_signal() {
+/// Pause between two looks at the settings file, which may change without a
+/// signal.
+const LOOK_PAUSE: std::time::Duration = std::time::Duration::from_secs(5);
+
+/// Resolves when the process is told to stop. Until then it tells what changes
+/// in the settings file; a changed file is in force from the next start.
+pub async fn stop_signal(mut settings: Settings) {
     let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]);
     let mut signals = match signals {
         Ok(signals) => signals,
@@ -12,11 +20,32 @@
             return std::future::pending().await;
         }
     };
-    while let Some(signal) = signals.next().await {
-        match signal {
-            Ok(Signal::Hup) => log::info!("kernel: settings are read at the next start"),
-            Ok(_) => return,
-            Err(e) => log::warn!("kernel: signal not read: {e}"),
+    loop {
+        let signal = signals.next().or(async {
+            Timer::after(LOOK_PAUSE).await;
+            Some(Ok(Signal::Hup))
+        });
+        match signal.await {
+            Some(Ok(Signal::Hup)) => settings = look(settings),
+            Some(Ok(_)) | None => return,
+            Some(Err(e)) => log::warn!("kernel: signal not read: {e}"),
+        }
+    }
+}
+
+/// Reads the settings file again; one that cannot be used changes nothing.
+fn look(known: Settings) -> Settings {
+    match Settings::load() {
+        Ok(settings) if settings == known => known,
+        Ok(settings) => {
+            let fields = json!({ "changed": known.differences(&settings) });
+            decision("settings", "changed", Outcome::Change, fields);
+            settings
+        }
+        Err(e) => {
+            let fields = json!({ "error": e.to_string() });
+            decision("settings", "not usable", Outcome::Failure, fields);
+            known
         }
     }
 }
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -26,7 +26,8 @@
 #[test]
 fn every_command_has_help() {
     for command in [
-        "entry", "agent", "check", "apply", "status", "audit", "manifest",
+        "entry", "agent", "gateway", "loader", "check", "apply", "status", "audit", "explain",
+        "manifest",
     ] {
         let output = turmerichold(&[command, "--help"]);
 
@@ -82,3 +83,40 @@
         assert!(stderr(&output).contains(remedy), "{}", stderr(&output));
     }
 }
+
+#[test]
+fn explain_tells_the_story_of_one_request_in_order() {
+    let dir = std::env::temp_dir().join(format!("turmerichold-explain-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let (a, b) = (dir.join("a.log"), dir.join("b.log"));
+    let first = r#"{"time":2.0,"vm":"e1","part":"dispatch","what":"outcome unknown","request":"r1","upstream":"u1"}"#;
+    let earlier =
+        r#"prefix {"time":1.5,"vm":"e1","part":"feed","what":"upstream gone","upstream":"u1"}"#;
+    let other = r#"{"time":1.9,"vm":"e1","part":"dispatch","what":"busy","request":"r2"}"#;
+    std::fs::write(&a, format!("{first}\n{other}\nnot json\n")).unwrap();
+    std::fs::write(&b, format!("{earlier}\n")).unwrap();
+
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_turmerichold"))
+        .args(["explain", "r1"])
+        .args([&a, &b])
+        .output()
+        .unwrap();
+
+    let text = String::from_utf8(output.stdout).unwrap();
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(lines.len(), 2, "{text}");
+    assert!(lines[0].contains("upstream gone"));
+    assert!(lines[1].contains("outcome unknown"));
+    std::fs::remove_dir_all(&dir).unwrap();
+}
+
+#[test]
+fn explain_says_when_nothing_is_known() {
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_turmerichold"))
+        .args(["explain", "r1", "Cargo.toml"])
+        .output()
+        .unwrap();
+
+    let text = String::from_utf8(output.stderr).unwrap();
+    assert!(text.contains("r1 is in none of the files"), "{text}");
+}
