--- a/components/dispatch/src/seat.rs
+++ b/components/dispatch/src/seat.rs
@@ -16,6 +16,8 @@
 /// Time in which other entries may send to the same upstream without anyone
 /// knowing: the pause between two of their notices and the way of one.
 const BLIND: Duration = Duration::from_millis(80);
+/// How long the last requests of an engine may run on after it is closed.
+const CLOSE_SLACK: Duration = Duration::from_millis(200);
 /// Window of the cold limit.
 const COLD_WINDOW: Duration = Duration::from_secs(1);
 
@@ -43,6 +45,8 @@
     pub others: SeatLoad,
     /// The agent of the upstream has closed it for an order.
     pub switching: bool,
+    /// When its agent closes it for an order, where that is planned.
+    pub closes: Option<Moment>,
     /// Share of exchanges that failed lately.
     pub failures: f64,
     paused: Moment,
@@ -63,6 +67,7 @@
             own: SeatLoad::default(),
             others: SeatLoad::default(),
             switching: false,
+            closes: None,
             failures: 0.0,
             paused: Duration::ZERO,
             pause: FIRST_PAUSE,
@@ -101,6 +106,11 @@
         self.upstream.state == UpstreamState::Ready && !self.switching && self.paused <= now
     }
 
+    /// Whether a request that ends at `end` ends before the upstream is closed.
+    pub fn outlasts(&self, end: Moment) -> bool {
+        self.closes.is_none_or(|closes| end <= closes + CLOSE_SLACK)
+    }
+
     /// Whether it is still slow after its start.
     pub fn is_cold(&self, now: Moment) -> bool {
         now < self.cold_until
--- a/components/dispatch/src/seats.rs
+++ b/components/dispatch/src/seats.rs
@@ -37,6 +37,8 @@
     pub weights: Option<WeightVersion>,
     /// Tokens of its prompt.
     pub prompt: u32,
+    /// Most tokens of its answer.
+    pub output: u32,
     /// Moment by which its first event is due, where it can be on time.
     pub due: Option<Moment>,
 }
@@ -152,7 +154,8 @@
                 // What is late anyway does not make others late.
                 None => load.unread <= LATE_UNREAD,
             };
-            if !in_time || !self.has_room(now, seat, load) {
+            let end = now + start + self.start_time.writing(wanted.output);
+            if !in_time || !seat.outlasts(end) || !self.has_room(now, seat, load) {
                 continue;
             }
             let score = self.score(now, seat, load, start);
--- a/components/dispatch/src/start_time.rs
+++ b/components/dispatch/src/start_time.rs
@@ -39,7 +39,18 @@
         // writers after each piece that is read.
         WAY + pass / 2 + reading + pass * chunks.min(MAX_CHUNKS)
     }
+
+    /// Time in which an answer of `output` tokens is written, with a full batch.
+    pub fn writing(&self, output: u32) -> Duration {
+        match &self.engine {
+            Some(engine) => engine.step.mul_f64(BATCH_FACTOR) * output,
+            None => Duration::ZERO,
+        }
+    }
 }
 
+/// Time of a step with a full batch and others' prompts read in between,
+/// against a lone one.
+const BATCH_FACTOR: f64 = 1.4;
 /// Pieces of prompts for which passes are counted; more than any objective holds.
 const MAX_CHUNKS: u32 = 1000;
--- a/components/dispatch/src/switch_plan.rs
+++ b/components/dispatch/src/switch_plan.rs
@@ -7,7 +7,10 @@
 const LAST_ORDER: Duration = Duration::from_millis(1700);
 /// Time from the declaration of a version to the first planned order; by then
 /// the first agents have all pieces.
-const FIRST_ORDER: Duration = Duration::from_millis(2300);
+const FIRST_ORDER: Duration = Duration::from_millis(3000);
+/// Time between the announcement of a switch and the order: about half of the
+/// requests in a batch end in it.
+const NOTICE_TIME: Duration = Duration::from_millis(900);
 /// An older version is skipped when a newer one is expected at most this long
 /// after the older one's bound: less than a second switch costs.
 const SKIP_SLACK: Duration = Duration::from_millis(1000);
@@ -23,6 +26,8 @@
     pub since: Moment,
     /// Share of its pieces that are here, 0 to 1.
     pub share: f64,
+    /// Since when all of them are here.
+    pub ready: Option<Moment>,
 }
 
 /// What an agent does with its engine.
@@ -30,8 +35,8 @@
 pub enum SwitchStep {
     /// Order the engine to load this version now.
     Load(WeightVersion),
-    /// Get everything ready for this version; its turn comes.
-    Prepare(WeightVersion),
+    /// Get everything ready for this version, whose turn comes at this moment.
+    Prepare(WeightVersion, Moment),
     /// There is nothing to load yet.
     Wait,
 }
@@ -60,13 +65,15 @@
         candidates: &[Candidate],
     ) -> SwitchStep {
         let newer = |c: &&Candidate| held.is_none_or(|h| c.version > h);
-        let complete = candidates.iter().filter(newer).filter(|c| c.share >= 1.0);
+        let complete = candidates.iter().filter(newer);
+        let complete = complete.filter(|c| c.ready.is_some());
         let Some(best) = complete.max_by_key(|c| c.version) else {
             return SwitchStep::Wait;
         };
         let next = candidates.iter().find(|c| c.version > best.version);
-        if now < self.turn_of(best, held, candidates) {
-            return SwitchStep::Prepare(best.version);
+        let turn = self.turn_of(best, held, candidates);
+        if now < turn {
+            return SwitchStep::Prepare(best.version, turn);
         }
         if held.is_some() && next.is_some_and(|n| self.arrives_in_time(now, best, n)) {
             return SwitchStep::Wait;
@@ -90,7 +97,11 @@
             return Duration::ZERO;
         }
         let window = self.bound.saturating_sub(LAST_ORDER + FIRST_ORDER);
-        candidate.since + FIRST_ORDER + window.mul_f64(self.turn.clamp(0.0, 1.0))
+        let turn = candidate.since + FIRST_ORDER + window.mul_f64(self.turn.clamp(0.0, 1.0));
+        let last = candidate.since + self.bound.saturating_sub(LAST_ORDER);
+        // Entries need to know ahead, so that long requests go elsewhere.
+        let told = candidate.ready.unwrap_or_default() + NOTICE_TIME;
+        turn.max(told.min(last))
     }
 
     fn arrives_in_time(&self, now: Moment, older: &Candidate, newer: &Candidate) -> bool {
--- a/components/dispatch/tests/seats.rs
+++ b/components/dispatch/tests/seats.rs
@@ -209,3 +209,25 @@
 
     assert!(first < second);
 }
+
+/// Load pattern: engines switch to a new version in the middle of a burst. An
+/// engine that waits for its longest request before it can switch is idle for
+/// most of that time.
+#[test]
+fn long_requests_avoid_an_engine_that_is_about_to_switch() {
+    let mut seats = seats(&[upstream("switches", "a", Some(1))]);
+    seats.seat("switches").unwrap().closes = Some(start() + secs(1));
+    let short = Wanted {
+        output: 30,
+        ..wanted(start())
+    };
+    let long = Wanted {
+        output: 200,
+        ..wanted(start())
+    };
+
+    let choices = [&short, &long].map(|w| seats.choose(start(), w, nowhere));
+
+    assert_eq!(key(choices[0].clone()).as_deref(), Some("switches"));
+    assert_eq!(choices[1], Choice::Full);
+}
--- a/components/dispatch/tests/switch_plan.rs
+++ b/components/dispatch/tests/switch_plan.rs
@@ -17,6 +17,7 @@
         version,
         since: start() + secs(since_s),
         share,
+        ready: (share >= 1.0).then(start),
     }
 }
 
@@ -45,6 +46,16 @@
     assert!(last < Some(ms(6500)), "{last:?}");
 }
 
+#[test]
+fn a_turn_is_told_ahead() {
+    let mut late = candidate(2, 0, 1.0);
+    late.ready = Some(start() + ms(4000));
+
+    let step = plan(0.0).next(start() + ms(4100), Some(1), &[late]);
+
+    assert_eq!(step, SwitchStep::Prepare(2, start() + ms(4900)));
+}
+
 #[test]
 fn incomplete_weights_are_never_ordered() {
     let all = [candidate(2, 0, 0.99)];
--- a/components/feed/src/feed.rs
+++ b/components/feed/src/feed.rs
@@ -118,6 +118,14 @@
         self.state().confirmation.standing(now())
     }
 
+    /// Version of the configuration and the age of its confirmation.
+    pub fn plan_age(&self) -> (Option<u64>, Option<Duration>) {
+        let state = self.state();
+        let at = state.confirmation.at();
+        let age = at.map(|at| now().saturating_sub(at));
+        (state.view.plan().map(|p| p.version), age)
+    }
+
     /// Resolves with the next change.
     pub fn listen(&self) -> EventListener {
         self.changed.listen()
--- a/components/feed/src/notice.rs
+++ b/components/feed/src/notice.rs
@@ -38,6 +38,8 @@
     pub born: u64,
     /// Its agent is about to order it, or it is loading.
     pub switching: bool,
+    /// Milliseconds until the agent orders it, where that is planned.
+    pub closes_in: Option<u32>,
     /// Model and version that it holds.
     pub held: Vec<(CompactString, u64)>,
 }
--- a/components/gateway/src/desk.rs
+++ b/components/gateway/src/desk.rs
@@ -8,13 +8,16 @@
     Admit, Choice, CrashWatch, RepeatBudget, Room, RoomRules, Seat, SeatLoad, Seats, StartTime,
     Verdict, ViewChange, Waiter, Wanted,
 };
-use domain::{Moment, NodePlace, Platform, ServiceId, Target, UpstreamId, VmId, now};
+use domain::{
+    Moment, NodePlace, Platform, ServiceId, Target, UpstreamId, VmId, WeightVersion, now,
+};
 use feed::{EngineNotice, EntryNotice, Feed};
 use serde_json::json;
 use telemetry::{Outcome, decision};
 
 use crate::hold::Hold;
 use crate::job::Job;
+use crate::shortage::Shortage;
 
 /// Most requests of a service that wait at one entry.
 const ROOM_PLACES: usize = 256;
@@ -28,6 +31,9 @@
 const PATIENCE_SPREAD: f64 = 0.16;
 /// Longest wait of a request that can no longer be on time.
 const LATE_WAIT: Duration = Duration::from_millis(500);
+/// Advised wait where no upstream may serve a request: weights and restarts take
+/// about this long.
+const NOBODY_WAIT: Duration = Duration::from_millis(1200);
 /// Crashes told to other entries again and again.
 const CRASHES_TOLD: usize = 16;
 
@@ -35,10 +41,8 @@
 pub enum Placed<P: Platform> {
     /// It has one.
     At(Hold<P>),
-    /// None is free in time.
-    Busy(Duration),
-    /// No upstream may serve it.
-    Nobody,
+    /// None is free in time, or none may serve it.
+    Busy(Shortage),
 }
 
 struct Peer {
@@ -167,10 +171,12 @@
     /// Finds a place for a request; waits for one where that makes sense.
     pub async fn place(self: &Arc<Self>, job: &Job, tried: &[UpstreamId]) -> Placed<P> {
         let Some(wanted) = self.wanted(job, tried) else {
-            return Placed::Nobody;
+            return Placed::Busy(self.shortage(job, None, NOBODY_WAIT));
         };
+        let weights = wanted.weights;
         let waiting = match self.ask(job, wanted) {
-            Asked::Placed(placed) => return placed,
+            Asked::Placed(hold) => return Placed::At(hold),
+            Asked::Refused(wait) => return Placed::Busy(self.shortage(job, weights, wait)),
             Asked::Waiting(receiver) => receiver,
         };
         // Gives the place in the queue up when the caller goes away.
@@ -181,7 +187,10 @@
         };
         match waiting.recv().await {
             Ok(hold) => Placed::At(hold),
-            Err(_) => Placed::Busy(self.retry_after(&job.service)),
+            Err(_) => {
+                let wait = self.retry_after(&job.service);
+                Placed::Busy(self.shortage(job, weights, wait))
+            }
         }
     }
 
@@ -198,9 +207,9 @@
             match self.choose(service, now, &wanted) {
                 Choice::Send(key) => {
                     service.room.note_start(now);
-                    return Asked::Placed(Placed::At(self.take(service, now, &key, &wanted)));
+                    return Asked::Placed(self.take(service, now, &key, &wanted));
                 }
-                Choice::Nobody => return Asked::Placed(Placed::Nobody),
+                Choice::Nobody => return Asked::Refused(NOBODY_WAIT),
                 Choice::Full => {}
             }
         }
@@ -216,7 +225,7 @@
             wanted,
         };
         match service.room.offer(now, waiter) {
-            Admit::Refuse { retry_after } => Asked::Placed(Placed::Busy(retry_after)),
+            Admit::Refuse { retry_after } => Asked::Refused(retry_after),
             Admit::Wait => {
                 let (sender, receiver) = bounded(1);
                 service.tickets.insert(job.id, Ticket { sender });
@@ -235,6 +244,7 @@
             model: job.ask.model.clone(),
             weights,
             prompt: job.ask.tokens.map_or(0, |t| t.prompt),
+            output: job.ask.tokens.map_or(0, |t| t.output),
             due: None,
         })
     }
@@ -348,6 +358,33 @@
         }
     }
 
+    /// What is known of a shortage, for the logs.
+    fn shortage(
+        &self,
+        job: &Job,
+        weights: Option<WeightVersion>,
+        retry_after: Duration,
+    ) -> Shortage {
+        let now = now();
+        let state = self.state();
+        let mut shortage = Shortage {
+            retry_after,
+            weights,
+            ..Shortage::default()
+        };
+        let Some(service) = state.services.get(&job.service) else {
+            return shortage;
+        };
+        shortage.waiting = service.room.len();
+        shortage.listed = service.seats.iter().count();
+        for seat in service.seats.iter().filter(|s| s.is_open(now)) {
+            shortage.open += 1;
+            shortage.load.0 += seat.own.requests + seat.others.requests;
+            shortage.load.1 += seat.upstream.slots;
+        }
+        shortage
+    }
+
     fn retry_after(&self, service: &ServiceId) -> Duration {
         let state = self.state();
         let room = state.services.get(service).map(|s| &s.room);
@@ -514,6 +551,8 @@
                     decision("desk", "engine", Outcome::Change, fields);
                 }
                 seat.switching = notice.switching;
+                let closes = notice.closes_in.map(|m| Duration::from_millis(m.into()));
+                seat.closes = closes.map(|c| now() + c);
                 let held = notice.held.iter().map(|(m, v)| domain::HeldModel {
                     model: m.clone(),
                     version: *v,
@@ -597,7 +636,8 @@
 }
 
 enum Asked<P: Platform> {
-    Placed(Placed<P>),
+    Placed(Hold<P>),
+    Refused(Duration),
     Waiting(Receiver<Hold<P>>),
 }
 
--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -18,6 +18,7 @@
 use crate::refusal::Refusal;
 use crate::relay::{Relay, millis};
 use crate::send::{Answered, NotRun, Sent, send};
+use crate::shortage::Shortage;
 
 /// Longest answer that is collected before it is passed on, in bytes.
 const ANSWER_LIMIT: usize = 8 << 20;
@@ -57,6 +58,8 @@
     worst: Option<Refusal>,
     /// An upstream's own failure, passed on if no further attempt succeeds.
     failure: Option<Response<AnswerBody>>,
+    /// Why no place was found.
+    shortage: Option<Shortage>,
 }
 
 impl Course {
@@ -99,8 +102,10 @@
             }
             let hold = match self.desk.place(job, &course.tried).await {
                 Placed::At(hold) => hold,
-                Placed::Busy(wait) => break Refusal::Busy(wait),
-                Placed::Nobody => break Refusal::Busy(DEFAULT_BUSY_WAIT),
+                Placed::Busy(shortage) => {
+                    course.shortage = Some(shortage);
+                    break Refusal::Busy(shortage.retry_after);
+                }
             };
             if course.offers > 0 && !self.desk.may_repeat(&job.service) {
                 break Refusal::Busy(DEFAULT_BUSY_WAIT);
@@ -328,6 +333,8 @@
                 "waited_ms": millis(hold.since.saturating_sub(job.arrived)),
                 "first_ms": hold.first.map(|at| millis(at.saturating_sub(job.arrived))),
                 "took_ms": millis(took),
+                "prompt": job.ask.tokens.map(|t| t.prompt),
+                "output": job.ask.tokens.map(|t| t.output),
             });
             write("dispatch", "answered", left_out, fields);
         }
@@ -340,9 +347,19 @@
                 Refusal::Busy(wait) => Some(millis(wait)),
                 _ => None,
             };
+            let shortage = course.shortage.map(|s| {
+                json!({
+                    "waiting": s.waiting, "listed": s.listed, "open": s.open,
+                    "in_flight": s.load.0, "slots": s.load.1, "weights": s.weights,
+                })
+            });
+            let (plan, age) = self.feed.plan_age();
             let fields = json!({
                 "request": job.ask.attempt,
                 "route": job.route.name,
+                "plan": plan,
+                "plan_age_ms": age.map(millis),
+                "shortage": shortage,
                 "status": refusal.status().as_u16(),
                 "tried": course.tried,
                 "age_ms": millis(now().saturating_sub(job.arrived)),
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod refusal;
 mod relay;
 mod send;
+mod shortage;
 
 pub use answer_body::{AnswerBody, Cut};
 pub use gateway::Gateway;
--- a/components/loader/src/agent.rs
+++ b/components/loader/src/agent.rs
@@ -22,6 +22,8 @@
 const LOOK_PAUSE: Duration = Duration::from_millis(150);
 /// Pause between two notices to entries while nothing changes.
 const NOTICE_PAUSE: Duration = Duration::from_millis(900);
+/// Pause between two notices to entries while a switch is announced.
+const CLOSING_PAUSE: Duration = Duration::from_millis(300);
 /// Age up to which an agent's word about its pieces counts.
 const HEARD_MEMORY: Duration = Duration::from_secs(3);
 
@@ -50,6 +52,7 @@
 struct Status {
     report: Option<EngineReport>,
     switching: bool,
+    closes: Option<Moment>,
     told: Option<(EngineNotice, Moment)>,
 }
 
@@ -128,6 +131,11 @@
         self.tell().await;
     }
 
+    /// Announces when the engine is closed for an order.
+    pub fn set_closes(&self, closes: Option<Moment>) {
+        self.status().closes = closes;
+    }
+
     /// Tells the entries what the engine holds and whether it takes work.
     async fn tell(&self) {
         let Some(notice) = self.due_notice() else {
@@ -145,15 +153,24 @@
             engine: self.place.engine,
             born: report.born,
             switching: status.switching || report.busy,
+            closes_in: None,
             held: held.map(|h| (h.model.clone(), h.version)).collect(),
         };
         let now = now();
         let told = status.told.as_ref();
-        if told.is_some_and(|(n, at)| *n == notice && now < *at + NOTICE_PAUSE) {
+        let pause = match status.closes {
+            Some(_) => CLOSING_PAUSE,
+            None => NOTICE_PAUSE,
+        };
+        if told.is_some_and(|(n, at)| *n == notice && now < *at + pause) {
             return None;
         }
         status.told = Some((notice.clone(), now));
-        Some(notice)
+        let left = status.closes.map(|c| c.saturating_sub(now).as_millis());
+        Some(EngineNotice {
+            closes_in: left.map(|l| u32::try_from(l).unwrap_or(u32::MAX)),
+            ..notice
+        })
     }
 
     /// Hears what other agents hold.
--- a/components/loader/src/shelf.rs
+++ b/components/loader/src/shelf.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use dispatch::PieceSet;
-use domain::{EngineApi, EngineError, ModelId, WeightVersion};
+use domain::{EngineApi, EngineError, ModelId, Moment, WeightVersion, now};
 use feed::PieceShelf;
 use sha2::{Digest, Sha256};
 use smol::Timer;
@@ -33,6 +33,8 @@
     read: HashMap<Key, Digests>,
     /// Verified pieces in memory.
     pieces: HashMap<Key, HashMap<u32, Bytes>>,
+    /// Since when all pieces of a version are in memory.
+    complete: HashMap<Key, Moment>,
     /// Version whose pieces are staged.
     staged: Option<Key>,
 }
@@ -90,6 +92,23 @@
         set
     }
 
+    /// Since when all of `count` pieces of a version are in memory.
+    pub fn complete_since(
+        &self,
+        model: &str,
+        version: WeightVersion,
+        count: u32,
+    ) -> Option<Moment> {
+        let key = (model.into(), version);
+        let mut state = self.state();
+        let held = state.pieces.get(&key).map_or(0, HashMap::len);
+        if u32::try_from(held).unwrap_or(u32::MAX) < count {
+            state.complete.remove(&key);
+            return None;
+        }
+        Some(*state.complete.entry(key).or_insert_with(now))
+    }
+
     /// Drops a version from memory.
     pub fn drop_pieces(&self, model: &str, version: WeightVersion) {
         self.state().pieces.remove(&(model.into(), version));
--- a/components/loader/src/switcher.rs
+++ b/components/loader/src/switcher.rs
@@ -107,9 +107,14 @@
             turn: self.turn(first),
         };
         let goal = |v| goals.iter().find(|g| g.version == v);
-        match plan.next(now(), self.held(&first.model), &candidates) {
+        let step = plan.next(now(), self.held(&first.model), &candidates);
+        self.set_closes(match step {
+            SwitchStep::Prepare(_, turn) => Some(turn),
+            SwitchStep::Load(_) | SwitchStep::Wait => None,
+        });
+        match step {
             SwitchStep::Wait => Ok(()),
-            SwitchStep::Prepare(version) => match goal(version) {
+            SwitchStep::Prepare(version, _) => match goal(version) {
                 Some(goal) if !self.shelf.is_staged(&goal.model, version) => {
                     self.shelf.stage(&goal.model, version).await?;
                     Ok(())
@@ -129,6 +134,9 @@
             version: goal.version,
             since: goal.since,
             share: f64::from(held) / f64::from(goal.pieces.count.max(1)),
+            ready: self
+                .shelf
+                .complete_since(&goal.model, goal.version, goal.pieces.count),
         }
     }
 
