Switches: requests avoid an engine that closes before they would end

Cause: an ordered engine waits for its longest request (1.3 to 2.6 s) and takes nothing meanwhile; 24 engines lost about 45 s of service a version.

--- a/components/dispatch/src/seats.rs
+++ b/components/dispatch/src/seats.rs
@@ -37,8 +37,8 @@
     pub weights: Option<WeightVersion>,
     /// Tokens of its prompt.
     pub prompt: u32,
-    /// Most tokens of its answer.
-    pub output: u32,
+    /// Expected tokens of its answer, where the caller has an idea.
+    pub output: Option<u32>,
     /// Moment by which its first event is due, where it can be on time.
     pub due: Option<Moment>,
 }
--- a/components/dispatch/tests/seats.rs
+++ b/components/dispatch/tests/seats.rs
@@ -218,11 +218,11 @@
     let mut seats = seats(&[upstream("switches", "a", Some(1))]);
     seats.seat("switches").unwrap().closes = Some(start() + secs(1));
     let short = Wanted {
-        output: 30,
+        output: Some(30),
         ..wanted(start())
     };
     let long = Wanted {
-        output: 200,
+        output: Some(200),
         ..wanted(start())
     };
 
--- a/components/domain/src/ask.rs
+++ b/components/domain/src/ask.rs
@@ -39,6 +39,8 @@
     pub model: Option<ModelId>,
     /// Tokens of a generation.
     pub tokens: Option<TokenCount>,
+    /// Tokens that the caller expects of the answer; often far off.
+    pub expected: Option<u32>,
     /// Parts of the prompt in order.
     pub parts: Vec<PromptPart>,
     /// Last event that the caller has received of a stream.
--- a/components/gateway/src/desk.rs
+++ b/components/gateway/src/desk.rs
@@ -244,7 +244,7 @@
             model: job.ask.model.clone(),
             weights,
             prompt: job.ask.tokens.map_or(0, |t| t.prompt),
-            output: job.ask.tokens.map_or(0, |t| t.output),
+            output: job.ask.expected,
             due: None,
         })
     }
--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -334,7 +334,7 @@
                 "first_ms": hold.first.map(|at| millis(at.saturating_sub(job.arrived))),
                 "took_ms": millis(took),
                 "prompt": job.ask.tokens.map(|t| t.prompt),
-                "output": job.ask.tokens.map(|t| t.output),
+                "expected": job.ask.expected,
             });
             write("dispatch", "answered", left_out, fields);
         }
