Grown fleets: fewer calls, later last orders, requests taken back before a bound

Change: agents ask entries instead of the store for lists, entries read them each 600 ms; the last order is 1.2 s before the bound; a request that has not begun 150 ms before the bound is taken back and asked elsewhere. Not understood: an agent gets 15 pieces a second over a link that carries 28; the test in virtual time with 120 ms of latency a fetch shows the same.

--- a/components/dispatch/src/fleet_view.rs
+++ b/components/dispatch/src/fleet_view.rs
@@ -81,6 +81,15 @@
         due.map(|(v, _)| *v).max().max(overdue)
     }
 
+    /// When the next version after `held` comes into force, `bound` after its
+    /// declaration: nothing may begin on `held` from then on.
+    pub fn expires(&self, model: &str, held: WeightVersion, bound: Duration) -> Option<Moment> {
+        let versions = self.wanted.get(model)?.iter();
+        let newer = versions.filter(|(v, _)| *v > held);
+        let counts = |at: Moment| at.max(self.returned.unwrap_or_default());
+        newer.map(|(_, at)| counts(*at) + bound).min()
+    }
+
     /// The newest declared version of each model and when it was declared.
     pub fn newest(&self) -> impl Iterator<Item = (&ModelId, WeightVersion, Moment)> {
         let last =
--- a/components/dispatch/src/swarm.rs
+++ b/components/dispatch/src/swarm.rs
@@ -143,6 +143,29 @@
         }
     }
 
+    /// All other agents.
+    pub fn everyone(&self) -> Vec<SocketAddr> {
+        self.holders.iter().map(|h| h.addr).collect()
+    }
+
+    /// Agents that wait for what this one holds: all of the region, and those of
+    /// other regions that bring pieces there.
+    pub fn audience(&self) -> Vec<SocketAddr> {
+        let mut by_region: HashMap<&RegionId, Vec<&Holder>> = HashMap::new();
+        for holder in &self.holders {
+            by_region.entry(&holder.region).or_default().push(holder);
+        }
+        let mut audience = Vec::new();
+        for (region, mut holders) in by_region {
+            if *region != self.region {
+                holders.sort_by_cached_key(|h| self.weight(&h.vm, ALL_PIECES));
+                holders.truncate(BRINGERS);
+            }
+            audience.extend(holders.into_iter().map(|h| h.addr));
+        }
+        audience
+    }
+
     /// Pieces that are held.
     pub fn held(&self) -> &PieceSet {
         &self.held
--- a/components/dispatch/src/switch_plan.rs
+++ b/components/dispatch/src/switch_plan.rs
@@ -4,7 +4,7 @@
 
 /// Time before the bound on a version at which the last engine is ordered: from
 /// the order on nothing begins on older weights.
-const LAST_ORDER: Duration = Duration::from_millis(1700);
+const LAST_ORDER: Duration = Duration::from_millis(1200);
 /// Time from the declaration of a version to the first planned order; by then
 /// the first agents have all pieces.
 const FIRST_ORDER: Duration = Duration::from_millis(3000);
--- a/components/feed/src/feed.rs
+++ b/components/feed/src/feed.rs
@@ -161,6 +161,11 @@
     async fn follow_topic(self: Arc<Self>, topic: Topic) {
         let mut pause = FAILURE_PAUSE;
         loop {
+            // Entries tell agents what has no hurry; their answers are not paid.
+            if self.role == Role::Agent && topic != Topic::Fleet && self.ask_peers().await {
+                Timer::after(self.rest(topic)).await;
+                continue;
+            }
             match self.read(topic).await {
                 Ok(()) => {
                     pause = FAILURE_PAUSE;
@@ -263,8 +268,8 @@
         }
     }
 
-    /// Takes what is missing from other entries.
-    pub async fn ask_peers(&self) {
+    /// Takes what is missing from other entries; false when none answers.
+    async fn ask_peers(&self) -> bool {
         let mut peers: Vec<SocketAddr> = self.members().iter().map(|m| m.addr).collect();
         for seed in &self.node.seeds {
             let addr = SocketAddr::new(seed.ip(), self.node.port);
@@ -275,10 +280,11 @@
         fastrand::shuffle(&mut peers);
         for addr in peers.into_iter().take(PEERS_ASKED) {
             match self.ask(addr).await {
-                Ok(()) => return,
+                Ok(()) => return true,
                 Err(e) => log::debug!("feed: peer {addr} did not help: {e:#}"),
             }
         }
+        false
     }
 
     async fn ask(&self, addr: SocketAddr) -> anyhow::Result<()> {
@@ -399,8 +405,8 @@
     fn wait(&self, topic: Topic) -> Duration {
         match (self.role, topic) {
             // Each answer confirms the configuration, so it may not take long.
-            (Role::Entry, Topic::Fleet) => Duration::from_millis(900),
-            (Role::Entry, _) => Duration::from_millis(2000),
+            (Role::Entry, Topic::Fleet) => Duration::from_millis(1300),
+            (Role::Entry, _) => Duration::from_millis(4000),
             (Role::Agent, Topic::Fleet) => Duration::from_millis(5000),
             (Role::Agent, _) => Duration::from_millis(15_000),
         }
@@ -411,11 +417,12 @@
     fn rest(&self, topic: Topic) -> Duration {
         match (self.role, topic) {
             (Role::Entry, Topic::Fleet) => Duration::from_millis(30),
-            (Role::Entry, Topic::Upstreams) => Duration::from_millis(250),
-            (Role::Entry, Topic::Members) => Duration::from_millis(400),
+            (Role::Entry, Topic::Upstreams) => Duration::from_millis(600),
+            (Role::Entry, Topic::Members) => Duration::from_millis(700),
             (Role::Agent, Topic::Fleet) => Duration::from_millis(30),
-            (Role::Agent, Topic::Upstreams) => Duration::from_millis(2500),
-            (Role::Agent, Topic::Members) => Duration::from_millis(2500),
+            (Role::Agent, Topic::Upstreams) => Duration::from_millis(1500),
+            // Asked for together with the upstreams.
+            (Role::Agent, Topic::Members) => Duration::from_secs(30),
         }
     }
 
--- a/components/gateway/src/desk.rs
+++ b/components/gateway/src/desk.rs
@@ -5,8 +5,8 @@
 use async_channel::{Receiver, Sender, bounded};
 use compact_str::CompactString;
 use dispatch::{
-    Admit, Choice, CrashWatch, RepeatBudget, Room, RoomRules, Seat, SeatLoad, Seats, StartTime,
-    Verdict, ViewChange, Waiter, Wanted,
+    Admit, Choice, CrashWatch, FleetView, RepeatBudget, Room, RoomRules, Seat, SeatLoad, Seats,
+    StartTime, Verdict, ViewChange, Waiter, Wanted,
 };
 use domain::{
     Moment, NodePlace, Platform, ServiceId, Target, UpstreamId, VmId, WeightVersion, now,
@@ -25,10 +25,12 @@
 const PEER_SILENCE: Duration = Duration::from_millis(1500);
 /// Time before a bound on weight versions from which older ones get nothing:
 /// a request may wait in the engine's queue before it begins.
-const WEIGHTS_MARGIN: Duration = Duration::from_millis(1500);
+const WEIGHTS_MARGIN: Duration = Duration::from_millis(1000);
 /// Share by which the patience of callers differs; only who has less left than
 /// that has been here before.
 const PATIENCE_SPREAD: f64 = 0.16;
+/// Time before that bound at which a request that has not begun is taken back.
+const BEGIN_MARGIN: Duration = Duration::from_millis(150);
 /// Longest wait of a request that can no longer be on time.
 const LATE_WAIT: Duration = Duration::from_millis(500);
 /// Advised wait where no upstream may serve a request: weights and restarts take
@@ -272,6 +274,7 @@
             tag: 0,
             born: 0,
             weights: None,
+            begin_by: None,
             unread: wanted.prompt,
             since: now,
             first: None,
@@ -281,9 +284,13 @@
             hold.target.addr = seat.upstream.addr;
             hold.tag = seat.tag;
             hold.born = seat.upstream.born;
-            if let (Some(model), Some(_)) = (&wanted.model, wanted.weights) {
-                let held = seat.upstream.models.iter().find(|h| h.model == *model);
-                hold.weights = held.map(|h| h.version);
+            let mut models = seat.upstream.models.iter();
+            let held = models.find(|h| Some(&h.model) == wanted.model.as_ref());
+            if let Some(held) = held {
+                hold.weights = wanted.weights.map(|_| held.version);
+                let bound = self.node.bounds.weights.saturating_sub(BEGIN_MARGIN);
+                let expires = |v: &FleetView| v.expires(&held.model, held.version, bound);
+                hold.begin_by = self.feed.view(expires);
             }
         }
         hold
--- a/components/gateway/src/hold.rs
+++ b/components/gateway/src/hold.rs
@@ -17,6 +17,9 @@
     pub born: u64,
     /// Weight version that the upstream must still have.
     pub weights: Option<WeightVersion>,
+    /// Moment by which the upstream must have begun, since its weights are about
+    /// to be replaced.
+    pub begin_by: Option<domain::Moment>,
     /// Tokens of the prompt that the upstream has yet to read.
     pub unread: u32,
     /// When the request got the place.
--- a/components/gateway/src/send.rs
+++ b/components/gateway/src/send.rs
@@ -94,8 +94,10 @@
         kind if kind.is_repeatable() => SAFE_SILENCE,
         _ => left,
     };
+    let begin = hold.begin_by.map(|by| by.saturating_sub(now()));
+    let begin = begin.unwrap_or(left).max(MIN_LEFT);
     let limits = Limits {
-        head: silence.min(left),
+        head: silence.min(left).min(begin),
         gap: match job.route.kind.is_stream() {
             true => STREAM_SILENCE,
             false => left,
--- a/components/loader/src/agent.rs
+++ b/components/loader/src/agent.rs
@@ -195,7 +195,7 @@
     }
 
     /// Tells other agents which pieces are here.
-    pub async fn tell_pieces(&self, goal: &Goal, pieces: &PieceSet, everyone: bool) {
+    pub async fn tell_pieces(&self, goal: &Goal, pieces: &PieceSet, to: &[SocketAddr]) {
         let node = &self.place.node;
         let notice = Notice::Pieces(PiecesNotice {
             holder: SocketAddr::new(node.ip, node.port),
@@ -203,12 +203,7 @@
             version: goal.version,
             words: pieces.words().to_vec(),
         });
-        let holders = self.holders(goal);
-        let to = holders
-            .iter()
-            .filter(|h| everyone || h.region == node.region);
-        let to: Vec<SocketAddr> = to.map(|h| h.addr).collect();
-        self.post.send(&notice, &to).await;
+        self.post.send(&notice, to).await;
     }
 
     /// Other agents of the service.
--- a/components/loader/src/gatherer.rs
+++ b/components/loader/src/gatherer.rs
@@ -21,12 +21,15 @@
 /// Fetches in flight at a time: some are asked for while one arrives. More
 /// would queue on the link before the requests for the engine.
 const FETCHES: usize = 3;
-/// Pause between two notices to near agents about pieces.
-const NEAR_PAUSE: Duration = Duration::from_millis(60);
+/// Pause between two notices to the agents that wait for pieces: a few of them
+/// arrive in it, and notices share the narrow links.
+const NOTICE_PAUSE: Duration = Duration::from_millis(80);
+/// Longest wait for something to happen.
+const IDLE_PAUSE: Duration = Duration::from_millis(60);
 /// Pause before notices of other agents are looked at.
 const NEWS_PAUSE: Duration = Duration::from_millis(15);
-/// Pause between two notices to all agents about pieces.
-const FAR_PAUSE: Duration = Duration::from_millis(120);
+/// Pause between two notices to all agents, some of which may have to step in.
+const EVERYONE_PAUSE: Duration = Duration::from_millis(1000);
 /// Pause between two notices once everything is here.
 const COMPLETE_PAUSE: Duration = Duration::from_millis(500);
 /// Longest wait for a piece from another agent, whose link takes about 35 ms
@@ -69,6 +72,7 @@
     pub async fn run(mut self) {
         let begun = now();
         let digests = self.digests().await;
+        let agreed = now();
         let (model, version) = (self.goal.model.clone(), self.goal.version);
         self.agent.shelf.trust(&model, version, digests);
         let node = &self.agent.place.node;
@@ -76,11 +80,18 @@
         let mut swarm = Swarm::new(begun, own, region, self.goal.pieces.count);
         self.take_staged(&mut swarm).await;
         self.gather(&mut swarm).await;
-        let took = now().saturating_sub(begun).as_secs_f64();
-        let fields = json!({ "model": model, "version": version, "took_s": took });
+        let fields = json!({
+            "model": model,
+            "version": version,
+            "digests_s": agreed.saturating_sub(begun).as_secs_f64(),
+            "took_s": now().saturating_sub(begun).as_secs_f64(),
+        });
         decision("loader", "pieces complete", Outcome::Change, fields);
         loop {
-            self.agent.tell_pieces(&self.goal, swarm.held(), true).await;
+            swarm.set_holders(self.agent.holders(&self.goal));
+            let everyone = swarm.everyone();
+            let held = swarm.held();
+            self.agent.tell_pieces(&self.goal, held, &everyone).await;
             Timer::after(COMPLETE_PAUSE).await;
         }
     }
@@ -144,7 +155,7 @@
                 tasks.push(self.begin(fetching, done.clone()));
                 step = SwarmStep::Wait;
             }
-            self.tell(swarm.held()).await;
+            self.tell(swarm).await;
             if step == SwarmStep::Complete {
                 return;
             }
@@ -153,8 +164,8 @@
                 // Notices of many agents are looked at together.
                 Timer::after(NEWS_PAUSE).await;
                 match running < FETCHES {
-                    true => drop(within(NEAR_PAUSE, news).await),
-                    false => drop(Timer::after(NEAR_PAUSE).await),
+                    true => drop(within(IDLE_PAUSE, news).await),
+                    false => drop(Timer::after(IDLE_PAUSE).await),
                 }
                 None
             });
@@ -166,19 +177,24 @@
         }
     }
 
-    async fn tell(&mut self, held: &PieceSet) {
-        let moment = now();
-        let near = match &self.told {
-            Some((set, at)) => set != held && moment >= *at + NEAR_PAUSE,
+    async fn tell(&mut self, swarm: &Swarm) {
+        let (moment, held) = (now(), swarm.held());
+        let due = match &self.told {
+            Some((set, at)) => set != held && moment >= *at + NOTICE_PAUSE,
             None => true,
         };
-        let everyone = moment >= self.told_all + FAR_PAUSE;
-        if near || everyone {
-            self.agent.tell_pieces(&self.goal, held, everyone).await;
-            self.told = Some((held.clone(), moment));
-            if everyone {
-                self.told_all = moment;
-            }
+        let everyone = moment >= self.told_all + EVERYONE_PAUSE;
+        if !due && !everyone {
+            return;
+        }
+        let to = match everyone {
+            true => swarm.everyone(),
+            false => swarm.audience(),
+        };
+        self.agent.tell_pieces(&self.goal, held, &to).await;
+        self.told = Some((held.clone(), moment));
+        if everyone {
+            self.told_all = moment;
         }
     }
 
--- a/components/loader/src/shelf.rs
+++ b/components/loader/src/shelf.rs
@@ -17,6 +17,10 @@
 /// which may be idle.
 const MAX_UPLOADS: usize = 2;
 
+/// Share of a piece's time on the link after which the next one begins, so that
+/// the link does not run dry in between.
+const UPLOAD_OVERLAP: f64 = 0.85;
+
 /// A place among the uploads; dropping it gives it back.
 struct Place<'a>(&'a AtomicUsize);
 
@@ -222,7 +226,7 @@
             },
         };
         let turn = self.upload.lock_arc().await;
-        let time = Duration::from_secs_f64(bytes.len() as f64 / self.link);
+        let time = Duration::from_secs_f64(UPLOAD_OVERLAP * bytes.len() as f64 / self.link);
         transport::spawn(async move {
             Timer::after(time).await;
             drop(turn);
