--- a/components/dispatch/src/swarm.rs
+++ b/components/dispatch/src/swarm.rs
@@ -17,6 +17,9 @@
 /// Time after which the next agent in rank takes over a piece that nobody near
 /// has: a copy takes less than two seconds to leave the origin.
 const TAKEOVER: Duration = Duration::from_millis(1500);
+/// Time without a new piece anywhere after which the order of bringers begins
+/// anew: longer than any pause while the origin answers.
+const STANDSTILL: Duration = Duration::from_millis(1200);
 /// Time after which homes outside of the first region turn to the origin.
 const FAR_PATIENCE: Duration = Duration::from_millis(2600);
 /// Fetches from the origin that one agent has in flight: its link is narrow
@@ -105,6 +108,9 @@
     origin_until: Moment,
     begun: Moment,
     hashes: HashMap<VmId, u64>,
+    /// Pieces that any agent holds, and when there was last one more.
+    known: usize,
+    grown: Moment,
 }
 
 impl Swarm {
@@ -127,13 +133,16 @@
             origin_until: Duration::ZERO,
             begun: now,
             hashes: HashMap::new(),
+            known: 0,
+            grown: now,
         }
     }
 
     /// Takes over what is known of other agents.
-    pub fn set_holders(&mut self, holders: Vec<Holder>) {
+    pub fn set_holders(&mut self, now: Moment, holders: Vec<Holder>) {
         self.holders = holders;
         self.holders.retain(|h| h.vm != self.own);
+        self.note_growth(now);
         let regions = self.holders.iter().map(|h| &h.region);
         let names = self.holders.iter().map(|h| &h.vm).chain(regions);
         for name in names.chain([&self.own, &self.region]) {
@@ -143,6 +152,22 @@
         }
     }
 
+    /// Begins the order of bringers anew when pieces arrive after a standstill:
+    /// as long as the origin gave nothing to anybody, nobody was late.
+    fn note_growth(&mut self, now: Moment) {
+        let sets = self.holders.iter().filter_map(|h| h.pieces.as_ref());
+        let known = |p: &u32| self.held.contains(*p) || sets.clone().any(|s| s.contains(*p));
+        let known = self.order.iter().filter(|p| known(p)).count();
+        if known <= self.known {
+            return;
+        }
+        if now.saturating_sub(self.grown) > STANDSTILL {
+            self.begun = now;
+        }
+        self.known = known;
+        self.grown = now;
+    }
+
     /// All other agents.
     pub fn everyone(&self) -> Vec<SocketAddr> {
         self.holders.iter().map(|h| h.addr).collect()
--- a/components/dispatch/tests/swarm.rs
+++ b/components/dispatch/tests/swarm.rs
@@ -37,6 +37,8 @@
     from_origin: u32,
     between_regions: u32,
     origin_up: bool,
+    /// When an origin that is down comes back.
+    origin_back: Option<Duration>,
 }
 
 fn addr(agent: usize) -> SocketAddr {
@@ -61,10 +63,11 @@
             from_origin: 0,
             between_regions: 0,
             origin_up: true,
+            origin_back: None,
         }
     }
 
-    fn tell(&mut self) {
+    fn tell(&mut self, now: Duration) {
         let holder = |(a, s): (usize, &Swarm)| Holder {
             vm: addr(a).ip().to_string().into(),
             addr: addr(a),
@@ -73,7 +76,7 @@
         };
         let holders: Vec<Holder> = self.swarms.iter().enumerate().map(holder).collect();
         for swarm in &mut self.swarms {
-            swarm.set_holders(holders.clone());
+            swarm.set_holders(now, holders.clone());
         }
     }
 
@@ -136,7 +139,7 @@
         let mut told = Duration::ZERO;
         while now < start() + limit {
             if now >= told + NOTICE {
-                self.tell();
+                self.tell(now);
                 told = now;
             }
             for agent in 0..self.swarms.len() {
@@ -145,6 +148,7 @@
                 }
             }
             now += STEP;
+            self.origin_up |= self.origin_back.is_some_and(|back| now >= back);
             self.land(now);
             let living = (0..self.swarms.len()).filter(|a| !self.dead.contains(a));
             if living.into_iter().all(|a| self.swarms[a].is_complete()) {
@@ -222,6 +226,20 @@
     assert!(took < secs(20), "{took:?}");
 }
 
+/// Seen on a day on which the origin was down for six seconds: by then every
+/// agent was entitled to every piece, and 3.8 copies left the origin at once.
+#[test]
+fn an_outage_of_the_origin_entitles_nobody_to_step_in() {
+    let mut fleet = Fleet::new(24);
+    fleet.origin_up = false;
+    fleet.origin_back = Some(start() + secs(6));
+
+    let took = fleet.run(secs(30)).expect("complete");
+
+    assert!(fleet.from_origin <= PIECES * 2, "{}", fleet.from_origin);
+    assert!(took < secs(11), "{took:?}");
+}
+
 #[test]
 fn a_lost_piece_is_fetched_again() {
     let mut swarm = Swarm::new(start(), "a".into(), "north".into(), 1);
--- a/components/loader/src/gatherer.rs
+++ b/components/loader/src/gatherer.rs
@@ -88,7 +88,7 @@
         });
         decision("loader", "pieces complete", Outcome::Change, fields);
         loop {
-            swarm.set_holders(self.agent.holders(&self.goal));
+            swarm.set_holders(now(), self.agent.holders(&self.goal));
             let everyone = swarm.everyone();
             let held = swarm.held();
             self.agent.tell_pieces(&self.goal, held, &everyone).await;
@@ -144,7 +144,7 @@
         let mut tasks: Vec<Task<()>> = Vec::new();
         let mut running = 0;
         loop {
-            swarm.set_holders(self.agent.holders(&self.goal));
+            swarm.set_holders(now(), self.agent.holders(&self.goal));
             let mut step = SwarmStep::Wait;
             while running < FETCHES {
                 step = swarm.next(now());
