--- a/components/dispatch/src/confirmation.rs
+++ b/components/dispatch/src/confirmation.rs
@@ -6,6 +6,10 @@
 /// Reads of the store return every second, so a calm process is well below.
 const FRESH: Duration = Duration::from_millis(2400);
 
+/// Time beyond a read's wait after which its answer is overdue: it may have
+/// been held up on its way.
+const OVERDUE: Duration = Duration::from_millis(600);
+
 /// What an entry may do with the configuration that it knows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Standing {
@@ -48,6 +52,18 @@
         self.at
     }
 
+    /// When a record was written at the earliest that a read has brought: asked
+    /// at `asked`, ready to wait for `wait`, right after another (`followed`) or
+    /// after failures. A read that waits brings a record as it is written; only
+    /// one that comes late, or after a gap, may bring an old one.
+    pub fn written(&self, now: Moment, asked: Moment, wait: Duration, followed: bool) -> Moment {
+        let on_time = now.saturating_sub(asked) <= wait + OVERDUE;
+        match followed && on_time {
+            true => now,
+            false => self.at.unwrap_or_default(),
+        }
+    }
+
     /// What the configuration is good for now.
     pub fn standing(&self, now: Moment) -> Standing {
         match self.at.map(|at| now.saturating_sub(at)) {
--- a/components/dispatch/tests/records.rs
+++ b/components/dispatch/tests/records.rs
@@ -218,3 +218,20 @@
         [Standing::Fresh, Standing::Stale, Standing::Expired]
     );
 }
+
+/// Seen on a day with a version in the middle of the load: records were taken for
+/// as old as the last confirmation, which is up to two waits of a read ago, and
+/// the version came into force two seconds early, when no engine had it.
+#[test]
+fn a_record_that_a_waiting_read_brings_was_written_just_now() {
+    let mut confirmation = Confirmation::new(secs(5));
+    confirmation.confirm(start());
+    let (asked, wait) = (start() + ms(950), ms(900));
+    let brought = asked + ms(850);
+
+    let calm = confirmation.written(brought, asked, wait, true);
+    let after_failures = confirmation.written(brought, asked, wait, false);
+    let overdue = confirmation.written(asked + ms(1600), asked, wait, true);
+
+    assert_eq!((calm, after_failures, overdue), (brought, start(), start()));
+}
--- a/components/feed/src/feed.rs
+++ b/components/feed/src/feed.rs
@@ -29,10 +29,6 @@
 /// Longest answer of a peer, in bytes.
 const PEER_ANSWER_LIMIT: usize = 8 << 20;
 
-/// Time beyond a read's wait after which its answer is overdue: records in it may
-/// be older than the answer.
-const OVERDUE: Duration = Duration::from_millis(600);
-
 /// Age of a peer's confirmation up to which it can read the store.
 const PEER_FRESH: Duration = Duration::from_millis(2400);
 /// Questions for the ages of versions after the start.
@@ -192,10 +188,19 @@
             None => Read::Gap,
         };
         match read {
-            Read::Records(batch) => self.apply(topic, batch, Mirror::extend),
+            Read::Records(batch) => {
+                let written = {
+                    let state = self.state();
+                    let followed = state.reachable[index(topic)];
+                    let wait = self.wait(topic);
+                    state.confirmation.written(now(), asked, wait, followed)
+                };
+                self.apply(topic, batch, Mirror::extend, written);
+            }
             Read::Gap => {
                 let batch = journal.newest(name).await?;
-                self.apply(topic, batch, Mirror::reset);
+                let written = self.state().confirmation.at().unwrap_or_default();
+                self.apply(topic, batch, Mirror::reset, written);
             }
         }
         if topic == Topic::Fleet {
@@ -204,27 +209,33 @@
         Ok(())
     }
 
-    fn apply(&self, topic: Topic, batch: Batch, merge: fn(&mut Mirror, Batch) -> Vec<Change>) {
+    /// Takes over records that were written at `written` at the earliest.
+    fn apply(
+        &self,
+        topic: Topic,
+        batch: Batch,
+        merge: fn(&mut Mirror, Batch) -> Vec<Change>,
+        written: Moment,
+    ) {
         let mut changes = Vec::new();
         {
             let mut state = self.state();
             let state = &mut *state;
             for change in merge(&mut state.mirrors[index(topic)], batch) {
-                changes.extend(self.decode(state, topic, &change));
+                changes.extend(self.decode(state, topic, &change, written));
             }
         }
         self.tell(changes);
     }
 
-    fn decode(&self, state: &mut State, topic: Topic, change: &Change) -> Option<ViewChange> {
+    fn decode(
+        &self,
+        state: &mut State,
+        topic: Topic,
+        change: &Change,
+        written: Moment,
+    ) -> Option<ViewChange> {
         let now = now();
-        // After a gap the record may be as old as the last confirmation, and
-        // at the start it may be of any age.
-        let last = state.confirmation.at().unwrap_or_default();
-        let written = match now.saturating_sub(last) > self.wait(Topic::Fleet) + OVERDUE {
-            true => last,
-            false => now,
-        };
         let (key, value) = (change.key.as_str(), change.value.as_ref());
         match topic {
             Topic::Fleet => {
@@ -309,7 +320,8 @@
         let records: RecordsAnswer = rmp_serde::from_slice(&answer.body)?;
         for (topic, batch) in TOPICS.into_iter().zip(records.topics) {
             let Some(batch) = batch else { continue };
-            self.apply(topic, batch.into(), Mirror::extend);
+            let written = self.state().confirmation.at().unwrap_or_default();
+            self.apply(topic, batch.into(), Mirror::extend, written);
         }
         self.learn_declared(asked, &records.declared);
         if let Some(age) = records.age {
@@ -405,7 +417,7 @@
     fn wait(&self, topic: Topic) -> Duration {
         match (self.role, topic) {
             // Each answer confirms the configuration, so it may not take long.
-            (Role::Entry, Topic::Fleet) => Duration::from_millis(1300),
+            (Role::Entry, Topic::Fleet) => Duration::from_millis(900),
             (Role::Entry, _) => Duration::from_millis(4000),
             (Role::Agent, Topic::Fleet) => Duration::from_millis(5000),
             (Role::Agent, _) => Duration::from_millis(15_000),
