Crashes: silence is none, one counts once, answered requests are innocent

Cause: all lookups of the soak are alike; several that stayed silent together counted as a crash, each of them charged the same fingerprint, and a second charge puts it under quarantine for 600 s. A hot key would meet the same. Change: only broken connections count, once for each crash of an upstream, and never against a request that was answered in the last 20 s.

--- a/components/dispatch/src/crash_watch.rs
+++ b/components/dispatch/src/crash_watch.rs
@@ -20,9 +20,16 @@
     Refuse,
 }
 
+/// A fingerprint that was answered this lately does not crash upstreams.
+const INNOCENT: Duration = Duration::from_secs(20);
+/// Answered fingerprints that are remembered.
+const MAX_ANSWERED: usize = 8192;
+
 #[derive(Debug, Default)]
 struct Breaks {
     recent: VecDeque<(Moment, u64)>,
+    /// Charged with the crash from which the upstream has not come back.
+    charged: Vec<u64>,
     down: bool,
 }
 
@@ -30,10 +37,12 @@
 ///
 /// A single broken exchange says little: answers are lost as well. Only
 /// exchanges that break together, or with an upstream that then refuses
-/// connections, are charged.
+/// connections, are charged, once for each crash. Neighbours of a request that
+/// crashes its upstreams are answered elsewhere, which clears them.
 #[derive(Debug, Default)]
 pub struct CrashWatch {
     upstreams: HashMap<u64, Breaks>,
+    answered: HashMap<u64, Moment>,
     quarantine: Quarantine,
 }
 
@@ -62,9 +71,15 @@
         self.charge(now, upstream)
     }
 
-    /// Records a completed exchange.
-    pub fn answered(&mut self, upstream: u64) {
+    /// Records a request that an upstream has answered.
+    pub fn answered(&mut self, now: Moment, upstream: u64, fingerprint: u64) {
         self.upstreams.remove(&upstream);
+        self.quarantine.absolve(fingerprint);
+        if self.answered.len() >= MAX_ANSWERED {
+            let recent = |at: &mut Moment| now.saturating_sub(*at) < INNOCENT / 2;
+            self.answered.retain(|_, at| recent(at));
+        }
+        self.answered.insert(fingerprint, now);
     }
 
     /// Records a crash that a peer has charged.
@@ -80,22 +95,25 @@
         }
     }
 
-    /// Clears a fingerprint that was answered.
-    pub fn absolve(&mut self, fingerprint: u64) {
-        self.quarantine.absolve(fingerprint);
-    }
-
     fn charge(&mut self, now: Moment, upstream: u64) -> Vec<u64> {
         let Some(breaks) = self.upstreams.get_mut(&upstream) else {
             return Vec::new();
         };
         breaks.down = true;
-        let charged: Vec<u64> = breaks
+        let mut charged: Vec<u64> = breaks
             .recent
             .drain(..)
             .filter(|(at, _)| now.saturating_sub(*at) < TOGETHER)
             .map(|(_, f)| f)
             .collect();
+        charged.sort_unstable();
+        charged.dedup();
+        let innocent = |f: &u64| {
+            let answered = self.answered.get(f);
+            answered.is_some_and(|at| now.saturating_sub(*at) < INNOCENT)
+        };
+        charged.retain(|f| !breaks.charged.contains(f) && !innocent(f));
+        breaks.charged.extend(&charged);
         for fingerprint in &charged {
             self.quarantine.crash(now, *fingerprint);
         }
--- a/components/dispatch/tests/streams_and_budgets.rs
+++ b/components/dispatch/tests/streams_and_budgets.rs
@@ -95,3 +95,32 @@
     assert_eq!(watch.check(start() + ms(100), 7), Verdict::Run);
     assert_eq!(watch.check(start() + ms(100), 8), Verdict::Run);
 }
+
+/// Found by the soak (seeds 3 and 23): lookups that are all alike were in flight
+/// at upstreams that broke off, and nobody was served any more.
+#[test]
+fn a_popular_request_is_not_blamed_for_the_crashes_that_it_meets() {
+    let mut watch = CrashWatch::default();
+    watch.answered(start(), 3, 7);
+
+    for upstream in [1, 2] {
+        for i in 0..10 {
+            watch.broke(start() + ms(i), upstream, 7);
+        }
+        watch.refused(start() + ms(50), upstream);
+    }
+
+    assert_eq!(watch.check(start() + ms(100), 7), Verdict::Run);
+}
+
+#[test]
+fn one_crash_is_charged_once_however_many_requests_it_breaks() {
+    let mut watch = CrashWatch::default();
+
+    for i in 0..10 {
+        watch.broke(start() + ms(i * 400), 1, 7);
+        watch.refused(start() + ms(i * 400 + 50), 1);
+    }
+
+    assert_eq!(watch.check(start() + secs(5), 7), Verdict::Run);
+}
--- a/components/gateway/src/desk.rs
+++ b/components/gateway/src/desk.rs
@@ -460,8 +460,7 @@
     /// Records an answered request.
     pub fn answered(&self, hold: &Hold<P>, fingerprint: u64) {
         let mut state = self.state();
-        state.crashes.answered(crash_key(hold));
-        state.crashes.absolve(fingerprint);
+        state.crashes.answered(now(), crash_key(hold), fingerprint);
     }
 
     /// What the other entries are told.
--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -156,6 +156,11 @@
                 self.not_run(job, &hold, why, course)
             }
             Sent::Unknown(why) => {
+                course.runs += 1;
+                self.desk.broke(&hold, job.fingerprint);
+                self.unknown(job, &hold, &why)
+            }
+            Sent::Silent(why) => {
                 course.runs += 1;
                 self.unknown(job, &hold, &why)
             }
@@ -197,7 +202,6 @@
 
     fn unknown(&self, job: &Job, hold: &Hold<P>, why: &str) -> Step {
         self.desk.note(hold, |s| s.failed(now()));
-        self.desk.broke(hold, job.fingerprint);
         let fields = json!({
             "request": job.ask.attempt,
             "upstream": hold.target.id,
@@ -224,7 +228,10 @@
         let Exchange { head, mut body } = exchange;
         let bytes = match body.collect(ANSWER_LIMIT).await {
             Ok(bytes) => bytes,
-            Err(e) => return self.unknown(job, &hold, &e.to_string()),
+            Err(e) => {
+                self.desk.broke(&hold, job.fingerprint);
+                return self.unknown(job, &hold, &e.to_string());
+            }
         };
         if !reply.closing {
             body.release(&self.pool, reply.keep);
@@ -300,10 +307,12 @@
                 Sent::NotRun(_) => {
                     self.desk.note(&hold, |s| s.full(now()));
                 }
-                _ => {
+                outcome => {
                     tried.push(hold.target.id.clone());
                     self.desk.note(&hold, |s| s.failed(now()));
-                    self.desk.broke(&hold, job.fingerprint);
+                    if let Sent::Unknown(_) = outcome {
+                        self.desk.broke(&hold, job.fingerprint);
+                    }
                 }
             }
         }
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -7,7 +7,7 @@
 use domain::{Platform, now};
 use serde_json::json;
 use telemetry::{Outcome, decision};
-use transport::within;
+use transport::{TransportError, within};
 
 use crate::Cut;
 use crate::dispatcher::Dispatcher;
@@ -30,6 +30,7 @@
     Nothing,
     End,
     Broken(String),
+    Silent(String),
 }
 
 impl<P: Platform> Relay<P> {
@@ -60,6 +61,13 @@
                 Next::End => return true,
                 Next::Broken(why) => {
                     self.log("stream broke", Outcome::Failure, &why);
+                    self.dispatcher.desk.broke(&self.hold, self.job.fingerprint);
+                    if !self.resume().await {
+                        return false;
+                    }
+                }
+                Next::Silent(why) => {
+                    self.log("stream silent", Outcome::Failure, &why);
                     if !self.resume().await {
                         return false;
                     }
@@ -85,13 +93,13 @@
                     false => Next::Broken("it ended within an event".to_owned()),
                 }
             }
+            Err(e @ TransportError::Silent { .. }) => Next::Silent(e.to_string()),
             Err(e) => Next::Broken(e.to_string()),
         }
     }
 
     /// Goes on at another upstream after the last whole event.
     async fn resume(&mut self) -> bool {
-        self.dispatcher.desk.broke(&self.hold, self.job.fingerprint);
         self.dispatcher.desk.note(&self.hold, |s| s.failed(now()));
         if !self.job.route.kind.is_repeatable() {
             return false;
--- a/components/gateway/src/send.rs
+++ b/components/gateway/src/send.rs
@@ -33,8 +33,11 @@
     Answer(Box<Answered>),
     /// Proven: it did not run and never will.
     NotRun(NotRun),
-    /// It may have run.
+    /// It may have run; the upstream broke off.
     Unknown(String),
+    /// It may have run; the upstream stayed silent, which lost packets explain
+    /// as well as a crash.
+    Silent(String),
     /// It may have run; no answer came in time.
     TimedOut,
 }
@@ -106,6 +109,7 @@
     match Exchange::begin(connection, request, limits).await {
         Ok(exchange) => judge(platform, job, exchange),
         Err(TransportError::Silent { .. }) if job.left(now()) < MIN_LEFT => Sent::TimedOut,
+        Err(e @ TransportError::Silent { .. }) => Sent::Silent(e.to_string()),
         Err(e) => Sent::Unknown(e.to_string()),
     }
 }
