--- a/components/gateway/src/desk.rs
+++ b/components/gateway/src/desk/mod.rs
@@ -1,28 +1,20 @@
+mod notices;
+mod state;
+
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use async_channel::{Receiver, Sender, bounded};
-use compact_str::CompactString;
-use dispatch::{
-    Admit, Choice, CrashWatch, FleetView, RepeatBudget, Room, RoomRules, Seat, SeatLoad, Seats,
-    StartTime, Verdict, ViewChange, Waiter, Wanted,
-};
-use domain::{
-    Moment, NodePlace, Platform, ServiceId, Target, UpstreamId, VmId, WeightVersion, now,
-};
-use feed::{EngineNotice, EntryNotice, Feed};
-use serde_json::json;
-use telemetry::{Outcome, decision};
+use async_channel::{Receiver, bounded};
+use dispatch::{Admit, Choice, CrashWatch, FleetView, StartTime, ViewChange, Waiter, Wanted};
+use domain::{Moment, NodePlace, Platform, ServiceId, Target, UpstreamId, WeightVersion, now};
+use feed::Feed;
 
 use crate::hold::Hold;
 use crate::job::Job;
 use crate::shortage::Shortage;
+use state::{Service, State};
 
-/// Most requests of a service that wait at one entry.
-const ROOM_PLACES: usize = 256;
-/// An entry that has not been heard of for this long is gone.
-const PEER_SILENCE: Duration = Duration::from_millis(1500);
 /// Time before a bound on weight versions from which older ones get nothing:
 /// a request may wait in the engine's queue before it begins.
 const WEIGHTS_MARGIN: Duration = Duration::from_millis(1000);
@@ -36,8 +28,6 @@
 /// Advised wait where no upstream may serve a request: weights and restarts take
 /// about this long.
 const NOBODY_WAIT: Duration = Duration::from_millis(1200);
-/// Crashes told to other entries again and again.
-const CRASHES_TOLD: usize = 16;
 
 /// What becomes of a request that asks for a place.
 pub enum Placed<P: Platform> {
@@ -47,34 +37,6 @@
     Busy(Shortage),
 }
 
-struct Peer {
-    start: u64,
-    number: u64,
-    heard: Moment,
-    loads: HashMap<u32, SeatLoad>,
-}
-
-struct Ticket<P: Platform> {
-    sender: Sender<Hold<P>>,
-}
-
-struct Service<P: Platform> {
-    seats: Seats,
-    room: Room,
-    tickets: HashMap<u64, Ticket<P>>,
-    budget: RepeatBudget,
-}
-
-struct State<P: Platform> {
-    services: HashMap<ServiceId, Service<P>>,
-    peers: HashMap<VmId, Peer>,
-    engines: HashMap<std::net::SocketAddr, EngineNotice>,
-    patience: HashMap<CompactString, Duration>,
-    crashes: CrashWatch,
-    charged: Vec<u64>,
-    notices: u64,
-}
-
 /// Gives requests places at upstreams.
 pub struct Desk<P: Platform> {
     feed: Arc<Feed<P>>,
@@ -91,7 +53,6 @@
             state: Mutex::new(State {
                 services: HashMap::new(),
                 peers: HashMap::new(),
-                engines: HashMap::new(),
                 patience: HashMap::new(),
                 crashes: CrashWatch::default(),
                 charged: Vec::new(),
@@ -230,7 +191,7 @@
             Admit::Refuse { retry_after } => Asked::Refused(retry_after),
             Admit::Wait => {
                 let (sender, receiver) = bounded(1);
-                service.tickets.insert(job.id, Ticket { sender });
+                service.tickets.insert(job.id, sender);
                 Asked::Waiting(receiver)
             }
         }
@@ -323,7 +284,7 @@
                 service.room.start(now, id);
                 let hold = self.take(service, now, &key, &wanted);
                 let unsent = match service.tickets.remove(&id) {
-                    Some(ticket) => ticket.sender.try_send(hold).err().map(|e| e.into_inner()),
+                    Some(ticket) => ticket.try_send(hold).err().map(|e| e.into_inner()),
                     None => Some(hold),
                 };
                 orphans.extend(unsent);
@@ -430,217 +391,11 @@
         allowed
     }
 
-    /// Records what became of an exchange.
-    pub fn note<R>(&self, hold: &Hold<P>, record: impl FnOnce(&mut Seat) -> R) -> Option<R> {
-        let mut state = self.state();
-        let seats = &mut state.services.get_mut(&hold.service)?.seats;
-        let seat = seats.seat(&hold.target.id)?;
-        (seat.upstream.born == hold.born).then(|| record(seat))
-    }
-
-    /// Whether a request may be sent, for all that is known of crashes.
-    pub fn verdict(&self, fingerprint: u64) -> Verdict {
-        self.state().crashes.check(now(), fingerprint)
-    }
-
-    /// Records a broken exchange.
-    pub fn broke(&self, hold: &Hold<P>, fingerprint: u64) {
-        let mut state = self.state();
-        let charged = state.crashes.broke(now(), crash_key(hold), fingerprint);
-        state.charge(charged);
-    }
-
-    /// Records that an upstream refused a connection.
-    pub fn refused(&self, hold: &Hold<P>) {
-        let mut state = self.state();
-        let charged = state.crashes.refused(now(), crash_key(hold));
-        state.charge(charged);
-    }
-
-    /// Records an answered request.
-    pub fn answered(&self, hold: &Hold<P>, fingerprint: u64) {
-        let mut state = self.state();
-        state.crashes.answered(now(), crash_key(hold), fingerprint);
-    }
-
-    /// What the other entries are told.
-    pub fn notice(&self, start: u64, leaving: bool) -> EntryNotice {
-        let mut state = self.state();
-        state.notices += 1;
-        let seats = state.services.values().flat_map(|s| s.seats.iter());
-        let loads = seats
-            .filter(|s| s.own.requests > 0)
-            .map(|s| {
-                let requests = u16::try_from(s.own.requests).unwrap_or(u16::MAX);
-                let unread = u32::try_from(s.own.unread).unwrap_or(u32::MAX);
-                (s.tag, requests, unread)
-            })
-            .collect();
-        EntryNotice {
-            vm: self.node.vm.clone(),
-            start,
-            number: state.notices,
-            loads,
-            crashes: state.charged.clone(),
-            leaving,
-        }
-    }
-
-    /// Takes over what another entry tells.
-    pub fn entry_notice(self: &Arc<Self>, notice: EntryNotice) {
-        if notice.vm == self.node.vm {
-            return;
-        }
-        let mut state = self.state();
-        let now = now();
-        let order = (notice.start, notice.number);
-        if let Some(peer) = state.peers.get(&notice.vm) {
-            if (peer.start, peer.number) >= order {
-                return;
-            }
-        } else {
-            decision(
-                "desk",
-                "entry heard",
-                Outcome::Change,
-                json!({ "entry": notice.vm }),
-            );
-        }
-        for fingerprint in notice.crashes {
-            if !state.charged.contains(&fingerprint) {
-                state.crashes.told(now, fingerprint);
-                state.keep_charged(fingerprint);
-            }
-        }
-        if notice.leaving {
-            state.peers.remove(&notice.vm);
-        } else {
-            let load = |(tag, requests, unread): (u32, u16, u32)| {
-                let (requests, unread) = (u32::from(requests), u64::from(unread));
-                (tag, SeatLoad { requests, unread })
-            };
-            let loads = notice.loads.into_iter().map(load);
-            let peer = Peer {
-                start: notice.start,
-                number: notice.number,
-                heard: now,
-                loads: loads.collect(),
-            };
-            state.peers.insert(notice.vm, peer);
-        }
-        state.share_loads();
-        drop(state);
-        self.pump_waiting();
-    }
-
-    fn pump_waiting(self: &Arc<Self>) {
-        let names: Vec<ServiceId> = {
-            let state = self.state();
-            let busy = state.services.iter().filter(|(_, s)| !s.room.is_empty());
-            busy.map(|(n, _)| n.clone()).collect()
-        };
-        names.iter().for_each(|n| self.pump(n));
-    }
-
-    /// Takes over what an agent tells of its engine.
-    pub fn engine_notice(self: &Arc<Self>, notice: EngineNotice) {
-        let mut state = self.state();
-        for service in state.services.values_mut() {
-            for seat in service.seats.iter_mut() {
-                if seat.upstream.addr != notice.engine || seat.upstream.born != notice.born {
-                    continue;
-                }
-                if seat.switching != notice.switching {
-                    let fields = json!({
-                        "upstream": seat.upstream.id, "switching": notice.switching,
-                    });
-                    decision("desk", "engine", Outcome::Change, fields);
-                }
-                seat.switching = notice.switching;
-                let closes = notice.closes_in.map(|m| Duration::from_millis(m.into()));
-                seat.closes = closes.map(|c| now() + c);
-                let held = notice.held.iter().map(|(m, v)| domain::HeldModel {
-                    model: m.clone(),
-                    version: *v,
-                });
-                // The list lags behind the agent's word.
-                seat.upstream.models = held.collect();
-            }
-        }
-        state.engines.insert(notice.engine, notice);
-        drop(state);
-        self.pump_waiting();
-    }
-
-    fn state(&self) -> MutexGuard<'_, State<P>> {
+    pub(super) fn state(&self) -> MutexGuard<'_, State<P>> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-impl<P: Platform> State<P> {
-    fn service(&mut self, name: &ServiceId, node: &NodePlace) -> &mut Service<P> {
-        self.services
-            .entry(name.clone())
-            .or_insert_with(|| Service {
-                seats: Seats::new(name.clone(), node.domain.clone(), node.region.clone()),
-                room: Room::new(RoomRules {
-                    places: ROOM_PLACES,
-                }),
-                tickets: HashMap::new(),
-                budget: RepeatBudget::new(&node.bounds),
-            })
-    }
-
-    fn forget_silent(&mut self, now: Moment) {
-        let silent = |p: &Peer| now.saturating_sub(p.heard) > PEER_SILENCE;
-        let before = self.peers.len();
-        self.peers.retain(|vm, p| {
-            if silent(p) {
-                decision(
-                    "desk",
-                    "entry silent",
-                    Outcome::Change,
-                    json!({ "entry": vm }),
-                );
-            }
-            !silent(p)
-        });
-        if before != self.peers.len() {
-            self.share_loads();
-        }
-    }
-
-    fn share_loads(&mut self) {
-        let entries = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
-        for service in self.services.values_mut() {
-            service.seats.set_entries(entries);
-            for seat in service.seats.iter_mut() {
-                let told = self.peers.values().filter_map(|p| p.loads.get(&seat.tag));
-                let sum = |a: SeatLoad, b: &SeatLoad| SeatLoad {
-                    requests: a.requests + b.requests,
-                    unread: a.unread + b.unread,
-                };
-                seat.others = told.fold(SeatLoad::default(), sum);
-            }
-        }
-    }
-
-    fn charge(&mut self, charged: Vec<u64>) {
-        for fingerprint in charged {
-            let fields = json!({ "fingerprint": format!("{fingerprint:016x}") });
-            decision("desk", "crash charged", Outcome::Change, fields);
-            self.keep_charged(fingerprint);
-        }
-    }
-
-    fn keep_charged(&mut self, fingerprint: u64) {
-        if self.charged.len() >= CRASHES_TOLD {
-            self.charged.remove(0);
-        }
-        self.charged.push(fingerprint);
-    }
-}
-
 enum Asked<P: Platform> {
     Placed(Hold<P>),
     Refused(Duration),
@@ -667,7 +422,3 @@
         (h ^ u32::from(b)).wrapping_mul(0x0100_0193)
     })
 }
-
-fn crash_key<P: Platform>(hold: &Hold<P>) -> u64 {
-    u64::from(hold.tag)
-}
