--- a/components/feed/src/feed.rs
+++ b/components/feed/src/feed.rs
@@ -182,9 +182,18 @@
         let asked = now();
         let journal = self.platform.journal();
         let name = self.name(topic);
-        let from = self.state().mirrors[index(topic)].end();
+        let (from, wait) = {
+            let state = self.state();
+            // The first read after a failure brings the backlog and nothing else:
+            // what a waiting read brings later is news, not a lapse.
+            let wait = match state.reachable[index(topic)] {
+                true => self.wait(topic),
+                false => Duration::ZERO,
+            };
+            (state.mirrors[index(topic)].end(), wait)
+        };
         let read = match from {
-            Some(from) => journal.read(name, from, self.wait(topic)).await?,
+            Some(from) => journal.read(name, from, wait).await?,
             None => Read::Gap,
         };
         match read {
@@ -192,7 +201,6 @@
                 let written = {
                     let state = self.state();
                     let followed = state.reachable[index(topic)];
-                    let wait = self.wait(topic);
                     state.confirmation.written(now(), asked, wait, followed)
                 };
                 self.apply(topic, batch, Mirror::extend, written);
