One copy of millis and of the pump; an unused field removed

Read as a newcomer: the conversion to milliseconds stood in feed and gateway, the tick repeated pump_waiting, and no entry ever told that it was leaving.

--- a/components/domain/src/clock.rs
+++ b/components/domain/src/clock.rs
@@ -6,6 +6,11 @@
 /// of knowledge stays true.
 pub type Moment = Duration;
 
+/// Whole milliseconds of a time, for logs and messages.
+pub fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// The present moment.
 pub fn now() -> Moment {
     let t = clock_gettime(ClockId::Boottime);
--- a/components/domain/src/lib.rs
+++ b/components/domain/src/lib.rs
@@ -12,7 +12,7 @@
 mod upstream;
 
 pub use ask::{Ask, PromptPart, Reply, TokenCount};
-pub use clock::{Moment, now};
+pub use clock::{Moment, millis, now};
 pub use ids::*;
 pub use journal::{Batch, Change, Journal, JournalError, Read};
 pub use plan::{Account, CallerLimits, Plan};
--- a/components/feed/src/feed.rs
+++ b/components/feed/src/feed.rs
@@ -6,7 +6,8 @@
 use bytes::Bytes;
 use dispatch::{Confirmation, FleetView, Mirror, Standing, ViewChange};
 use domain::{
-    Batch, Change, Journal, JournalError, ModelId, Moment, NodePlace, Platform, Read, VmId, now,
+    Batch, Change, Journal, JournalError, ModelId, Moment, NodePlace, Platform, Read, VmId, millis,
+    now,
 };
 use event_listener::{Event, EventListener};
 use http::Method;
@@ -459,10 +460,6 @@
     }
 }
 
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn index(topic: Topic) -> usize {
     match topic {
         Topic::Fleet => 0,
--- a/components/feed/src/notice.rs
+++ b/components/feed/src/notice.rs
@@ -25,8 +25,6 @@
     pub loads: Vec<(u32, u16, u32)>,
     /// Fingerprints of requests that crashed upstreams lately.
     pub crashes: Vec<u64>,
-    /// The entry is going away.
-    pub leaving: bool,
 }
 
 /// What an agent knows of its engine.
--- a/components/gateway/src/desk/mod.rs
+++ b/components/gateway/src/desk/mod.rs
@@ -311,12 +311,7 @@
                 }
             }
         }
-        let waiting: Vec<ServiceId> = {
-            let state = self.state();
-            let busy = state.services.iter().filter(|(_, s)| !s.room.is_empty());
-            busy.map(|(n, _)| n.clone()).collect()
-        };
-        waiting.iter().for_each(|n| self.pump(n));
+        self.pump_waiting();
     }
 
     fn leave(&self, service: &ServiceId, id: u64) {
--- a/components/gateway/src/desk/notices.rs
+++ b/components/gateway/src/desk/notices.rs
@@ -47,7 +47,7 @@
     }
 
     /// What the other entries are told.
-    pub fn notice(&self, start: u64, leaving: bool) -> EntryNotice {
+    pub fn notice(&self, start: u64) -> EntryNotice {
         let mut state = self.state();
         state.notices += 1;
         let seats = state.services.values().flat_map(|s| s.seats.iter());
@@ -65,7 +65,6 @@
             number: state.notices,
             loads,
             crashes: state.charged.clone(),
-            leaving,
         }
     }
 
@@ -95,28 +94,24 @@
                 state.keep_charged(fingerprint);
             }
         }
-        if notice.leaving {
-            state.peers.remove(&notice.vm);
-        } else {
-            let load = |(tag, requests, unread): (u32, u16, u32)| {
-                let (requests, unread) = (u32::from(requests), u64::from(unread));
-                (tag, SeatLoad { requests, unread })
-            };
-            let loads = notice.loads.into_iter().map(load);
-            let peer = Peer {
-                start: notice.start,
-                number: notice.number,
-                heard: now,
-                loads: loads.collect(),
-            };
-            state.peers.insert(notice.vm, peer);
-        }
+        let load = |(tag, requests, unread): (u32, u16, u32)| {
+            let (requests, unread) = (u32::from(requests), u64::from(unread));
+            (tag, SeatLoad { requests, unread })
+        };
+        let loads = notice.loads.into_iter().map(load);
+        let peer = Peer {
+            start: notice.start,
+            number: notice.number,
+            heard: now,
+            loads: loads.collect(),
+        };
+        state.peers.insert(notice.vm, peer);
         state.share_loads();
         drop(state);
         self.pump_waiting();
     }
 
-    fn pump_waiting(self: &Arc<Self>) {
+    pub(super) fn pump_waiting(self: &Arc<Self>) {
         let names: Vec<ServiceId> = {
             let state = self.state();
             let busy = state.services.iter().filter(|(_, s)| !s.room.is_empty());
--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -4,7 +4,7 @@
 use async_channel::bounded;
 use bytes::Bytes;
 use dispatch::{EventSplitter, Standing, Verdict};
-use domain::{Dialect, Platform, RequestKind, UpstreamId, now};
+use domain::{Dialect, Platform, RequestKind, UpstreamId, millis, now};
 use feed::Feed;
 use http::Response;
 use serde_json::json;
@@ -16,7 +16,7 @@
 use crate::hold::Hold;
 use crate::job::Job;
 use crate::refusal::Refusal;
-use crate::relay::{Relay, millis};
+use crate::relay::Relay;
 use crate::send::{Answered, NotRun, Sent, send};
 use crate::shortage::Shortage;
 
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -178,10 +178,10 @@
 
 /// Tells the other entries what is in flight here.
 async fn tell<P: Platform>(feed: Arc<Feed<P>>, desk: Arc<Desk<P>>, post: Arc<Post>) {
-    let start = crate::relay::millis(domain::now());
+    let start = domain::millis(domain::now());
     loop {
         let to: Vec<SocketAddr> = feed.members().iter().map(|m| m.addr).collect();
-        let notice = Notice::Entry(desk.notice(start, false));
+        let notice = Notice::Entry(desk.notice(start));
         post.send(&notice, &to).await;
         Timer::after(NOTICE_PAUSE).await;
     }
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -1,10 +1,9 @@
 use std::sync::Arc;
-use std::time::Duration;
 
 use async_channel::Sender;
 use bytes::Bytes;
 use dispatch::EventSplitter;
-use domain::{Platform, now};
+use domain::{Platform, millis, now};
 use serde_json::json;
 use telemetry::{Outcome, decision};
 use transport::{TransportError, within};
@@ -141,8 +140,3 @@
         decision("relay", what, outcome, fields);
     }
 }
-
-/// Whole milliseconds, for logs.
-pub fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
