Agents hear of versions from near entries

Every agent read the whole configuration from the store (1,560 routes, 100 processes): the lines between regions were full for 5 s, entries lost the store, and the time of a version stood still there. Ruled out: early or late versions of an entry (declared at 18.02 s on all twelve), the origin (down, but engines only wait). Change: an entry holds an agent's question until it has news of versions or of the few fields that agents need; the store is asked only when no entry answers.

--- a/components/dispatch/src/fleet_view.rs
+++ b/components/dispatch/src/fleet_view.rs
@@ -4,7 +4,8 @@
 
 use compact_str::CompactString;
 use domain::{
-    FailureDomainId, FleetRecord, ModelId, Moment, Plan, Upstream, UpstreamId, WeightVersion,
+    FailureDomainId, FleetRecord, ModelId, Moment, Plan, Supply, Upstream, UpstreamId,
+    WeightVersion,
 };
 
 /// After an outage of the store, upstreams whose entries lapsed meanwhile have
@@ -40,6 +41,8 @@
 #[derive(Debug, Default)]
 pub struct FleetView {
     plan: Option<Arc<Plan>>,
+    supplies: Vec<Supply>,
+    supplied: u64,
     evacuated: HashSet<FailureDomainId>,
     wanted: HashMap<ModelId, Vec<(WeightVersion, Moment)>>,
     keys: HashMap<CompactString, ModelId>,
@@ -61,6 +64,33 @@
         self.plan.as_ref()
     }
 
+    /// What the agents of all services need of the configuration.
+    pub fn supplies(&self) -> &[Supply] {
+        &self.supplies
+    }
+
+    /// What the agents of a service need of the configuration.
+    pub fn supply(&self, service: &str) -> Option<&Supply> {
+        self.supplies.iter().find(|s| s.service == service)
+    }
+
+    /// Version of the configuration that the supplies come from, 0 for none.
+    pub fn supplied(&self) -> u64 {
+        self.supplied
+    }
+
+    /// Takes over the supplies of a peer's configuration of version `plan`;
+    /// whether that changed anything.
+    pub fn supplies_elsewhere(&mut self, plan: u64, supplies: Vec<Supply>) -> bool {
+        if plan <= self.supplied {
+            return false;
+        }
+        self.supplied = plan;
+        let changed = self.supplies != supplies;
+        self.supplies = supplies;
+        changed
+    }
+
     /// Whether a failure domain is out of service.
     pub fn is_evacuated(&self, domain: &str) -> bool {
         self.evacuated.contains(domain)
@@ -90,13 +120,6 @@
         newer.map(|(_, at)| counts(*at) + bound).min()
     }
 
-    /// The newest declared version of each model and when it was declared.
-    pub fn newest(&self) -> impl Iterator<Item = (&ModelId, WeightVersion, Moment)> {
-        let last =
-            |(m, v): (_, &Vec<(WeightVersion, Moment)>)| v.last().map(|(v, at)| (m, *v, *at));
-        self.wanted.iter().filter_map(last)
-    }
-
     /// Upstreams that are listed or only lapsed.
     pub fn upstreams(&self) -> impl Iterator<Item = &Upstream> {
         self.upstreams.values()
@@ -153,6 +176,7 @@
                 if self.plan.as_ref().is_some_and(|p| p.version >= version) {
                     return None;
                 }
+                self.supplies_elsewhere(version, Supply::of(&plan));
                 self.plan = Some(Arc::new(*plan));
                 Some(ViewChange::Plan(version))
             }
@@ -161,17 +185,7 @@
                 let new = self.evacuated.insert(domain.clone());
                 new.then_some(ViewChange::Domain(domain, false))
             }
-            Some(FleetRecord::Weights(model, version)) => {
-                let versions = self.wanted.entry(model.clone()).or_default();
-                if versions.last().is_some_and(|(known, _)| version <= *known) {
-                    return None;
-                }
-                if versions.len() >= MAX_VERSIONS {
-                    versions.remove(0);
-                }
-                versions.push((version, now));
-                Some(ViewChange::Weights(model, version))
-            }
+            Some(FleetRecord::Weights(model, version)) => self.declare(model, version, now),
             Some(FleetRecord::Other) => None,
             None => {
                 let domain = self.keys.remove(key)?;
@@ -182,6 +196,24 @@
         }
     }
 
+    /// Takes over a version that was declared at `at`.
+    pub fn declare(
+        &mut self,
+        model: ModelId,
+        version: WeightVersion,
+        at: Moment,
+    ) -> Option<ViewChange> {
+        let versions = self.wanted.entry(model.clone()).or_default();
+        if versions.last().is_some_and(|(known, _)| version <= *known) {
+            return None;
+        }
+        if versions.len() >= MAX_VERSIONS {
+            versions.remove(0);
+        }
+        versions.push((version, at));
+        Some(ViewChange::Weights(model, version))
+    }
+
     /// Takes over an upstream's entry, or its removal.
     pub fn upstream_record(
         &mut self,
@@ -253,6 +285,7 @@
     /// Declared versions and the moments of their declaration; zero where the
     /// moment is not known.
     pub fn all_declared(&self) -> impl Iterator<Item = (&ModelId, &[(WeightVersion, Moment)])> {
-        self.wanted.iter().map(|(m, v)| (m, v.as_slice()))
+        let known = self.wanted.iter().filter(|(_, v)| !v.is_empty());
+        known.map(|(m, v)| (m, v.as_slice()))
     }
 }
--- a/components/dispatch/tests/records.rs
+++ b/components/dispatch/tests/records.rs
@@ -187,7 +187,8 @@
     let change = view.fleet_record(start(), "w", Some(FleetRecord::Weights("m".into(), 2)));
 
     assert_eq!(change, None);
-    assert_eq!(view.newest().next().map(|(_, v, _)| v), Some(3));
+    let newest = view.all_declared().next().and_then(|(_, l)| l.last());
+    assert_eq!(newest.map(|(v, _)| *v), Some(3));
 }
 
 #[test]
--- a/components/domain/src/lib.rs
+++ b/components/domain/src/lib.rs
@@ -9,6 +9,7 @@
 mod route;
 mod service_spec;
 mod settings;
+mod supply;
 mod upstream;
 
 pub use ask::{Ask, PromptPart, Reply, TokenCount};
@@ -23,4 +24,5 @@
 pub use route::{RequestKind, Route};
 pub use service_spec::{EngineSpec, PieceSpec, ServiceSpec};
 pub use settings::{AgentPlace, Bounds, EntryPlace, NodePlace};
+pub use supply::Supply;
 pub use upstream::{EngineReport, HeldModel, Upstream, UpstreamState};
--- a/components/domain/src/service_spec.rs
+++ b/components/domain/src/service_spec.rs
@@ -1,6 +1,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::ServiceId;
 
 /// A service as the operators describe it.
@@ -42,7 +44,7 @@
 }
 
 /// How weights are cut into pieces.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PieceSpec {
     /// Pieces of a version.
     pub count: u32,
--- /dev/null
+++ b/components/domain/src/supply.rs
@@ -0,0 +1,37 @@
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{ModelId, PieceSpec, Plan, ServiceId, ServiceSpec};
+
+/// What the agents of a service need of the configuration, which is much longer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Supply {
+    /// The service.
+    pub service: ServiceId,
+    /// Model that its upstreams hold.
+    pub model: ModelId,
+    /// How a version is cut into pieces.
+    pub pieces: PieceSpec,
+    /// Where versions come from.
+    pub origin: Option<SocketAddr>,
+}
+
+impl Supply {
+    /// The supplies of all services with model engines, by name.
+    pub fn of(plan: &Plan) -> Vec<Supply> {
+        let origin = plan.services.values().find_map(|s| s.origin);
+        let supply = |s: &ServiceSpec| {
+            let engine = s.engine.as_ref()?;
+            Some(Supply {
+                service: s.name.clone(),
+                model: engine.models.first()?.clone(),
+                pieces: engine.pieces,
+                origin,
+            })
+        };
+        let mut supplies: Vec<Supply> = plan.services.values().filter_map(supply).collect();
+        supplies.sort_by(|a, b| a.service.cmp(&b.service));
+        supplies
+    }
+}
--- /dev/null
+++ b/components/feed/src/goals_messages.rs
@@ -0,0 +1,35 @@
+use compact_str::CompactString;
+use domain::Supply;
+use serde::{Deserialize, Serialize};
+
+/// Path of a question for what an agent has to bring.
+pub const GOALS_PATH: &str = "/goals";
+
+/// Asks an entry for declared versions; it answers once it has news.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct GoalsQuestion {
+    /// Newest version of each model that the agent knows.
+    pub newest: Vec<(CompactString, u64)>,
+    /// What it knows of the configuration.
+    pub supplies: Vec<Supply>,
+    /// Version of the configuration that this comes from, 0 for none.
+    pub plan: u64,
+    /// Milliseconds for which the answer may wait for news.
+    pub wait: u64,
+}
+
+/// What an entry knows of the versions to be brought.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct GoalsAnswer {
+    /// Declared versions of each model, with milliseconds since the declaration
+    /// where they are known.
+    pub declared: Vec<(CompactString, Vec<(u64, Option<u64>)>)>,
+    /// What agents need of the configuration.
+    pub supplies: Vec<Supply>,
+    /// Version of the configuration that this comes from, 0 for none.
+    pub plan: u64,
+    /// Milliseconds since the operators' records were confirmed.
+    pub age: Option<u64>,
+    /// Milliseconds for which the question was held.
+    pub held: u64,
+}
--- a/components/feed/src/peer_handler.rs
+++ b/components/feed/src/peer_handler.rs
@@ -7,9 +7,11 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use serde::de::DeserializeOwned;
 use transport::Handler;
 
 use crate::Feed;
+use crate::goals_messages::{GOALS_PATH, GoalsQuestion};
 use crate::peer_messages::{PIECE_PATH, RECORDS_PATH, RecordsQuestion};
 
 /// Longest question of a peer, in bytes.
@@ -69,12 +71,17 @@
     }
 
     async fn records(&self, body: Incoming) -> Option<Bytes> {
-        let body = Limited::new(body, QUESTION_LIMIT).collect().await.ok()?;
-        let question: RecordsQuestion = rmp_serde::from_slice(&body.to_bytes()).ok()?;
+        let question: RecordsQuestion = read_question(body).await?;
         let answer = rmp_serde::to_vec(&self.feed.answer(&question)).ok()?;
         Some(answer.into())
     }
 
+    async fn goals(&self, body: Incoming) -> Option<Bytes> {
+        let question: GoalsQuestion = read_question(body).await?;
+        let answer = rmp_serde::to_vec(&self.feed.goals(&question).await).ok()?;
+        Some(answer.into())
+    }
+
     /// `/piece/MODEL/VERSION/NUMBER`, or without a number the digests.
     async fn piece(&self, path: &str) -> PieceAnswer {
         let Some((model, version, number)) = piece_path(path) else {
@@ -90,6 +97,11 @@
     }
 }
 
+async fn read_question<Q: DeserializeOwned>(body: Incoming) -> Option<Q> {
+    let body = Limited::new(body, QUESTION_LIMIT).collect().await.ok()?;
+    rmp_serde::from_slice(&body.to_bytes()).ok()
+}
+
 fn piece_path(path: &str) -> Option<(&str, u64, Option<u32>)> {
     let mut parts = path.strip_prefix(PIECE_PATH)?.trim_matches('/').split('/');
     let model = parts.next()?;
@@ -107,6 +119,7 @@
         let path = head.uri.path();
         let answer = match path {
             RECORDS_PATH => self.records(body).await,
+            GOALS_PATH => self.goals(body).await,
             "/metrics" => Some((self.metrics)().into()),
             _ => match self.piece(path).await {
                 PieceAnswer::Here(bytes) => Some(bytes),
--- a/components/feed/src/peer_messages.rs
+++ b/components/feed/src/peer_messages.rs
@@ -10,8 +10,9 @@
 /// Asks a peer for the records that are missing here.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct RecordsQuestion {
-    /// First missing offset of each topic, in the order of [`RecordsAnswer`].
-    pub from: [u64; 3],
+    /// First missing offset of each topic, in the order of [`RecordsAnswer`];
+    /// none where the topic is not wanted.
+    pub from: [Option<u64>; 3],
 }
 
 /// The missing records of each topic, as far as the peer has them.
--- a/components/loader/src/switcher.rs
+++ b/components/loader/src/switcher.rs
@@ -48,17 +48,15 @@
     /// The newest declared versions that the engine does not hold, in order.
     fn goals(&self) -> Vec<Goal> {
         let goals = self.feed.view(|v| {
-            let plan = v.plan()?;
-            let engine = plan.services.get(&self.place.service)?.engine.as_ref()?;
-            let origin = plan.services.values().find_map(|s| s.origin);
+            let supply = v.supply(&self.place.service)?;
             // Without a declaration version 1 is the one to hold.
-            let first = || Some((engine.models.first()?, &[(1, Duration::ZERO)][..]));
-            let (model, versions) = v.all_declared().next().or_else(first)?;
+            let first = (&supply.model, &[(1, Duration::ZERO)][..]);
+            let (model, versions) = v.all_declared().next().unwrap_or(first);
             let goal = |(version, since): &(WeightVersion, Duration)| Goal {
                 model: model.clone(),
                 version: *version,
-                pieces: engine.pieces,
-                origin,
+                pieces: supply.pieces,
+                origin: supply.origin,
                 since: *since,
             };
             Some(versions.iter().map(goal).collect::<Vec<_>>())
@@ -158,13 +156,12 @@
             return;
         }
         let Some(goal) = self.feed.view(|v| {
-            let plan = v.plan()?;
-            let engine = plan.services.get(&self.place.service)?.engine.as_ref()?;
+            let supply = v.supply(&self.place.service)?;
             Some(Goal {
                 model: held.model.clone(),
                 version: held.version,
-                pieces: engine.pieces,
-                origin: plan.services.values().find_map(|s| s.origin),
+                pieces: supply.pieces,
+                origin: supply.origin,
                 since: Duration::ZERO,
             })
         }) else {
