--- a/components/dispatch/src/swarm.rs
+++ b/components/dispatch/src/swarm.rs
@@ -168,6 +168,11 @@
         self.grown = now;
     }
 
+    /// When pieces began to be fetched, or arrive after a standstill.
+    pub fn begun(&self) -> Moment {
+        self.begun
+    }
+
     /// All other agents.
     pub fn everyone(&self) -> Vec<SocketAddr> {
         self.holders.iter().map(|h| h.addr).collect()
--- a/components/loader/src/gatherer.rs
+++ b/components/loader/src/gatherer.rs
@@ -17,6 +17,7 @@
 use crate::agent::Agent;
 use crate::agreement::{Agreement, Digests};
 use crate::goal::Goal;
+use crate::tally::Tally;
 
 /// Fetches in flight at a time: some are asked for while one arrives. More
 /// would queue on the link before the requests for the engine.
@@ -48,12 +49,16 @@
 /// Longest list of digests that is read, in bytes.
 const DIGESTS_BYTES: usize = 1 << 20;
 
+/// A fetch that has ended, and how long it took.
+type Fetched = (Fetching, Result<Bytes, FetchFailure>, Duration);
+
 /// Brings the pieces of one version into this agent's memory.
 pub struct Gatherer<P: Platform> {
     agent: Arc<Agent<P>>,
     goal: Goal,
     told: Option<(PieceSet, Moment)>,
     told_all: Moment,
+    tally: Tally,
 }
 
 impl<P: Platform> Gatherer<P> {
@@ -64,6 +69,7 @@
             goal,
             told: None,
             told_all: Duration::ZERO,
+            tally: Tally::default(),
         }
     }
 
@@ -85,6 +91,7 @@
             "version": version,
             "digests_s": agreed.saturating_sub(begun).as_secs_f64(),
             "took_s": now().saturating_sub(begun).as_secs_f64(),
+            "fetches": self.tally.fields(),
         });
         decision("loader", "pieces complete", Outcome::Change, fields);
         loop {
@@ -155,6 +162,11 @@
                 tasks.push(self.begin(fetching, done.clone()));
                 step = SwarmStep::Wait;
             }
+            let begun = now();
+            self.tally.starved(begun, running < FETCHES);
+            let held = swarm.held().len();
+            let elapsed = begun.saturating_sub(swarm.begun());
+            self.tally.held(elapsed, held, self.goal.pieces.count);
             self.tell(swarm).await;
             if step == SwarmStep::Complete {
                 return;
@@ -169,10 +181,11 @@
                 }
                 None
             });
-            if let Some(Ok((fetching, result))) = arrived.await {
+            if let Some(Ok((fetching, result, took))) = arrived.await {
                 running -= 1;
                 tasks.retain(|t| !t.is_finished());
-                self.finish(swarm, &fetching, result);
+                let outcome = self.finish(swarm, &fetching, result);
+                self.tally.count(&fetching.source, took, outcome);
             }
         }
     }
@@ -198,12 +211,9 @@
         }
     }
 
-    fn begin(
-        &self,
-        fetching: Fetching,
-        done: Sender<(Fetching, Result<Bytes, FetchFailure>)>,
-    ) -> Task<()> {
+    fn begin(&self, fetching: Fetching, done: Sender<Fetched>) -> Task<()> {
         let (agent, goal) = (self.agent.clone(), self.goal.clone());
+        let begun = now();
         spawn(async move {
             let result = match fetching.source {
                 PieceSource::Origin => {
@@ -213,17 +223,20 @@
                     from_peer(&agent.pool, addr, &goal, fetching.piece).await
                 }
             };
+            let took = now().saturating_sub(begun);
             // The receiver is gone when the version is no longer wanted.
-            let _ = done.send((fetching, result)).await;
+            let _ = done.send((fetching, result, took)).await;
         })
     }
 
-    fn finish(&self, swarm: &mut Swarm, fetching: &Fetching, result: Result<Bytes, FetchFailure>) {
+    fn finish(
+        &self,
+        swarm: &mut Swarm,
+        fetching: &Fetching,
+        result: Result<Bytes, FetchFailure>,
+    ) -> Result<(), FetchFailure> {
         let goal = &self.goal;
-        let bytes = match result {
-            Ok(bytes) => bytes,
-            Err(failure) => return swarm.fail(now(), fetching, failure),
-        };
+        let bytes = result.inspect_err(|failure| swarm.fail(now(), fetching, *failure))?;
         let shelf = &self.agent.shelf;
         if shelf.keep(&goal.model, goal.version, fetching.piece, bytes) {
             let source = match fetching.source {
@@ -231,7 +244,8 @@
                 PieceSource::Holder(_) => "agent",
             };
             metrics::counter!("turmerichold_pieces_total", "source" => source).increment(1);
-            return swarm.hold(fetching.piece);
+            swarm.hold(fetching.piece);
+            return Ok(());
         }
         let fields = json!({
             "version": goal.version,
@@ -240,6 +254,7 @@
         });
         decision("loader", "wrong digest", Outcome::Failure, fields);
         swarm.fail(now(), fetching, FetchFailure::Failed);
+        Err(FetchFailure::Failed)
     }
 }
 
--- a/components/loader/src/lib.rs
+++ b/components/loader/src/lib.rs
@@ -8,5 +8,6 @@
 mod loader;
 mod shelf;
 mod switcher;
+mod tally;
 
 pub use loader::Loader;
