Entries bring declared weights for the agents of their region

Cause: a VM's link of 7.6 Mbit/s carries both ways together (16 pieces a second in while as many go out, 28 fit), so agents that pass pieces on to each other take twice the time: 4.5 to 6 s of the 8 s for a version on 88 engines. Ruled out: latency of a fetch (150 ms, all of it on links), starving (0.5 s), the processor (0.02 of 0.3 cores). Change: crate pieces (gatherer, depot, neighbours) out of loader; entries gather the two newest versions and serve them; a region has eight fetches at the origin, however few bring; own pieces go before others'; a stopping entry brings nothing.

--- a/components/dispatch/src/swarm.rs
+++ b/components/dispatch/src/swarm.rs
@@ -22,13 +22,18 @@
 const STANDSTILL: Duration = Duration::from_millis(1200);
 /// Time after which homes outside of the first region turn to the origin.
 const FAR_PATIENCE: Duration = Duration::from_millis(2600);
-/// Fetches from the origin that one agent has in flight: its link is narrow
-/// and its connections are few.
-const ORIGIN_FETCHES: usize = 2;
+/// Fetches from the origin that a region has in flight: as many as any other,
+/// whether one entry or five agents bring them, and together within the few
+/// dozen connections of an origin.
+const ORIGIN_FETCHES: usize = 8;
 
-/// Agents of a region that draw pieces from outside of it. The origin accepts a
-/// few dozen connections for all.
+/// Processes of a region that draw pieces from outside of it. The origin accepts
+/// a few dozen connections for all.
 const BRINGERS: usize = 5;
+/// Fetches that a wide holder serves in the time of one that an agent serves.
+const WIDE_FETCHES: usize = 4;
+/// Steps of [`TAKEOVER`] that agents leave to the entries of their region.
+const WIDE_STEPS: usize = 2;
 /// Fetches from other regions that one agent has in flight: the lines between
 /// regions carry the live streams as well.
 const FAR_FETCHES: usize = 2;
@@ -45,6 +50,8 @@
     pub addr: SocketAddr,
     /// Its region.
     pub region: RegionId,
+    /// Its link is wide, as entries' links are.
+    pub wide: bool,
     /// Pieces that it holds; `None` when it has not been heard of.
     pub pieces: Option<PieceSet>,
 }
@@ -99,6 +106,7 @@
 pub struct Swarm {
     own: VmId,
     region: RegionId,
+    wide: bool,
     count: u32,
     held: PieceSet,
     fetching: HashMap<u32, PieceSource>,
@@ -114,8 +122,9 @@
 }
 
 impl Swarm {
-    /// A swarm for `count` pieces as seen by the agent on VM `own`.
-    pub fn new(now: Moment, own: VmId, region: RegionId, count: u32) -> Self {
+    /// A swarm for `count` pieces as seen by the process on VM `own`; `wide` tells
+    /// an entry from an agent.
+    pub fn new(now: Moment, own: VmId, region: RegionId, wide: bool, count: u32) -> Self {
         let mut order: Vec<u32> = (0..count).collect();
         let seed = id_hash(&own);
         // Agents begin at different pieces, so that near ones have something to
@@ -124,6 +133,7 @@
         Swarm {
             own,
             region,
+            wide,
             count,
             held: PieceSet::default(),
             fetching: HashMap::new(),
@@ -188,14 +198,31 @@
         let mut audience = Vec::new();
         for (region, mut holders) in by_region {
             if *region != self.region {
-                holders.sort_by_cached_key(|h| self.weight(&h.vm, ALL_PIECES));
-                holders.truncate(BRINGERS);
+                holders.sort_by_cached_key(|h| (!h.wide, self.weight(&h.vm, ALL_PIECES)));
+                let wide = holders.iter().filter(|h| h.wide).count();
+                holders.truncate(bringers(wide, holders.len()));
             }
             audience.extend(holders.into_iter().map(|h| h.addr));
         }
         audience
     }
 
+    /// All other processes that are not known to hold everything.
+    pub fn lacking(&self) -> Vec<SocketAddr> {
+        let complete = |h: &&Holder| {
+            let pieces = h.pieces.as_ref();
+            pieces.is_some_and(|p| p.len() >= self.count)
+        };
+        let lacking = self.holders.iter().filter(|h| !complete(h));
+        lacking.map(|h| h.addr).collect()
+    }
+
+    /// Whether an entry of the region gives pieces.
+    pub fn is_served(&self) -> bool {
+        let mut near = self.holders.iter().filter(|h| h.region == self.region);
+        near.any(|h| h.wide && h.pieces.is_some())
+    }
+
     /// Pieces that are held.
     pub fn held(&self) -> &PieceSet {
         &self.held
@@ -263,10 +290,15 @@
         let usable_far: Vec<&Holder> = far.into_iter().filter(usable).collect();
         let is_near = |p: &u32| near.iter().any(|h| has(h, *p));
         let wanted = missing.iter().filter(|p| !is_near(p));
-        let brought = wanted.filter(|p| waited >= TAKEOVER * self.rank(&order, **p));
-        for piece in brought {
-            if let Some(source) = self.far_source(now, *piece, &usable_far) {
-                return Some((*piece, source));
+        let ranked = wanted.map(|p| (self.rank(&order, *p), *p));
+        let mut brought: Vec<(u32, u32)> =
+            ranked.filter(|(r, _)| waited >= TAKEOVER * *r).collect();
+        // Others still bring what is theirs while this one brings its own.
+        brought.sort_by_key(|(rank, _)| *rank);
+        let share = ORIGIN_FETCHES.div_ceil(bringers(order.1, order.0.len()).max(1));
+        for (_, piece) in brought {
+            if let Some(source) = self.far_source(now, piece, &usable_far, share) {
+                return Some((piece, source));
             }
         }
         let usable_near: Vec<&Holder> = near.into_iter().filter(usable).collect();
@@ -275,7 +307,14 @@
     }
 
     /// A source outside of the region for a piece that is this agent's to bring.
-    fn far_source(&self, now: Moment, piece: u32, far: &[&Holder]) -> Option<PieceSource> {
+    /// `share` is the number of fetches that it may have at the origin.
+    fn far_source(
+        &self,
+        now: Moment,
+        piece: u32,
+        far: &[&Holder],
+        share: usize,
+    ) -> Option<PieceSource> {
         if self.far_fetches() < FAR_FETCHES
             && let Some(source) = self.holder_of(piece, far)
         {
@@ -286,7 +325,7 @@
             .fetching
             .values()
             .filter(|s| **s == PieceSource::Origin);
-        let free = origins.count() < ORIGIN_FETCHES && self.origin_until <= now;
+        let free = origins.count() < share && self.origin_until <= now;
         let waited = now.saturating_sub(self.begun);
         (free && (first || waited >= FAR_PATIENCE)).then_some(PieceSource::Origin)
     }
@@ -302,41 +341,46 @@
         self.fetching.values().filter(far).count()
     }
 
-    /// The agent among `holders` with the piece and the fewest fetches of ours.
+    /// The process among `holders` with the piece and the fewest fetches of ours
+    /// for what its link carries.
     fn holder_of(&self, piece: u32, holders: &[&Holder]) -> Option<PieceSource> {
         holders
             .iter()
             .filter(|h| has(h, piece))
-            .map(|h| PieceSource::Holder(h.addr))
-            .min_by_key(|source| {
+            .map(|h| (h.wide, PieceSource::Holder(h.addr)))
+            .min_by_key(|(wide, source)| {
                 let busy = self.fetching.values().filter(|s| *s == source).count();
-                (busy, fastrand::u32(..))
+                let load = if *wide { busy / WIDE_FETCHES } else { busy + 1 };
+                (load, !wide, fastrand::u32(..))
             })
+            .map(|(_, source)| source)
     }
 
-    /// Agents of the region in the order in which they bring pieces, this one
-    /// included.
-    fn bringing_order(&self, waited: Duration) -> Vec<&VmId> {
+    /// Processes of the region in the order in which they bring pieces, this one
+    /// included, and how many of them are entries.
+    fn bringing_order(&self, waited: Duration) -> (Vec<&VmId>, usize) {
         let alive =
             |h: &&Holder| h.region == self.region && (waited < HEARING_TIME || h.pieces.is_some());
-        let neighbours = self.holders.iter().filter(alive).map(|h| &h.vm);
-        let mut order: Vec<&VmId> = neighbours.chain([&self.own]).collect();
-        order.sort_by_cached_key(|vm| self.weight(vm, ALL_PIECES));
-        order
+        let neighbours = self.holders.iter().filter(alive).map(|h| (h.wide, &h.vm));
+        let mut order: Vec<(bool, &VmId)> = neighbours.chain([(self.wide, &self.own)]).collect();
+        order.sort_by_cached_key(|(wide, vm)| (!wide, self.weight(vm, ALL_PIECES)));
+        let wide = order.iter().filter(|(wide, _)| *wide).count();
+        (order.into_iter().map(|(_, vm)| vm).collect(), wide)
     }
 
-    /// Agents that bring a piece before this one: first those that bring pieces
-    /// at all, by their rank for this one, then the others.
-    fn rank(&self, order: &[&VmId], piece: u32) -> u32 {
+    /// Steps of [`TAKEOVER`] after which this process brings a piece: first those
+    /// that bring pieces at all, by their rank for this one, then the others.
+    fn rank(&self, (order, wide): &(Vec<&VmId>, usize), piece: u32) -> u32 {
         let place = order.iter().position(|vm| **vm == self.own).unwrap_or(0);
-        let bringers = &order[..order.len().min(BRINGERS)];
-        let rank = match place < bringers.len() {
-            true => {
-                let own = self.weight(&self.own, piece);
-                let before = |vm: &&&VmId| self.weight(vm, piece) < own;
-                bringers.iter().filter(before).count()
-            }
-            false => place,
+        let bringers = &order[..bringers(*wide, order.len())];
+        let rank = if place < bringers.len() {
+            let own = self.weight(&self.own, piece);
+            let before = |vm: &&&VmId| self.weight(vm, piece) < own;
+            bringers.iter().filter(before).count()
+        } else if *wide > 0 {
+            WIDE_STEPS + place - bringers.len()
+        } else {
+            place
         };
         u32::try_from(rank).unwrap_or(u32::MAX)
     }
@@ -361,3 +405,12 @@
 fn has(holder: &Holder, piece: u32) -> bool {
     holder.pieces.as_ref().is_some_and(|p| p.contains(piece))
 }
+
+/// Processes of a region that bring pieces: its entries, or some of its agents.
+fn bringers(wide: usize, all: usize) -> usize {
+    let most = all.min(BRINGERS);
+    match wide {
+        0 => most,
+        _ => most.min(wide),
+    }
+}
--- a/components/dispatch/tests/swarm.rs
+++ b/components/dispatch/tests/swarm.rs
@@ -11,8 +11,11 @@
 
 const PIECES: u32 = 64;
 const FETCHES: usize = 3;
+const WIDE_FETCHES: usize = 8;
 /// Time of a piece over an agent's link.
 const PIECE_TIME: Duration = Duration::from_millis(35);
+/// Time of a piece over an entry's link of 40 Mbit/s.
+const WIDE_TIME: Duration = Duration::from_millis(7);
 /// Time of a piece over the origin's link.
 const ORIGIN_TIME: Duration = Duration::from_millis(27);
 /// Pieces that a holder has queued when it refuses more.
@@ -25,6 +28,8 @@
     agent: usize,
     fetching: Fetching,
     until: Duration,
+    /// It has left its source, or the receiver's link does not count.
+    sent: bool,
 }
 
 /// Agents that share three regions, an origin, and links that carry one piece
@@ -39,6 +44,10 @@
     origin_up: bool,
     /// When an origin that is down comes back.
     origin_back: Option<Duration>,
+    /// Processes from this number on are entries with wide links.
+    entries_from: usize,
+    /// An agent's link carries what it sends and what it gets one after the other.
+    both_ways: bool,
 }
 
 fn addr(agent: usize) -> SocketAddr {
@@ -51,12 +60,16 @@
 
 impl Fleet {
     fn new(agents: usize) -> Self {
+        Fleet::with_entries(agents, 0)
+    }
+
+    fn with_entries(agents: usize, entries: usize) -> Self {
         let swarm = |a| {
             let vm = addr(a).ip().to_string().into();
-            Swarm::new(start(), vm, region(a).into(), PIECES)
+            Swarm::new(start(), vm, region(a).into(), a >= agents, PIECES)
         };
         Fleet {
-            swarms: (0..agents).map(swarm).collect(),
+            swarms: (0..agents + entries).map(swarm).collect(),
             dead: Vec::new(),
             flights: Vec::new(),
             free: HashMap::new(),
@@ -64,6 +77,8 @@
             between_regions: 0,
             origin_up: true,
             origin_back: None,
+            entries_from: agents,
+            both_ways: false,
         }
     }
 
@@ -72,6 +87,7 @@
             vm: addr(a).ip().to_string().into(),
             addr: addr(a),
             region: region(a).into(),
+            wide: a >= self.entries_from,
             pieces: (!self.dead.contains(&a)).then(|| s.held().clone()),
         };
         let holders: Vec<Holder> = self.swarms.iter().enumerate().map(holder).collect();
@@ -82,7 +98,7 @@
 
     /// Begins what an agent wants; a source serves one piece after the other.
     fn begin(&mut self, now: Duration, agent: usize) {
-        while self.flights.iter().filter(|f| f.agent == agent).count() < FETCHES {
+        while self.flights.iter().filter(|f| f.agent == agent).count() < self.fetches(agent) {
             let SwarmStep::Fetch(fetching) = self.swarms[agent].next(now) else {
                 return;
             };
@@ -90,7 +106,8 @@
                 PieceSource::Origin => (None, ORIGIN_TIME),
                 PieceSource::Holder(a) => {
                     let IpAddrLast(last) = (*a).into();
-                    (Some(usize::from(last)), PIECE_TIME)
+                    let source = usize::from(last);
+                    (Some(source), self.time_on(source))
                 }
             };
             let queue = self.free.get(&source).copied().unwrap_or(now);
@@ -98,20 +115,51 @@
                 self.swarms[agent].fail(now, &fetching, FetchFailure::Busy);
                 continue;
             }
-            let begin = self.free.get(&source).copied().unwrap_or(now).max(now);
-            self.free.insert(source, begin + time);
+            let until = self.carry(now, source, time);
             self.flights.push(Flight {
                 agent,
                 fetching,
-                until: begin + time,
+                until,
+                sent: !self.both_ways,
             });
         }
     }
 
+    /// Puts a piece on a link at `now`; when it has passed.
+    fn carry(&mut self, now: Duration, link: Option<usize>, time: Duration) -> Duration {
+        let begin = self.free.get(&link).copied().unwrap_or(now).max(now);
+        self.free.insert(link, begin + time);
+        begin + time
+    }
+
+    fn fetches(&self, process: usize) -> usize {
+        match process >= self.entries_from {
+            true => WIDE_FETCHES,
+            false => FETCHES,
+        }
+    }
+
+    fn time_on(&self, process: usize) -> Duration {
+        match process >= self.entries_from {
+            true => WIDE_TIME,
+            false => PIECE_TIME,
+        }
+    }
+
     fn land(&mut self, now: Duration) {
         let (landed, flying) = self.flights.drain(..).partition(|f| f.until <= now);
         self.flights = flying;
         for flight in landed {
+            if !flight.sent {
+                let time = self.time_on(flight.agent);
+                let until = self.carry(now, Some(flight.agent), time);
+                self.flights.push(Flight {
+                    until,
+                    sent: true,
+                    ..flight
+                });
+                continue;
+            }
             let Flight {
                 agent, fetching, ..
             } = flight;
@@ -195,6 +243,52 @@
     assert!(took < secs(5), "{took:?}");
 }
 
+/// Load pattern: a new version for a grown fleet whose agents' links carry both
+/// ways together, seen as 16 pieces a second on links that carry 28: agents alone
+/// pay each piece twice. Half of the bound of 8 s is left for the switches.
+#[test]
+fn entries_bring_a_version_to_a_large_fleet_in_half_of_its_time() {
+    let mut alone = Fleet::new(44);
+    alone.both_ways = true;
+    let mut served = Fleet::with_entries(88, 12);
+    served.both_ways = true;
+
+    let alone = alone.run(secs(20)).expect("complete");
+    let took = served.run(secs(20)).expect("complete");
+
+    assert!(took < secs(4), "{took:?}");
+    assert!(took < alone, "{took:?} {alone:?}");
+    assert!(
+        served.from_origin <= PIECES * 3 / 2,
+        "{}",
+        served.from_origin
+    );
+}
+
+/// Seen as 4.0 copies from the origin on a day of rolling restarts: the only
+/// entry of a region had two of eighteen fetches there.
+#[test]
+fn a_region_with_one_entry_gets_its_share_of_the_origin() {
+    let mut fleet = Fleet::with_entries(24, 4);
+    fleet.both_ways = true;
+
+    let took = fleet.run(secs(20)).expect("complete");
+
+    assert!(took < secs(4), "{took:?}");
+    assert!(fleet.from_origin <= PIECES * 3 / 2, "{}", fleet.from_origin);
+}
+
+#[test]
+fn agents_step_in_for_silent_entries() {
+    let mut fleet = Fleet::with_entries(24, 6);
+    fleet.both_ways = true;
+    fleet.dead = (24..30).collect();
+
+    let took = fleet.run(secs(20)).expect("complete");
+
+    assert!(took < secs(8), "{took:?}");
+}
+
 #[test]
 fn time_grows_slowly_with_the_fleet() {
     let small = Fleet::new(12).run(secs(20)).expect("complete");
@@ -242,7 +336,7 @@
 
 #[test]
 fn a_lost_piece_is_fetched_again() {
-    let mut swarm = Swarm::new(start(), "a".into(), "north".into(), 1);
+    let mut swarm = Swarm::new(start(), "a".into(), "north".into(), false, 1);
     swarm.hold(0);
 
     swarm.lose(0);
--- a/components/feed/src/goals.rs
+++ b/components/feed/src/goals.rs
@@ -40,7 +40,7 @@
     }
 
     /// Entries of the own region in random order, then the others.
-    fn near_entries(&self) -> Vec<SocketAddr> {
+    pub(crate) fn near_entries(&self) -> Vec<SocketAddr> {
         let members = self.members();
         let near = |addr: &SocketAddr| {
             let member = members.iter().find(|m| m.addr == *addr);
--- a/components/feed/src/peers.rs
+++ b/components/feed/src/peers.rs
@@ -30,8 +30,16 @@
 impl<P: Platform> Feed<P> {
     /// Takes what is missing from other entries; false when none answers.
     pub(crate) async fn ask_peers(&self) -> bool {
-        let mut peers = self.peers();
-        fastrand::shuffle(&mut peers);
+        let peers = match self.role {
+            // Lists are long, and lines between regions are thin.
+            Role::Agent => self.near_entries(),
+            // A near entry may have lost the store as well.
+            Role::Entry => {
+                let mut peers = self.peers();
+                fastrand::shuffle(&mut peers);
+                peers
+            }
+        };
         for addr in peers.into_iter().take(PEERS_ASKED) {
             match self.ask(addr).await {
                 Ok(()) => return true,
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -6,6 +6,7 @@
 use anyhow::Context;
 use domain::{EntryPlace, Platform};
 use feed::{Feed, Member, Notice, PeerHandler, Post, Role};
+use pieces::{Depot, Neighbours};
 use serde_json::json;
 use smol::Timer;
 use smol::net::TcpListener;
@@ -16,6 +17,7 @@
 use crate::dispatcher::Dispatcher;
 use crate::front::Front;
 use crate::readiness::Readiness;
+use crate::stock::Stock;
 
 /// Pause between two notices to other entries.
 const NOTICE_PAUSE: Duration = Duration::from_millis(60);
@@ -32,6 +34,8 @@
 const MAX_HEAD: usize = 32 << 10;
 /// Idle time of a caller's connection; callers reuse them up to 12 s.
 const CALLER_IDLE: Duration = Duration::from_secs(16);
+/// Connections of other processes: all agents of a region, each with some.
+const PEER_CONNECTIONS: usize = 768;
 /// Descriptors kept for upstreams, peers and the store.
 const OTHER_DESCRIPTORS: usize = 1200;
 
@@ -99,10 +103,24 @@
             ..callers
         };
         let checks = Arc::new(Listener::new(readiness.clone(), small));
-        let peers = PeerHandler::new(feed.clone(), Arc::new(()), self.metrics);
-        let peers = Arc::new(Listener::new(Arc::new(peers), small));
         let inner = SocketAddr::new(node.ip, node.port);
         let post = Arc::new(Post::open(inner).await.context("post: cannot listen")?);
+        let depot = Arc::new(Depot::new(node.link));
+        let neighbours = Arc::new(Neighbours::new(
+            self.platform.clone(),
+            node.clone(),
+            true,
+            feed.clone(),
+            depot.clone(),
+            post.clone(),
+        ));
+        let stock = Stock::new(feed.clone(), depot.clone(), neighbours.clone());
+        let peers = PeerHandler::new(feed.clone(), depot, self.metrics);
+        let inner_limits = ListenerLimits {
+            connections: PEER_CONNECTIONS,
+            ..callers
+        };
+        let peers = Arc::new(Listener::new(Arc::new(peers), inner_limits));
         let tasks = [
             spawn(serve(front.clone(), bind(self.place.callers).await?)),
             spawn(serve(checks, bind(self.place.readiness).await?)),
@@ -110,9 +128,10 @@
             spawn(feed.clone().follow()),
             spawn(announce(feed.clone(), inner, node.region.clone())),
             spawn(tell(feed.clone(), desk.clone(), post.clone())),
-            spawn(hear(desk.clone(), post.clone())),
+            spawn(hear(desk.clone(), neighbours, post.clone())),
             spawn(tick(desk.clone(), dispatcher.clone())),
         ];
+        let bringing = spawn(stock.run());
         decision(
             "gateway",
             "started",
@@ -127,6 +146,8 @@
             json!({ "open": front.open() }),
         );
         readiness.leave();
+        // Others no longer count on this entry to bring pieces.
+        drop(bringing);
         let farewell = spawn(farewell(feed.clone()));
         Timer::after(BALANCER_LAG).await;
         front.close();
@@ -187,12 +208,12 @@
     }
 }
 
-async fn hear<P: Platform>(desk: Arc<Desk<P>>, post: Arc<Post>) {
+async fn hear<P: Platform>(desk: Arc<Desk<P>>, neighbours: Arc<Neighbours<P>>, post: Arc<Post>) {
     loop {
         match post.receive().await {
             Notice::Entry(notice) => desk.entry_notice(notice),
             Notice::Engine(notice) => desk.engine_notice(notice),
-            Notice::Pieces(_) => log::debug!("gateway: notice for agents ignored"),
+            Notice::Pieces(notice) => neighbours.hear(notice),
         }
     }
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod relay;
 mod send;
 mod shortage;
+mod stock;
 
 pub use answer_body::{AnswerBody, Cut};
 pub use gateway::Gateway;
--- a/components/loader/src/agent.rs
+++ b/components/loader/src/agent.rs
@@ -1,21 +1,14 @@
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use dispatch::{Holder, PieceSet};
-use domain::{
-    AgentPlace, EngineApi, EngineReport, HeldModel, ModelId, Moment, Platform, Upstream,
-    WeightVersion, now,
-};
-use event_listener::Event;
-use feed::{EngineNotice, Feed, Notice, PiecesNotice, Post};
+use domain::{AgentPlace, EngineApi, EngineReport, Moment, Platform, WeightVersion, now};
+use feed::{EngineNotice, Feed, Notice, Post};
+use pieces::Neighbours;
 use serde_json::json;
 use smol::Timer;
 use telemetry::{Outcome, decision};
-use transport::Pool;
 
-use crate::goal::Goal;
 use crate::shelf::Shelf;
 
 /// Pause between two looks at the engine, which cost nothing from its own VM.
@@ -24,8 +17,6 @@
 const NOTICE_PAUSE: Duration = Duration::from_millis(900);
 /// Pause between two notices to entries while a switch is announced.
 const CLOSING_PAUSE: Duration = Duration::from_millis(300);
-/// Age up to which an agent's word about its pieces counts.
-const HEARD_MEMORY: Duration = Duration::from_secs(3);
 
 /// What one process knows of its engine and of other agents.
 pub struct Agent<P: Platform> {
@@ -33,19 +24,9 @@
     pub(crate) place: AgentPlace,
     pub(crate) feed: Arc<Feed<P>>,
     pub(crate) shelf: Arc<Shelf<P::Engines>>,
-    pub(crate) pool: Pool,
-    /// Notified when another agent has told what it holds.
-    pub(crate) news: Event,
-    post: Post,
+    pub(crate) neighbours: Arc<Neighbours<P>>,
+    post: Arc<Post>,
     status: Mutex<Status>,
-    heard: Mutex<HashMap<(SocketAddr, WeightVersion), Heard>>,
-}
-
-/// What another agent holds of a version, as it last said.
-struct Heard {
-    model: ModelId,
-    pieces: PieceSet,
-    at: Moment,
 }
 
 #[derive(Debug, Default)]
@@ -63,18 +44,26 @@
         place: AgentPlace,
         feed: Arc<Feed<P>>,
         shelf: Arc<Shelf<P::Engines>>,
-        post: Post,
+        post: Arc<Post>,
     ) -> Self {
+        let depot = shelf.depot.clone();
+        let node = place.node.clone();
+        let neighbours = Neighbours::new(
+            platform.clone(),
+            node,
+            false,
+            feed.clone(),
+            depot,
+            post.clone(),
+        );
         Agent {
             platform,
             place,
             feed,
             shelf,
-            pool: Pool::default(),
-            news: Event::new(),
+            neighbours: Arc::new(neighbours),
             post,
             status: Mutex::default(),
-            heard: Mutex::default(),
         }
     }
 
@@ -173,71 +162,13 @@
         })
     }
 
-    /// Hears what other agents hold.
+    /// Hears what other processes hold.
     pub async fn hear(self: Arc<Self>) {
         loop {
-            let Notice::Pieces(notice) = self.post.receive().await else {
-                continue;
-            };
-            let heard = Heard {
-                model: notice.model,
-                pieces: notice.words.into(),
-                at: now(),
-            };
-            let key = (notice.holder, notice.version);
-            {
-                let mut all = self.heard();
-                all.retain(|_, h| now().saturating_sub(h.at) < HEARD_MEMORY);
-                all.insert(key, heard);
+            if let Notice::Pieces(notice) = self.post.receive().await {
+                self.neighbours.hear(notice);
             }
-            self.news.notify(usize::MAX);
-        }
-    }
-
-    /// Tells other agents which pieces are here.
-    pub async fn tell_pieces(&self, goal: &Goal, pieces: &PieceSet, to: &[SocketAddr]) {
-        let node = &self.place.node;
-        let notice = Notice::Pieces(PiecesNotice {
-            holder: SocketAddr::new(node.ip, node.port),
-            model: goal.model.clone(),
-            version: goal.version,
-            words: pieces.words().to_vec(),
-        });
-        self.post.send(&notice, to).await;
-    }
-
-    /// Other agents of the service.
-    pub fn holders(&self, goal: &Goal) -> Vec<Holder> {
-        let node = &self.place.node;
-        self.feed.view(|v| {
-            let others = v
-                .upstreams()
-                .filter(|u| u.service == self.place.service && u.addr.ip() != node.ip);
-            let holder = |u: &Upstream| Holder {
-                vm: u.addr.ip().to_string().into(),
-                addr: self.feed.peer_addr(u.addr.ip()),
-                region: node.region_of(&u.domain).into(),
-                pieces: self.pieces_of(u, goal),
-            };
-            others.map(holder).collect()
-        })
-    }
-
-    /// What another agent holds of a version, by its own word or its engine's.
-    fn pieces_of(&self, upstream: &Upstream, goal: &Goal) -> Option<PieceSet> {
-        let same = |h: &HeldModel| h.model == goal.model && h.version == goal.version;
-        if upstream.models.iter().any(same) {
-            return Some(PieceSet::full(goal.pieces.count));
         }
-        let addr = self.feed.peer_addr(upstream.addr.ip());
-        let heard = self.heard();
-        let heard = heard.get(&(addr, goal.version))?;
-        let recent = now().saturating_sub(heard.at) < HEARD_MEMORY;
-        (heard.model == goal.model && recent).then(|| heard.pieces.clone())
-    }
-
-    fn heard(&self) -> MutexGuard<'_, HashMap<(SocketAddr, WeightVersion), Heard>> {
-        self.heard.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn status(&self) -> MutexGuard<'_, Status> {
--- a/components/loader/src/lib.rs
+++ b/components/loader/src/lib.rs
@@ -2,12 +2,8 @@
 //! weights to the engine on the same VM and orders it to load them.
 
 mod agent;
-mod agreement;
-mod gatherer;
-mod goal;
 mod loader;
 mod shelf;
 mod switcher;
-mod tally;
 
 pub use loader::Loader;
--- a/components/loader/src/loader.rs
+++ b/components/loader/src/loader.rs
@@ -57,7 +57,13 @@
         let post = Post::open(inner).await.context("post: cannot listen")?;
         let fields = json!({ "engine": self.place.engine });
         decision("loader", "started", Outcome::Change, fields);
-        let agent = Agent::new(self.platform, self.place, feed.clone(), shelf, post);
+        let agent = Agent::new(
+            self.platform,
+            self.place,
+            feed.clone(),
+            shelf,
+            Arc::new(post),
+        );
         let agent = Arc::new(agent);
         let tasks = [
             spawn(async move { listener.accept(socket).await }),
--- a/components/loader/src/switcher.rs
+++ b/components/loader/src/switcher.rs
@@ -4,15 +4,14 @@
 
 use anyhow::{Context, ensure};
 use dispatch::{Candidate, SwitchPlan, SwitchStep};
-use domain::{EngineApi, Platform, WeightVersion, now};
+use domain::{EngineApi, Moment, Platform, WeightVersion, now};
+use pieces::{Gatherer, Goal};
 use serde_json::json;
 use smol::{Task, Timer};
 use telemetry::{Outcome, decision};
 use transport::{spawn, within};
 
 use crate::agent::Agent;
-use crate::gatherer::Gatherer;
-use crate::goal::Goal;
 
 /// Pause between two looks at what is to be done.
 const STEP_PAUSE: Duration = Duration::from_millis(100);
@@ -47,26 +46,12 @@
 
     /// The newest declared versions that the engine does not hold, in order.
     fn goals(&self) -> Vec<Goal> {
-        let goals = self.feed.view(|v| {
-            let supply = v.supply(&self.place.service)?;
-            // Without a declaration version 1 is the one to hold.
-            let first = (&supply.model, &[(1, Duration::ZERO)][..]);
-            let (model, versions) = v.all_declared().next().unwrap_or(first);
-            let goal = |(version, since): &(WeightVersion, Duration)| Goal {
-                model: model.clone(),
-                version: *version,
-                pieces: supply.pieces,
-                origin: supply.origin,
-                since: *since,
-            };
-            Some(versions.iter().map(goal).collect::<Vec<_>>())
-        });
-        let mut goals = goals.unwrap_or_default();
+        let service = &self.place.service;
+        let mut goals = self.feed.view(|v| Goal::newest(v, service, VERSIONS));
         if let Some(goal) = goals.first() {
             let held = self.held(&goal.model).unwrap_or(0);
             goals.retain(|g| g.version > held);
         }
-        goals.drain(..goals.len().saturating_sub(VERSIONS));
         goals
     }
 
@@ -79,11 +64,13 @@
         }
         let wanted = |v: WeightVersion| goals.iter().any(|g| g.version == v);
         gathering.retain(|v, _| wanted(*v));
-        self.shelf.retain(wanted);
+        self.shelf.depot.retain(wanted);
         for goal in goals {
             gathering.entry(goal.version).or_insert_with(|| {
-                let gatherer = Gatherer::new(self.clone(), goal.clone());
-                spawn(gatherer.run())
+                let gatherer = Gatherer::new(self.neighbours.clone(), goal.clone());
+                let (shelf, goal) = (self.shelf.clone(), goal.clone());
+                let restore = async move { shelf.restore(&goal.model, goal.version).await };
+                spawn(gatherer.run(restore))
             });
         }
     }
@@ -127,13 +114,14 @@
     }
 
     fn candidate(&self, goal: &Goal) -> Candidate {
-        let held = self.shelf.held(&goal.model, goal.version).len();
+        let held = self.shelf.depot.held(&goal.model, goal.version).len();
         Candidate {
             version: goal.version,
             since: goal.since,
             share: f64::from(held) / f64::from(goal.pieces.count.max(1)),
             ready: self
                 .shelf
+                .depot
                 .complete_since(&goal.model, goal.version, goal.pieces.count),
         }
     }
@@ -142,7 +130,8 @@
     /// order of addresses share a failure domain and are spread widely.
     fn turn(&self, goal: &Goal) -> f64 {
         let own = self.place.node.ip;
-        let holders = self.holders(goal);
+        let mut holders = self.neighbours.holders(goal);
+        holders.retain(|h| !h.wide);
         let before = holders.iter().filter(|h| h.addr.ip() < own).count();
         let before = u32::try_from(before).unwrap_or(0);
         (f64::from(before) * TURN_STEP).fract()
@@ -155,20 +144,15 @@
         if self.shelf.is_staged(&held.model, held.version) {
             return;
         }
-        let Some(goal) = self.feed.view(|v| {
-            let supply = v.supply(&self.place.service)?;
-            Some(Goal {
-                model: held.model.clone(),
-                version: held.version,
-                pieces: supply.pieces,
-                origin: supply.origin,
-                since: Duration::ZERO,
-            })
-        }) else {
-            return;
-        };
-        if let Some(digests) = self.agreed_digests(&goal).await {
-            self.shelf.trust(&goal.model, goal.version, digests);
+        let service = &self.place.service;
+        let goal = self.feed.view(|v| {
+            let supply = v.supply(service)?;
+            let (model, version) = (held.model.clone(), held.version);
+            Some(Goal::new(supply, model, version, Moment::ZERO))
+        });
+        let Some(goal) = goal else { return };
+        if let Some(digests) = self.neighbours.agreed_digests(&goal).await {
+            self.shelf.depot.trust(&goal.model, goal.version, digests);
             self.shelf.note_staged(&goal.model, goal.version);
         }
     }
@@ -224,7 +208,7 @@
                 let took = elapsed.as_secs_f64();
                 let fields = json!({ "version": goal.version, "took_s": took });
                 decision("loader", "loaded", Outcome::Change, fields);
-                self.shelf.drop_pieces(&goal.model, goal.version);
+                self.shelf.depot.drop_pieces(&goal.model, goal.version);
                 return Ok(());
             }
             let busy = self.report().is_some_and(|r| r.busy);
--- /dev/null
+++ b/components/pieces/src/goal.rs
@@ -0,0 +1,49 @@
+use std::net::SocketAddr;
+
+use dispatch::FleetView;
+use domain::{ModelId, Moment, PieceSpec, ServiceId, Supply, WeightVersion};
+
+/// A declared version of the model that the engine serves.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Goal {
+    /// Service whose engines load it.
+    pub service: ServiceId,
+    /// Model.
+    pub model: ModelId,
+    /// Version.
+    pub version: WeightVersion,
+    /// How it is cut into pieces.
+    pub pieces: PieceSpec,
+    /// Where it comes from.
+    pub origin: Option<SocketAddr>,
+    /// When it was declared.
+    pub since: Moment,
+}
+
+impl Goal {
+    /// A version of the model of a service, declared at `since`.
+    pub fn new(supply: &Supply, model: ModelId, version: WeightVersion, since: Moment) -> Self {
+        Goal {
+            service: supply.service.clone(),
+            model,
+            version,
+            pieces: supply.pieces,
+            origin: supply.origin,
+            since,
+        }
+    }
+
+    /// The newest `most` versions that `view` knows for a service, in order.
+    pub fn newest(view: &FleetView, service: &str, most: usize) -> Vec<Goal> {
+        let Some(supply) = view.supply(service) else {
+            return Vec::new();
+        };
+        // Without a declaration version 1 is the one to hold.
+        let first = (&supply.model, &[(1, Moment::ZERO)][..]);
+        let (model, versions) = view.all_declared().next().unwrap_or(first);
+        let newest = &versions[versions.len().saturating_sub(most)..];
+        let goal =
+            |(v, since): &(WeightVersion, Moment)| Goal::new(supply, model.clone(), *v, *since);
+        newest.iter().map(goal).collect()
+    }
+}
--- /dev/null
+++ b/components/pieces/src/lib.rs
@@ -0,0 +1,16 @@
+//! Brings the pieces of declared weights near to the engines that load them.
+//! Agents use it for their own engine; entries use it because their links are
+//! wide: an agent's link would carry each piece twice, in and out again.
+
+mod agreement;
+mod depot;
+mod gatherer;
+mod goal;
+mod neighbours;
+mod tally;
+
+pub use agreement::Digests;
+pub use depot::Depot;
+pub use gatherer::Gatherer;
+pub use goal::Goal;
+pub use neighbours::Neighbours;
