--- /dev/null
+++ b/components/dispatch/src/intake.rs
@@ -0,0 +1,150 @@
+use std::time::Duration;
+
+use domain::Moment;
+
+use crate::{Admit, Choice, Room, SeatKey, Seats, Waiter, Wanted};
+
+/// Longest wait of a request that can no longer be on time.
+const LATE_WAIT: Duration = Duration::from_millis(500);
+/// Part of the time that is left which such a request waits at most: its caller
+/// can still come back after it.
+const LATE_SHARE: u32 = 4;
+/// Advised wait where no upstream may serve a request: weights and restarts take
+/// about this long.
+pub const NOBODY_WAIT: Duration = Duration::from_millis(1200);
+/// Waiting requests without room at any upstream that one look passes over: some
+/// wait for particular upstreams, but most for any.
+const LOOKED_PAST: usize = 4;
+
+/// A request that asks for a place.
+#[derive(Debug, Clone)]
+pub struct Applicant {
+    /// Number of the request.
+    pub id: u64,
+    /// Rank, 0 first.
+    pub rank: u8,
+    /// When its caller sent the first attempt.
+    pub first: Moment,
+    /// Time from there within which an answer has its full value.
+    pub objective: Duration,
+    /// When its caller gives up.
+    pub until: Moment,
+    /// What it needs of an upstream.
+    pub wanted: Wanted,
+}
+
+/// Answer to an applicant.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Asked {
+    /// It has a place, which is counted already.
+    Seated(Seating),
+    /// It waits; a later look gives it a place or lets it go.
+    Waits,
+    /// It is refused and may come back after this time.
+    Refused(Duration),
+}
+
+/// A place that was given to a request.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Seating {
+    /// Number of the request.
+    pub id: u64,
+    /// The upstream.
+    pub key: SeatKey,
+    /// What the request needs of it.
+    pub wanted: Wanted,
+}
+
+/// Where the requests of one service go: to a place, into the queue, or back.
+///
+/// Answers the load that is more than the upstreams bear: whoever can be on time
+/// gets a place before those who cannot, nobody waits for what is lost, and a
+/// refusal comes at once.
+#[derive(Debug)]
+pub struct Intake {
+    /// The upstreams.
+    pub seats: Seats,
+    /// The queue.
+    pub room: Room,
+}
+
+impl Intake {
+    /// An intake with these upstreams and queue.
+    pub fn new(seats: Seats, room: Room) -> Self {
+        Intake { seats, room }
+    }
+
+    /// Decides about a new request. `evacuated` tells the failure domains that are
+    /// out of service.
+    pub fn ask(
+        &mut self,
+        now: Moment,
+        applicant: Applicant,
+        evacuated: impl Fn(&str) -> bool,
+    ) -> Asked {
+        let Applicant {
+            id,
+            rank,
+            first,
+            objective,
+            until,
+            mut wanted,
+        } = applicant;
+        let due = first + objective;
+        let on_time_until = due.saturating_sub(self.seats.best_start(wanted.prompt));
+        let on_time = on_time_until > now;
+        wanted.due = on_time.then_some(due);
+        if self.room.is_empty() {
+            match self.seats.choose(now, &wanted, evacuated) {
+                Choice::Send(key) => {
+                    self.room.note_start(now);
+                    return Asked::Seated(self.seat(now, id, key, wanted));
+                }
+                Choice::Nobody => return Asked::Refused(NOBODY_WAIT),
+                Choice::Full => {}
+            }
+        }
+        let left = until.saturating_sub(now);
+        let waiter = Waiter {
+            id,
+            rank,
+            until: match on_time {
+                true => on_time_until,
+                false => now + LATE_WAIT.min(left / LATE_SHARE),
+            },
+            on_time,
+            wanted,
+        };
+        match self.room.offer(now, waiter) {
+            Admit::Refuse { retry_after } => Asked::Refused(retry_after),
+            Admit::Wait => Asked::Waits,
+        }
+    }
+
+    /// Gives free places to waiting requests.
+    pub fn pump(&mut self, now: Moment, evacuated: impl Fn(&str) -> bool) -> Vec<Seating> {
+        let mut seated = Vec::new();
+        let mut passed = 0;
+        while passed < LOOKED_PAST {
+            let Some(waiter) = self.room.get(passed) else {
+                break;
+            };
+            let Choice::Send(key) = self.seats.choose(now, &waiter.wanted, &evacuated) else {
+                passed += 1;
+                continue;
+            };
+            let Some(waiter) = self.room.start(now, passed) else {
+                break;
+            };
+            seated.push(self.seat(now, waiter.id, key, waiter.wanted));
+        }
+        seated
+    }
+
+    fn seat(&mut self, now: Moment, id: u64, key: SeatKey, wanted: Wanted) -> Seating {
+        if let Some(seat) = self.seats.seat(&key) {
+            seat.send(now, wanted.prompt);
+        }
+        Seating { id, key, wanted }
+    }
+}
--- a/components/dispatch/src/room.rs
+++ b/components/dispatch/src/room.rs
@@ -106,11 +106,16 @@
         self.waiting.iter()
     }
 
-    /// Takes a request whose turn it is.
-    pub fn start(&mut self, now: Moment, id: u64) {
-        if self.leave(id) {
-            self.note_start(now);
-        }
+    /// The request at a place of the queue.
+    pub fn get(&self, place: usize) -> Option<&Waiter> {
+        self.waiting.get(place)
+    }
+
+    /// Takes the request at a place of the queue, whose turn it is.
+    pub fn start(&mut self, now: Moment, place: usize) -> Option<Waiter> {
+        let waiter = (place < self.waiting.len()).then(|| self.waiting.remove(place))?;
+        self.note_start(now);
+        Some(waiter)
     }
 
     /// Records that a request was begun without waiting.
--- a/components/dispatch/src/seats.rs
+++ b/components/dispatch/src/seats.rs
@@ -25,7 +25,7 @@
 pub type SeatKey = UpstreamId;
 
 /// What a request needs of an upstream.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Wanted {
     /// Regions that may serve it; empty for all.
     pub homes: Vec<RegionId>,
--- a/components/dispatch/tests/room.rs
+++ b/components/dispatch/tests/room.rs
@@ -70,11 +70,8 @@
                 refused += 1;
             }
         }
-        let first = room.iter().next().map(|w| w.id);
-        if step % 20 == 0
-            && let Some(first) = first
-        {
-            room.start(now, first);
+        if step % 20 == 0 {
+            room.start(now, 0);
         }
     }
 
--- /dev/null
+++ b/components/emulator/src/baselines.rs
@@ -0,0 +1,238 @@
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use dispatch::SeatLoad;
+use domain::Moment;
+
+use crate::{Given, Policy, Request, SeatWord};
+
+/// Advice of the baselines to callers that are refused: a second, as many
+/// servers are set up to tell.
+const ADVICE: Duration = Duration::from_secs(1);
+
+/// What the baselines know of the engines.
+#[derive(Debug, Default)]
+struct Engines {
+    slots: u32,
+    /// Own and others' requests in flight; closed engines are left out.
+    open: BTreeMap<usize, u32>,
+    own: BTreeMap<usize, u32>,
+    others: BTreeMap<usize, BTreeMap<usize, u32>>,
+}
+
+impl Engines {
+    fn new(slots: u32) -> Self {
+        Engines {
+            slots,
+            ..Engines::default()
+        }
+    }
+
+    fn load(&self, engine: usize) -> u32 {
+        let own = self.own.get(&engine).copied().unwrap_or(0);
+        let others = self.others.values().filter_map(|o| o.get(&engine));
+        own + others.sum::<u32>()
+    }
+
+    /// The open engine with the fewest requests.
+    fn least(&self) -> Option<(usize, u32)> {
+        let loads = self.open.keys().map(|e| (*e, self.load(*e)));
+        loads.min_by_key(|(_, load)| (*load, fastrand::u32(..)))
+    }
+
+    fn begin(&mut self, engine: usize) {
+        *self.own.entry(engine).or_default() += 1;
+    }
+
+    fn end(&mut self, engine: usize) {
+        if let Some(own) = self.own.get_mut(&engine) {
+            *own = own.saturating_sub(1);
+        }
+    }
+
+    fn loads(&self) -> Vec<(usize, SeatLoad)> {
+        let load = |(e, n): (&usize, &u32)| {
+            let load = SeatLoad {
+                requests: *n,
+                unread: 0,
+            };
+            (*e, load)
+        };
+        self.own.iter().map(load).collect()
+    }
+
+    fn heard(&mut self, from: usize, loads: &[(usize, SeatLoad)]) {
+        let loads = loads.iter().map(|(e, l)| (*e, l.requests)).collect();
+        self.others.insert(from, loads);
+    }
+
+    fn word(&mut self, engine: usize, word: SeatWord) {
+        match word {
+            SeatWord::Open | SeatWord::Closes(_) => {
+                self.open.insert(engine, 0);
+            }
+            SeatWord::Closed | SeatWord::Gone => {
+                self.open.remove(&engine);
+            }
+        }
+    }
+}
+
+/// The parts of a policy that are the same for all baselines.
+macro_rules! engine_state {
+    () => {
+        fn began(&mut self, _engine: usize, _request: &Request) {}
+
+        fn ended(&mut self, engine: usize, _request: &Request, _read: bool) {
+            self.engines.end(engine);
+        }
+
+        fn full(&mut self, _now: Moment, engine: usize, _request: &Request) {
+            self.engines.end(engine);
+        }
+
+        fn loads(&self) -> Vec<(usize, SeatLoad)> {
+            self.engines.loads()
+        }
+
+        fn heard(&mut self, from: usize, loads: &[(usize, SeatLoad)]) {
+            self.engines.heard(from, loads);
+        }
+
+        fn engine(&mut self, _now: Moment, engine: usize, word: SeatWord) {
+            self.engines.word(engine, word);
+        }
+    };
+}
+
+/// First come, first served, in a queue without end.
+pub struct FirstCome {
+    engines: Engines,
+    queue: VecDeque<u64>,
+}
+
+impl FirstCome {
+    /// An entry before engines with so many slots.
+    pub fn new(slots: u32) -> Self {
+        FirstCome {
+            engines: Engines::new(slots),
+            queue: VecDeque::new(),
+        }
+    }
+
+    fn free(&mut self) -> Option<usize> {
+        let (engine, load) = self.engines.least()?;
+        let free = load < self.engines.slots;
+        free.then(|| self.engines.begin(engine)).map(|()| engine)
+    }
+}
+
+impl Policy for FirstCome {
+    fn ask(&mut self, _now: Moment, request: &Request) -> Given {
+        if self.queue.is_empty()
+            && let Some(engine) = self.free()
+        {
+            return Given::Engine(engine);
+        }
+        self.queue.push_back(request.id);
+        Given::Waits
+    }
+
+    fn pump(&mut self, _now: Moment) -> Vec<(u64, usize)> {
+        let mut placed = Vec::new();
+        while !self.queue.is_empty() {
+            let Some(engine) = self.free() else { break };
+            placed.extend(self.queue.pop_front().map(|id| (id, engine)));
+        }
+        placed
+    }
+
+    fn expire(&mut self, _now: Moment) -> Vec<(u64, Duration)> {
+        Vec::new()
+    }
+
+    fn leave(&mut self, id: u64) {
+        self.queue.retain(|q| *q != id);
+    }
+
+    engine_state!();
+}
+
+/// Engines in turn.
+pub struct RoundRobin {
+    engines: Engines,
+    next: usize,
+}
+
+impl RoundRobin {
+    /// An entry before engines with so many slots, that begins with engine `next`.
+    pub fn new(slots: u32, next: usize) -> Self {
+        RoundRobin {
+            engines: Engines::new(slots),
+            next,
+        }
+    }
+}
+
+impl Policy for RoundRobin {
+    fn ask(&mut self, _now: Moment, _request: &Request) -> Given {
+        let open: Vec<usize> = self.engines.open.keys().copied().collect();
+        if open.is_empty() {
+            return Given::Refused(ADVICE);
+        }
+        self.next += 1;
+        let engine = open[self.next % open.len()];
+        self.engines.begin(engine);
+        Given::Engine(engine)
+    }
+
+    fn pump(&mut self, _now: Moment) -> Vec<(u64, usize)> {
+        Vec::new()
+    }
+
+    fn expire(&mut self, _now: Moment) -> Vec<(u64, Duration)> {
+        Vec::new()
+    }
+
+    fn leave(&mut self, _id: u64) {}
+
+    engine_state!();
+}
+
+/// Least loaded engine, or a refusal when no slot is free.
+pub struct RefuseFull {
+    engines: Engines,
+}
+
+impl RefuseFull {
+    /// An entry before engines with so many slots.
+    pub fn new(slots: u32) -> Self {
+        RefuseFull {
+            engines: Engines::new(slots),
+        }
+    }
+}
+
+impl Policy for RefuseFull {
+    fn ask(&mut self, _now: Moment, _request: &Request) -> Given {
+        match self.engines.least() {
+            Some((engine, load)) if load < self.engines.slots => {
+                self.engines.begin(engine);
+                Given::Engine(engine)
+            }
+            _ => Given::Refused(ADVICE),
+        }
+    }
+
+    fn pump(&mut self, _now: Moment) -> Vec<(u64, usize)> {
+        Vec::new()
+    }
+
+    fn expire(&mut self, _now: Moment) -> Vec<(u64, Duration)> {
+        Vec::new()
+    }
+
+    fn leave(&mut self, _id: u64) {}
+
+    engine_state!();
+}
--- /dev/null
+++ b/components/emulator/src/lib.rs
@@ -0,0 +1,27 @@
+//! Engines by the published cost model, entries that run the production
+//! decisions, and callers with their patience, in virtual time and seeded.
+//!
+//! Only model engines are emulated: plain services are never short in the loads
+//! that these experiments are about. Networks have a fixed delay and lose nothing.
+
+mod baselines;
+mod callers;
+mod engine;
+mod ours;
+mod outcome;
+mod pattern;
+mod plot;
+mod policy;
+mod request;
+mod world;
+
+pub use baselines::{FirstCome, RefuseFull, RoundRobin};
+pub use callers::{Kind, kinds};
+pub use engine::{Engine, EngineEvent, users_engine};
+pub use ours::Ours;
+pub use outcome::{Ending, Report};
+pub use pattern::Pattern;
+pub use plot::svg;
+pub use policy::{Given, Policy, PolicyName, SeatWord};
+pub use request::Request;
+pub use world::{Scale, World};
--- /dev/null
+++ b/components/emulator/src/main.rs
@@ -0,0 +1,179 @@
+//! Tries policies under load patterns; see `--help`.
+
+use std::fs::File;
+use std::io::{BufWriter, Write};
+use std::path::PathBuf;
+
+use anyhow::{Context, bail};
+use emulator::{Pattern, PolicyName, Report, Scale, World, svg};
+use pico_args::Arguments;
+
+const HELP: &str = "\
+Tries policies of waiting, refusing and placing under load, in virtual time.
+
+Usage: emulator [--patterns A,B] [--policies A,B] [--seeds FROM..TO] [--entries N]
+                [--engines N] [--domains N] [--lines FILE] [--plot FILE]
+
+  --patterns   steady, backlog, step, hot-account, impatient, leaving, lost, joining,
+               switch, domain-out, double, fivefold (all of them)
+  --policies   ours, no-objectives, first-come, round-robin, refuse-full (all of them)
+  --seeds      seeds of the runs, the last one left out (1..4)
+  --entries    entries (3)
+  --engines    engines (14)
+  --domains    failure domains (3)
+  --lines      writes one JSON line a run into this file
+  --plot       writes an SVG plot of the mean value into this file
+
+The table on standard output shows means over the seeds.
+";
+
+struct Options {
+    patterns: Vec<Pattern>,
+    policies: Vec<PolicyName>,
+    seeds: std::ops::Range<u64>,
+    scale: Scale,
+    lines: Option<PathBuf>,
+    plot: Option<PathBuf>,
+}
+
+impl TryFrom<Arguments> for Options {
+    type Error = anyhow::Error;
+
+    fn try_from(mut args: Arguments) -> anyhow::Result<Self> {
+        let patterns: Option<String> = args.opt_value_from_str("--patterns")?;
+        let policies: Option<String> = args.opt_value_from_str("--policies")?;
+        let seeds: Option<String> = args.opt_value_from_str("--seeds")?;
+        let scale = Scale {
+            entries: args.opt_value_from_str("--entries")?.unwrap_or(3),
+            engines: args.opt_value_from_str("--engines")?.unwrap_or(14),
+            domains: args.opt_value_from_str("--domains")?.unwrap_or(3),
+        };
+        if scale.entries == 0 || scale.engines == 0 || scale.domains == 0 {
+            bail!("--entries, --engines and --domains need at least 1");
+        }
+        let options = Options {
+            patterns: chosen(patterns, &Pattern::ALL, Pattern::name)?,
+            policies: chosen(policies, &PolicyName::ALL, PolicyName::name)?,
+            seeds: range(seeds.as_deref().unwrap_or("1..4"))?,
+            scale,
+            lines: args.opt_value_from_str("--lines")?,
+            plot: args.opt_value_from_str("--plot")?,
+        };
+        let rest = args.finish();
+        if let Some(first) = rest.first() {
+            bail!("unknown argument {first:?}; see --help");
+        }
+        Ok(options)
+    }
+}
+
+fn chosen<T: Copy>(
+    list: Option<String>,
+    all: &[T],
+    name: impl Fn(T) -> &'static str,
+) -> anyhow::Result<Vec<T>> {
+    let Some(list) = list else {
+        return Ok(all.to_vec());
+    };
+    let find = |wanted: &str| {
+        let found = all.iter().copied().find(|t| name(*t) == wanted);
+        found.with_context(|| format!("{wanted:?} is not known; see --help for the names"))
+    };
+    list.split(',').map(find).collect()
+}
+
+fn range(text: &str) -> anyhow::Result<std::ops::Range<u64>> {
+    let remedy = || format!("--seeds {text:?} is not a range such as 1..4");
+    let (from, to) = text.split_once("..").with_context(remedy)?;
+    let range = from.parse().with_context(remedy)?..to.parse().with_context(remedy)?;
+    if range.is_empty() {
+        bail!("--seeds {text:?} is empty");
+    }
+    Ok(range)
+}
+
+fn main() -> anyhow::Result<()> {
+    let mut args = Arguments::from_env();
+    if args.contains("--help") {
+        print!("{HELP}");
+        return Ok(());
+    }
+    let options = Options::try_from(args)?;
+    let mut lines = match &options.lines {
+        Some(path) => {
+            let file = File::create(path);
+            let file = file.with_context(|| format!("cannot write {}", path.display()))?;
+            Some(BufWriter::new(file))
+        }
+        None => None,
+    };
+    let mut reports = Vec::new();
+    println!("{}", header());
+    for pattern in &options.patterns {
+        for policy in &options.policies {
+            let mut runs = Vec::new();
+            for seed in options.seeds.clone() {
+                let world = World::new(options.scale, *pattern, *policy, seed);
+                let what = format!("{}, {}, seed {seed}", pattern.name(), policy.name());
+                let report = Report {
+                    policy: policy.name(),
+                    seed,
+                    ..world.run(|done| eprint!("\r{what}: {:3.0} %  ", done * 100.0))
+                };
+                if let Some(lines) = &mut lines {
+                    serde_json::to_writer(&mut *lines, &report)?;
+                    lines.write_all(b"\n")?;
+                }
+                runs.push(report);
+            }
+            eprint!("\r{:60}\r", "");
+            println!("{}", row(&runs));
+            reports.extend(runs);
+        }
+    }
+    if let Some(path) = &options.plot {
+        std::fs::write(path, svg(&reports))
+            .with_context(|| format!("cannot write {}", path.display()))?;
+    }
+    Ok(())
+}
+
+fn header() -> String {
+    format!(
+        "{:12} {:14} {:>6} {:>6} {:>7} {:>6} {:>7} {:>8} {:>7} {:>7} {:>6} {:>7} {:>7}",
+        "pattern",
+        "policy",
+        "worth",
+        "worst",
+        "on time",
+        "late",
+        "refused",
+        "goodput",
+        "p50 ms",
+        "p99 ms",
+        "kind",
+        "account",
+        "largest"
+    )
+}
+
+fn row(runs: &[Report]) -> String {
+    let mean = |f: fn(&Report) -> f64| runs.iter().map(f).sum::<f64>() / runs.len().max(1) as f64;
+    let name = |f: fn(&Report) -> &'static str| runs.first().map_or("", f);
+    format!(
+        "{:12} {:14} {:6.3} {:6.3} {:7.3} {:6.3} {:7.3} {:8.1} {:7.0} {:7.0} {:6.2} {:7.2} {:7.2}",
+        name(|r| r.pattern),
+        name(|r| r.policy),
+        mean(|r| r.worth),
+        mean(|r| r.worst),
+        mean(|r| r.on_time),
+        mean(|r| r.late),
+        mean(|r| r.refused),
+        mean(|r| r.goodput),
+        mean(|r| r.start_p50_ms as f64),
+        mean(|r| r.start_p99_ms as f64),
+        mean(|r| r.worst_kind),
+        mean(|r| r.small_account),
+        mean(|r| r.largest),
+    )
+}
--- /dev/null
+++ b/components/emulator/src/request.rs
@@ -0,0 +1,29 @@
+use domain::Moment;
+use std::time::Duration;
+
+/// One attempt of a caller.
+#[derive(Debug, Clone)]
+pub struct Request {
+    /// Number of the attempt.
+    pub id: u64,
+    /// Kind, as a place in [`crate::kinds`].
+    pub kind: usize,
+    /// Account of the caller.
+    pub account: usize,
+    /// Tokens of its prompt.
+    pub prompt: u32,
+    /// Tokens of its answer.
+    pub output: u32,
+    /// What the caller expects of that.
+    pub hint: u32,
+    /// When the first attempt was sent.
+    pub first: Moment,
+    /// When the caller gives up.
+    pub until: Moment,
+    /// Attempts before this one.
+    pub earlier: u32,
+    /// Comes back at once and often.
+    pub impatient: bool,
+    /// Leaves when nothing has arrived after this time.
+    pub leaves: Option<Duration>,
+}
--- a/components/gateway/src/desk/mod.rs
+++ b/components/gateway/src/desk/mod.rs
@@ -6,7 +6,10 @@
 use std::time::Duration;
 
 use async_channel::{Receiver, bounded};
-use dispatch::{Admit, Choice, CrashWatch, FleetView, StartTime, ViewChange, Waiter, Wanted};
+use dispatch::{
+    Applicant, Asked, CrashWatch, FleetView, NOBODY_WAIT, Returners, Seating, StartTime,
+    ViewChange, Wanted,
+};
 use domain::{Moment, NodePlace, Platform, ServiceId, Target, UpstreamId, WeightVersion, now};
 use feed::Feed;
 
@@ -18,16 +21,8 @@
 /// Time before a bound on weight versions from which older ones get nothing:
 /// a request may wait in the engine's queue before it begins.
 const WEIGHTS_MARGIN: Duration = Duration::from_millis(1000);
-/// Share by which the patience of callers differs; only who has less left than
-/// that has been here before.
-const PATIENCE_SPREAD: f64 = 0.16;
 /// Time before that bound at which a request that has not begun is taken back.
 const BEGIN_MARGIN: Duration = Duration::from_millis(150);
-/// Longest wait of a request that can no longer be on time.
-const LATE_WAIT: Duration = Duration::from_millis(500);
-/// Advised wait where no upstream may serve a request: weights and restarts take
-/// about this long.
-const NOBODY_WAIT: Duration = Duration::from_millis(1200);
 
 /// What becomes of a request that asks for a place.
 pub enum Placed<P: Platform> {
@@ -53,7 +48,7 @@
             state: Mutex::new(State {
                 services: HashMap::new(),
                 peers: HashMap::new(),
-                patience: HashMap::new(),
+                returners: Returners::default(),
                 crashes: CrashWatch::default(),
                 charged: Vec::new(),
                 notices: 0,
@@ -67,7 +62,7 @@
             ViewChange::Listed(id) => self.list(id),
             ViewChange::Gone(id) => {
                 for s in self.state().services.values_mut() {
-                    s.seats.remove(id);
+                    s.intake.seats.remove(id);
                 }
             }
             ViewChange::Plan(_) => {
@@ -94,9 +89,12 @@
         let region = self.node.region_of(&upstream.domain).to_owned();
         let mut state = self.state();
         let service = state.service(&upstream.service, &self.node);
-        service.seats.set_cold_rate(rate);
-        service.seats.set_start_time(StartTime::new(engine));
-        service.seats.list(now(), &upstream, &region, tag_of(id));
+        service.intake.seats.set_cold_rate(rate);
+        service.intake.seats.set_start_time(StartTime::new(engine));
+        service
+            .intake
+            .seats
+            .list(now(), &upstream, &region, tag_of(id));
         state.share_loads();
     }
 
@@ -121,14 +119,7 @@
     /// When the first attempt of a request was sent, as far as its patience
     /// tells: callers who come back have less of it left.
     pub fn first_sent(&self, route: &str, arrived: Moment, patience: Duration) -> Moment {
-        let mut state = self.state();
-        let most = state.patience.entry(route.into()).or_default();
-        *most = (*most).max(patience);
-        let age = *most - patience;
-        match age < most.mul_f64(PATIENCE_SPREAD) {
-            true => arrived,
-            false => arrived.saturating_sub(age),
-        }
+        self.state().returners.first_sent(route, arrived, patience)
     }
 
     /// Finds a place for a request; waits for one where that makes sense.
@@ -138,9 +129,9 @@
         };
         let weights = wanted.weights;
         let waiting = match self.ask(job, wanted) {
-            Asked::Placed(hold) => return Placed::At(hold),
-            Asked::Refused(wait) => return Placed::Busy(self.shortage(job, weights, wait)),
-            Asked::Waiting(receiver) => receiver,
+            Answer::Placed(hold) => return Placed::At(hold),
+            Answer::Refused(wait) => return Placed::Busy(self.shortage(job, weights, wait)),
+            Answer::Waiting(receiver) => receiver,
         };
         // Gives the place in the queue up when the caller goes away.
         let _leave = Leave {
@@ -157,42 +148,29 @@
         }
     }
 
-    fn ask(self: &Arc<Self>, job: &Job, wanted: Wanted) -> Asked<P> {
+    fn ask(self: &Arc<Self>, job: &Job, wanted: Wanted) -> Answer<P> {
         let now = now();
-        let mut wanted = wanted;
         let mut state = self.state();
         let service = state.service(&job.service, &self.node);
-        let due = job.first + job.route.objective;
-        let on_time_until = due.saturating_sub(service.seats.best_start(wanted.prompt));
-        let on_time = on_time_until > now;
-        wanted.due = on_time.then_some(due);
-        if service.room.is_empty() {
-            match self.choose(service, now, &wanted) {
-                Choice::Send(key) => {
-                    service.room.note_start(now);
-                    return Asked::Placed(self.take(service, now, &key, &wanted));
-                }
-                Choice::Nobody => return Asked::Refused(NOBODY_WAIT),
-                Choice::Full => {}
-            }
-        }
-        let until = match on_time {
-            true => on_time_until,
-            false => now + LATE_WAIT.min(job.left(now) / 4),
-        };
-        let waiter = Waiter {
+        let applicant = Applicant {
             id: job.id,
             rank: job.rank(),
-            until,
-            on_time,
+            first: job.first,
+            objective: job.route.objective,
+            until: job.until,
             wanted,
         };
-        match service.room.offer(now, waiter) {
-            Admit::Refuse { retry_after } => Asked::Refused(retry_after),
-            Admit::Wait => {
+        let intake = &mut service.intake;
+        let asked = self
+            .feed
+            .view(|v| intake.ask(now, applicant, |d| v.is_evacuated(d)));
+        match asked {
+            Asked::Seated(seating) => Answer::Placed(self.hold(service, now, &seating)),
+            Asked::Refused(wait) => Answer::Refused(wait),
+            Asked::Waits => {
                 let (sender, receiver) = bounded(1);
                 service.tickets.insert(job.id, sender);
-                Asked::Waiting(receiver)
+                Answer::Waiting(receiver)
             }
         }
     }
@@ -212,24 +190,14 @@
         })
     }
 
-    fn choose(&self, service: &Service<P>, now: Moment, wanted: &Wanted) -> Choice {
-        self.feed
-            .view(|v| service.seats.choose(now, wanted, |d| v.is_evacuated(d)))
-    }
-
-    fn take(
-        self: &Arc<Self>,
-        service: &mut Service<P>,
-        now: Moment,
-        key: &str,
-        wanted: &Wanted,
-    ) -> Hold<P> {
-        let name = service.seats.service().clone();
+    fn hold(self: &Arc<Self>, service: &mut Service<P>, now: Moment, seating: &Seating) -> Hold<P> {
+        let wanted = &seating.wanted;
+        let seats = &mut service.intake.seats;
         let mut hold = Hold {
             desk: self.clone(),
-            service: name,
+            service: seats.service().clone(),
             target: Target {
-                id: key.into(),
+                id: seating.key.clone(),
                 addr: std::net::SocketAddr::from(([0, 0, 0, 0], 0)),
             },
             tag: 0,
@@ -240,8 +208,7 @@
             since: now,
             first: None,
         };
-        if let Some(seat) = service.seats.seat(key) {
-            seat.send(now, wanted.prompt);
+        if let Some(seat) = seats.seat(&seating.key) {
             hold.target.addr = seat.upstream.addr;
             hold.tag = seat.tag;
             hold.born = seat.upstream.born;
@@ -267,23 +234,11 @@
                 return;
             };
             let now = now();
-            let mut ids: Vec<(u64, Wanted)> = Vec::new();
-            if !service.room.is_empty() {
-                ids.extend(service.room.iter().map(|w| (w.id, w.wanted.clone())));
-            }
-            let mut full = 0;
-            for (id, wanted) in ids {
-                let Choice::Send(key) = self.choose(service, now, &wanted) else {
-                    full += 1;
-                    // Some wait for particular upstreams; look past a few of them.
-                    if full >= 4 {
-                        break;
-                    }
-                    continue;
-                };
-                service.room.start(now, id);
-                let hold = self.take(service, now, &key, &wanted);
-                let unsent = match service.tickets.remove(&id) {
+            let intake = &mut service.intake;
+            let seated = self.feed.view(|v| intake.pump(now, |d| v.is_evacuated(d)));
+            for seating in seated {
+                let hold = self.hold(service, now, &seating);
+                let unsent = match service.tickets.remove(&seating.id) {
                     Some(ticket) => ticket.try_send(hold).err().map(|e| e.into_inner()),
                     None => Some(hold),
                 };
@@ -305,7 +260,7 @@
             let mut state = self.state();
             state.forget_silent(now);
             for service in state.services.values_mut() {
-                for id in service.room.expire(now) {
+                for id in service.intake.room.expire(now) {
                     // Without its ticket the request learns that it is refused.
                     service.tickets.remove(&id);
                 }
@@ -316,7 +271,7 @@
 
     fn leave(&self, service: &ServiceId, id: u64) {
         if let Some(s) = self.state().services.get_mut(service) {
-            s.room.leave(id);
+            s.intake.room.leave(id);
             s.tickets.remove(&id);
         }
     }
@@ -338,9 +293,9 @@
         let Some(service) = state.services.get(&job.service) else {
             return shortage;
         };
-        shortage.waiting = service.room.len();
-        shortage.listed = service.seats.iter().count();
-        for seat in service.seats.iter().filter(|s| s.is_open(now)) {
+        shortage.waiting = service.intake.room.len();
+        shortage.listed = service.intake.seats.iter().count();
+        for seat in service.intake.seats.iter().filter(|s| s.is_open(now)) {
             shortage.open += 1;
             shortage.load.0 += seat.own.requests + seat.others.requests;
             shortage.load.1 += seat.upstream.slots;
@@ -350,7 +305,7 @@
 
     fn retry_after(&self, service: &ServiceId) -> Duration {
         let state = self.state();
-        let room = state.services.get(service).map(|s| &s.room);
+        let room = state.services.get(service).map(|s| &s.intake.room);
         room.map_or(Duration::from_secs(1), |r| r.retry_after(now()))
     }
 
@@ -358,13 +313,18 @@
     pub fn publish(&self) {
         let state = self.state();
         for (name, service) in &state.services {
-            let open = service.seats.iter().filter(|s| s.is_open(now())).count();
-            let own: u32 = service.seats.iter().map(|s| s.own.requests).sum();
+            let open = service
+                .intake
+                .seats
+                .iter()
+                .filter(|s| s.is_open(now()))
+                .count();
+            let own: u32 = service.intake.seats.iter().map(|s| s.own.requests).sum();
             let gauge =
                 |metric: &'static str| metrics::gauge!(metric, "service" => name.to_string());
             gauge("turmerichold_upstreams_open").set(open as f64);
             gauge("turmerichold_requests_in_flight").set(own);
-            gauge("turmerichold_requests_waiting").set(service.room.len() as f64);
+            gauge("turmerichold_requests_waiting").set(service.intake.room.len() as f64);
         }
         metrics::gauge!("turmerichold_entries_heard").set(state.peers.len() as f64);
     }
@@ -391,7 +351,8 @@
     }
 }
 
-enum Asked<P: Platform> {
+/// What becomes of a request for now.
+enum Answer<P: Platform> {
     Placed(Hold<P>),
     Refused(Duration),
     Waiting(Receiver<Hold<P>>),
--- a/components/gateway/src/desk/notices.rs
+++ b/components/gateway/src/desk/notices.rs
@@ -16,7 +16,7 @@
     /// Records what became of an exchange.
     pub fn note<R>(&self, hold: &Hold<P>, record: impl FnOnce(&mut Seat) -> R) -> Option<R> {
         let mut state = self.state();
-        let seats = &mut state.services.get_mut(&hold.service)?.seats;
+        let seats = &mut state.services.get_mut(&hold.service)?.intake.seats;
         let seat = seats.seat(&hold.target.id)?;
         (seat.upstream.born == hold.born).then(|| record(seat))
     }
@@ -50,7 +50,7 @@
     pub fn notice(&self, start: u64) -> EntryNotice {
         let mut state = self.state();
         state.notices += 1;
-        let seats = state.services.values().flat_map(|s| s.seats.iter());
+        let seats = state.services.values().flat_map(|s| s.intake.seats.iter());
         let loads = seats
             .filter(|s| s.own.requests > 0)
             .map(|s| {
@@ -114,7 +114,10 @@
     pub(super) fn pump_waiting(self: &Arc<Self>) {
         let names: Vec<ServiceId> = {
             let state = self.state();
-            let busy = state.services.iter().filter(|(_, s)| !s.room.is_empty());
+            let busy = state
+                .services
+                .iter()
+                .filter(|(_, s)| !s.intake.room.is_empty());
             busy.map(|(n, _)| n.clone()).collect()
         };
         names.iter().for_each(|n| self.pump(n));
@@ -124,7 +127,7 @@
     pub fn engine_notice(self: &Arc<Self>, notice: EngineNotice) {
         let mut state = self.state();
         for service in state.services.values_mut() {
-            for seat in service.seats.iter_mut() {
+            for seat in service.intake.seats.iter_mut() {
                 if seat.upstream.addr != notice.engine || seat.upstream.born != notice.born {
                     continue;
                 }
--- a/components/gateway/src/desk/state.rs
+++ b/components/gateway/src/desk/state.rs
@@ -2,8 +2,7 @@
 use std::time::Duration;
 
 use async_channel::Sender;
-use compact_str::CompactString;
-use dispatch::{CrashWatch, RepeatBudget, Room, RoomRules, SeatLoad, Seats};
+use dispatch::{CrashWatch, Intake, RepeatBudget, Returners, Room, RoomRules, SeatLoad, Seats};
 use domain::{Moment, NodePlace, Platform, ServiceId, VmId};
 use serde_json::json;
 use telemetry::{Outcome, decision};
@@ -27,8 +26,7 @@
 
 /// What is known and waiting of one service.
 pub struct Service<P: Platform> {
-    pub(super) seats: Seats,
-    pub(super) room: Room,
+    pub(super) intake: Intake,
     pub(super) tickets: HashMap<u64, Sender<Hold<P>>>,
     pub(super) budget: RepeatBudget,
 }
@@ -37,7 +35,7 @@
 pub struct State<P: Platform> {
     pub(super) services: HashMap<ServiceId, Service<P>>,
     pub(super) peers: HashMap<VmId, Peer>,
-    pub(super) patience: HashMap<CompactString, Duration>,
+    pub(super) returners: Returners,
     pub(super) crashes: CrashWatch,
     pub(super) charged: Vec<u64>,
     pub(super) notices: u64,
@@ -48,10 +46,12 @@
         self.services
             .entry(name.clone())
             .or_insert_with(|| Service {
-                seats: Seats::new(name.clone(), node.domain.clone(), node.region.clone()),
-                room: Room::new(RoomRules {
-                    places: ROOM_PLACES,
-                }),
+                intake: Intake::new(
+                    Seats::new(name.clone(), node.domain.clone(), node.region.clone()),
+                    Room::new(RoomRules {
+                        places: ROOM_PLACES,
+                    }),
+                ),
                 tickets: HashMap::new(),
                 budget: RepeatBudget::new(&node.bounds),
             })
@@ -79,8 +79,8 @@
     pub(super) fn share_loads(&mut self) {
         let entries = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
         for service in self.services.values_mut() {
-            service.seats.set_entries(entries);
-            for seat in service.seats.iter_mut() {
+            service.intake.seats.set_entries(entries);
+            for seat in service.intake.seats.iter_mut() {
                 let told = self.peers.values().filter_map(|p| p.loads.get(&seat.tag));
                 let sum = |a: SeatLoad, b: &SeatLoad| SeatLoad {
                     requests: a.requests + b.requests,
