Upstreams are shared out to entries: only one fills the last places of each

Load: an overload of a fleet with many entries. Also: a version followed by another within a second is not brought (two copies left the origin at once after an outage of the store).

--- a/components/dispatch/src/seat.rs
+++ b/components/dispatch/src/seat.rs
@@ -16,6 +16,8 @@
 /// Time in which other entries may send to the same upstream without anyone
 /// knowing: the pause between two of their notices and the way of one.
 const BLIND: Duration = Duration::from_millis(80);
+/// Part of an upstream's slots that others leave to the entry that fills it.
+const RESERVED: f64 = 0.25;
 /// How long the last requests of an engine may run on after it is closed.
 const CLOSE_SLACK: Duration = Duration::from_millis(200);
 /// Window of the cold limit.
@@ -39,6 +41,8 @@
     pub region: domain::RegionId,
     /// Number that entries use for the upstream among themselves.
     pub tag: u32,
+    /// This entry fills the upstream; others leave its last places alone.
+    pub owned: bool,
     /// What is in flight from this entry.
     pub own: SeatLoad,
     /// What is in flight from other entries, as they last said.
@@ -64,6 +68,7 @@
             upstream,
             region: region.into(),
             tag,
+            owned: true,
             own: SeatLoad::default(),
             others: SeatLoad::default(),
             switching: false,
@@ -88,7 +93,10 @@
     /// have sent what this one has since their last word: an upstream that has
     /// just become free looks best to all of them.
     pub fn load(&self, now: Moment, entries: u32) -> SeatLoad {
-        let others = entries.saturating_sub(1);
+        let others = match self.owned {
+            true => 0,
+            false => entries.saturating_sub(1),
+        };
         let recent = self.sent.iter().rev();
         let recent = recent.take_while(|(at, _)| now.saturating_sub(*at) < BLIND);
         let blind = recent.fold(SeatLoad::default(), |sum, (_, prompt)| SeatLoad {
@@ -111,6 +119,15 @@
         self.closes.is_none_or(|closes| end <= closes + CLOSE_SLACK)
     }
 
+    /// Requests that this entry may have there, with those of the others.
+    pub fn places(&self) -> u32 {
+        let slots = self.upstream.slots;
+        match self.owned {
+            true => slots,
+            false => slots - (f64::from(slots) * RESERVED).ceil() as u32,
+        }
+    }
+
     /// Whether it is still slow after its start.
     pub fn is_cold(&self, now: Moment) -> bool {
         now < self.cold_until
--- a/components/dispatch/src/seats.rs
+++ b/components/dispatch/src/seats.rs
@@ -5,13 +5,15 @@
     FailureDomainId, ModelId, Moment, RegionId, ServiceId, Upstream, UpstreamId, WeightVersion,
 };
 
-use crate::{Seat, SeatLoad, StartTime};
+use crate::{Seat, SeatLoad, Shares, StartTime};
 
 /// Load, as a share of the slots, that a request avoids by leaving its region.
 /// Lines between regions are thin, so a near upstream may be this much busier.
 const REMOTE_PENALTY: f64 = 0.45;
 /// The same for another failure domain of the region.
 const DOMAIN_PENALTY: f64 = 0.05;
+/// The same for an upstream that another entry fills.
+const FOREIGN_PENALTY: f64 = 0.1;
 /// Weight of a second of expected start time against load.
 const START_PENALTY: f64 = 4.0;
 /// Unread tokens up to which an upstream takes a request that is late already.
@@ -112,6 +114,13 @@
         self.entries = entries.max(1);
     }
 
+    /// Takes over which upstreams `entry`, this one, fills.
+    pub fn set_shares(&mut self, shares: &Shares, entry: &str) {
+        for seat in &mut self.seats {
+            seat.owned = shares.owns(entry, seat.tag);
+        }
+    }
+
     /// Takes over the cost model of the service.
     pub fn set_start_time(&mut self, start_time: StartTime) {
         self.start_time = start_time;
@@ -230,7 +239,7 @@
 
     fn has_room(&self, now: Moment, seat: &Seat, load: SeatLoad) -> bool {
         let cold = seat.is_cold(now) && self.cold_rate.is_some_and(|r| !seat.bears(now, r));
-        seat.is_open(now) && !cold && load.requests < seat.upstream.slots
+        seat.is_open(now) && !cold && load.requests < seat.places()
     }
 
     fn score(&self, now: Moment, seat: &Seat, load: SeatLoad, start: Duration) -> f64 {
@@ -241,6 +250,9 @@
         } else if seat.upstream.domain != self.domain {
             score += DOMAIN_PENALTY;
         }
+        if !seat.owned {
+            score += FOREIGN_PENALTY;
+        }
         if seat.is_cold(now) {
             score += COLD_PENALTY;
         }
--- /dev/null
+++ b/components/dispatch/tests/shares.rs
@@ -0,0 +1,75 @@
+//! Which entry fills which upstream.
+
+use dispatch::Shares;
+
+fn entries(regions: &[&str]) -> Vec<(compact_str::CompactString, compact_str::CompactString)> {
+    let entry = |(i, r): (usize, &&str)| (format!("e{i}").into(), (*r).into());
+    regions.iter().enumerate().map(entry).collect()
+}
+
+fn upstreams(regions: &[&str]) -> Vec<(u32, compact_str::CompactString)> {
+    (1..).zip(regions.iter().map(|r| (*r).into())).collect()
+}
+
+fn count(shares: &Shares, entry: &str, tags: std::ops::RangeInclusive<u32>) -> usize {
+    tags.filter(|tag| shares.owns(entry, *tag)).count()
+}
+
+#[test]
+fn each_upstream_has_one_entry_of_its_region() {
+    let entries = entries(&["n", "n", "s"]);
+    let upstreams = upstreams(&["n", "n", "n", "n", "s", "s"]);
+
+    let shares = Shares::new(&entries, &upstreams);
+
+    assert_eq!(count(&shares, "e0", 1..=4), 2);
+    assert_eq!(count(&shares, "e1", 1..=4), 2);
+    assert_eq!(count(&shares, "e2", 5..=6), 2);
+    assert_eq!(count(&shares, "e2", 1..=4), 0);
+}
+
+#[test]
+fn the_order_of_what_is_known_does_not_matter() {
+    let (mut entries, mut upstreams) = (entries(&["n", "s", "n"]), upstreams(&["n", "s", "n"]));
+    let shares = Shares::new(&entries, &upstreams);
+    entries.reverse();
+    upstreams.reverse();
+
+    let other = Shares::new(&entries, &upstreams);
+
+    for entry in ["e0", "e1", "e2"] {
+        for tag in 1..=3 {
+            assert_eq!(shares.owns(entry, tag), other.owns(entry, tag));
+        }
+    }
+}
+
+/// Load pattern: a failure domain is out of service and its entries still get
+/// callers.
+#[test]
+fn entries_without_upstreams_of_their_own_share_those_of_others() {
+    let entries = entries(&["n", "s"]);
+    let upstreams = upstreams(&["n", "n", "n", "n"]);
+
+    let shares = Shares::new(&entries, &upstreams);
+
+    assert_eq!(count(&shares, "e1", 1..=4), 2);
+}
+
+#[test]
+fn upstreams_without_an_entry_near_are_shared_by_all() {
+    let entries = entries(&["n", "n"]);
+    let upstreams = upstreams(&["n", "s", "s"]);
+
+    let shares = Shares::new(&entries, &upstreams);
+
+    assert_eq!(count(&shares, "e0", 2..=3), 1);
+    assert_eq!(count(&shares, "e1", 2..=3), 1);
+}
+
+#[test]
+fn an_upstream_that_nobody_has_been_given_is_filled_by_all() {
+    let shares = Shares::default();
+
+    assert!(shares.owns("e0", 7));
+}
--- a/components/emulator/src/ours.rs
+++ b/components/emulator/src/ours.rs
@@ -4,7 +4,8 @@
 
 use compact_str::format_compact;
 use dispatch::{
-    Applicant, Asked, Intake, Returners, Room, RoomRules, Seat, SeatLoad, Seats, StartTime, Wanted,
+    Applicant, Asked, Intake, Returners, Room, RoomRules, Seat, SeatLoad, Seats, Shares, StartTime,
+    Wanted,
 };
 use domain::{EngineSpec, Moment, Upstream, UpstreamId, UpstreamState};
 
@@ -60,6 +61,17 @@
         self.intake.seats.list(now, &upstream, &domain, tag);
     }
 
+    /// Tells the entry which engines it fills.
+    pub fn share(&mut self, entry: usize, entries: usize, domains: usize) {
+        let entries: Vec<_> = (0..entries)
+            .map(|e| (vm(e), domain_name(e % domains)))
+            .collect();
+        let seats = self.intake.seats.iter();
+        let upstreams: Vec<_> = seats.map(|s| (s.tag, s.region.clone())).collect();
+        let shares = Shares::new(&entries, &upstreams);
+        self.intake.seats.set_shares(&shares, &vm(entry));
+    }
+
     fn seat(&mut self, engine: usize) -> Option<&mut Seat> {
         self.intake.seats.seat(&id(engine))
     }
@@ -69,6 +81,10 @@
     format_compact!("{engine}")
 }
 
+fn vm(entry: usize) -> domain::VmId {
+    format_compact!("entry-{entry:03}")
+}
+
 fn domain_name(domain: usize) -> domain::FailureDomainId {
     format_compact!("d{domain}")
 }
--- a/components/emulator/src/world.rs
+++ b/components/emulator/src/world.rs
@@ -508,6 +508,7 @@
                 ours.engine(now, engine, SeatWord::Closed);
             }
         }
+        ours.share(entry, scale.entries, scale.domains);
         Box::new(ours)
     };
     match policy {
--- a/components/feed/src/notice.rs
+++ b/components/feed/src/notice.rs
@@ -17,6 +17,8 @@
 pub struct EntryNotice {
     /// VM of the entry.
     pub vm: CompactString,
+    /// Its region.
+    pub region: CompactString,
     /// Start of the entry; with `number` it orders its notices.
     pub start: u64,
     /// Number of the notice.
--- a/components/gateway/src/desk/mod.rs
+++ b/components/gateway/src/desk/mod.rs
@@ -52,6 +52,7 @@
                 crashes: CrashWatch::default(),
                 charged: Vec::new(),
                 notices: 0,
+                unshared: true,
             }),
         }
     }
@@ -74,6 +75,7 @@
             }
             ViewChange::Domain(..) | ViewChange::Weights(..) | ViewChange::Lapsed(_) => {}
         }
+        self.state().unshared = true;
         self.pump_all();
     }
 
@@ -259,6 +261,8 @@
         {
             let mut state = self.state();
             state.forget_silent(now);
+            self.feed
+                .view(|v| state.share_out(&self.node, |d| v.is_evacuated(d)));
             for service in state.services.values_mut() {
                 for id in service.intake.expire(now) {
                     // Without its ticket the request learns that it is refused.
--- a/components/gateway/src/desk/notices.rs
+++ b/components/gateway/src/desk/notices.rs
@@ -61,6 +61,7 @@
             .collect();
         EntryNotice {
             vm: self.node.vm.clone(),
+            region: self.node.region.clone(),
             start,
             number: state.notices,
             loads,
@@ -87,6 +88,7 @@
                 Outcome::Change,
                 json!({ "entry": notice.vm }),
             );
+            state.unshared = true;
         }
         for fingerprint in notice.crashes {
             if !state.charged.contains(&fingerprint) {
@@ -100,6 +102,7 @@
         };
         let loads = notice.loads.into_iter().map(load);
         let peer = Peer {
+            region: notice.region,
             start: notice.start,
             number: notice.number,
             heard: now,
--- a/components/gateway/src/desk/state.rs
+++ b/components/gateway/src/desk/state.rs
@@ -2,8 +2,10 @@
 use std::time::Duration;
 
 use async_channel::Sender;
-use dispatch::{CrashWatch, Intake, RepeatBudget, Returners, Room, RoomRules, SeatLoad, Seats};
-use domain::{Moment, NodePlace, Platform, ServiceId, VmId};
+use dispatch::{
+    CrashWatch, Intake, RepeatBudget, Returners, Room, RoomRules, SeatLoad, Seats, Shares,
+};
+use domain::{FailureDomainId, Moment, NodePlace, Platform, RegionId, ServiceId, VmId};
 use serde_json::json;
 use telemetry::{Outcome, decision};
 
@@ -18,6 +20,7 @@
 
 /// Another entry, as it last told of itself.
 pub struct Peer {
+    pub(super) region: RegionId,
     pub(super) start: u64,
     pub(super) number: u64,
     pub(super) heard: Moment,
@@ -39,6 +42,8 @@
     pub(super) crashes: CrashWatch,
     pub(super) charged: Vec<u64>,
     pub(super) notices: u64,
+    /// Entries or upstreams have changed since upstreams were shared out.
+    pub(super) unshared: bool,
 }
 
 impl<P: Platform> State<P> {
@@ -72,6 +77,7 @@
             !silent(p)
         });
         if before != self.peers.len() {
+            self.unshared = true;
             self.share_loads();
         }
     }
@@ -91,6 +97,30 @@
         }
     }
 
+    /// Shares the upstreams out to the entries anew if either have changed.
+    pub(super) fn share_out(
+        &mut self,
+        node: &NodePlace,
+        evacuated: impl Fn(&FailureDomainId) -> bool,
+    ) {
+        if !std::mem::take(&mut self.unshared) {
+            return;
+        }
+        let peers = self
+            .peers
+            .iter()
+            .map(|(vm, p)| (vm.clone(), p.region.clone()));
+        let own = (node.vm.clone(), node.region.clone());
+        let entries: Vec<(VmId, RegionId)> = peers.chain([own]).collect();
+        for service in self.services.values_mut() {
+            let seats = &mut service.intake.seats;
+            let usable = seats.iter().filter(|s| !evacuated(&s.upstream.domain));
+            let upstreams: Vec<(u32, RegionId)> =
+                usable.map(|s| (s.tag, s.region.clone())).collect();
+            seats.set_shares(&Shares::new(&entries, &upstreams), &node.vm);
+        }
+    }
+
     pub(super) fn charge(&mut self, charged: Vec<u64>) {
         for fingerprint in charged {
             let fields = json!({ "fingerprint": format!("{fingerprint:016x}") });
--- a/components/pieces/src/goal.rs
+++ b/components/pieces/src/goal.rs
@@ -1,8 +1,13 @@
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use dispatch::FleetView;
 use domain::{ModelId, Moment, PieceSpec, ServiceId, Supply, WeightVersion};
 
+/// A version that is followed by another within this time is not brought: both
+/// would be late, as when they become known together after an outage of the store.
+const SUCCESSION: Duration = Duration::from_millis(1000);
+
 /// A declared version of the model that the engine serves.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Goal {
@@ -41,9 +46,17 @@
         // Without a declaration version 1 is the one to hold.
         let first = (&supply.model, &[(1, Moment::ZERO)][..]);
         let (model, versions) = view.all_declared().next().unwrap_or(first);
-        let newest = &versions[versions.len().saturating_sub(most)..];
+        let followed = |i: usize| {
+            let next = versions.get(i + 1);
+            next.is_some_and(|(_, at)| at.saturating_sub(versions[i].1) < SUCCESSION)
+        };
+        let lasting = versions.iter().enumerate().filter(|(i, _)| !followed(*i));
+        let lasting: Vec<&(WeightVersion, Moment)> = lasting.map(|(_, v)| v).collect();
+        let newest = lasting[lasting.len().saturating_sub(most)..]
+            .iter()
+            .copied();
         let goal =
             |(v, since): &(WeightVersion, Moment)| Goal::new(supply, model.clone(), *v, *since);
-        newest.iter().map(goal).collect()
+        newest.map(goal).collect()
     }
 }
