Agents count the time of a version like entries: not before the store's return

Cause: after an outage of the store agents took versions as overdue and switched at once, 54 of 74 engines in the same second; and both of two versions were brought.

--- a/components/dispatch/src/fleet_view.rs
+++ b/components/dispatch/src/fleet_view.rs
@@ -105,9 +105,8 @@
             return overdue;
         }
         let before = now.saturating_sub(bound);
-        let counts = |at: Moment| at.max(self.returned.unwrap_or_default());
         let versions = self.wanted.get(model)?.iter();
-        let due = versions.filter(|(_, at)| counts(*at) <= before);
+        let due = versions.filter(|(_, at)| self.counts_from(*at) <= before);
         due.map(|(v, _)| *v).max().max(overdue)
     }
 
@@ -116,8 +115,13 @@
     pub fn expires(&self, model: &str, held: WeightVersion, bound: Duration) -> Option<Moment> {
         let versions = self.wanted.get(model)?.iter();
         let newer = versions.filter(|(v, _)| *v > held);
-        let counts = |at: Moment| at.max(self.returned.unwrap_or_default());
-        newer.map(|(_, at)| counts(*at) + bound).min()
+        newer.map(|(_, at)| self.counts_from(*at) + bound).min()
+    }
+
+    /// When the time of a version that was declared at `at` begins to count: not
+    /// before the store's return.
+    pub fn counts_from(&self, at: Moment) -> Moment {
+        at.max(self.returned.unwrap_or_default())
     }
 
     /// Upstreams that are listed or only lapsed.
--- a/components/feed/src/goals.rs
+++ b/components/feed/src/goals.rs
@@ -113,9 +113,11 @@
 
     fn goals_now(&self, held: Duration) -> GoalsAnswer {
         let now = now();
-        let (_, age) = self.plan_age();
+        let (_, confirmed) = self.plan_age();
         self.view(|v| {
-            let known = |at: Moment| (!at.is_zero()).then(|| millis(now.saturating_sub(at)));
+            // Agents plan their switches by the same time as entries.
+            let age = |at| millis(now.saturating_sub(v.counts_from(at)));
+            let known = |at: Moment| (!at.is_zero()).then(|| age(at));
             let ages =
                 |list: &[(u64, Moment)]| list.iter().map(|(v, at)| (*v, known(*at))).collect();
             let declared = v.all_declared();
@@ -123,7 +125,7 @@
                 declared: declared.map(|(m, list)| (m.clone(), ages(list))).collect(),
                 supplies: v.supplies().to_vec(),
                 plan: v.supplied(),
-                age: age.map(millis),
+                age: confirmed.map(millis),
                 held: millis(held),
             }
         })
--- a/components/pieces/src/goal.rs
+++ b/components/pieces/src/goal.rs
@@ -47,8 +47,9 @@
         let first = (&supply.model, &[(1, Moment::ZERO)][..]);
         let (model, versions) = view.all_declared().next().unwrap_or(first);
         let followed = |i: usize| {
-            let next = versions.get(i + 1);
-            next.is_some_and(|(_, at)| at.saturating_sub(versions[i].1) < SUCCESSION)
+            let counted = |(_, at): &(WeightVersion, Moment)| view.counts_from(*at);
+            let next = versions.get(i + 1).map(counted);
+            next.is_some_and(|at| at.saturating_sub(counted(&versions[i])) < SUCCESSION)
         };
         let lasting = versions.iter().enumerate().filter(|(i, _)| !followed(*i));
         let lasting: Vec<&(WeightVersion, Moment)> = lasting.map(|(_, v)| v).collect();
