Entries stop sending to older weights 0.6 s before a version's bound

A request is placed to begin within 0.5 s and taken back when it has not; the rest of the second was lost in each version that is late.

--- a/components/gateway/src/desk/mod.rs
+++ b/components/gateway/src/desk/mod.rs
@@ -20,7 +20,7 @@
 
 /// Time before a bound on weight versions from which older ones get nothing:
 /// a request may wait in the engine's queue before it begins.
-const WEIGHTS_MARGIN: Duration = Duration::from_millis(1000);
+const WEIGHTS_MARGIN: Duration = Duration::from_millis(600);
 /// Time before that bound at which a request that has not begun is taken back.
 const BEGIN_MARGIN: Duration = Duration::from_millis(150);
 
