Upstreams are shared out by the demand of each entry

Load: balancers spread connections unevenly; the only entry of a region with 30 of 100 callers filled 17 of 100 places. Entries tell what they get in their notices.

--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod confirmation;
 mod crash_watch;
+mod demand;
 mod event_splitter;
 mod fleet_view;
 mod intake;
@@ -21,6 +22,7 @@
 
 pub use confirmation::{Confirmation, Standing};
 pub use crash_watch::{CrashWatch, Verdict};
+pub use demand::Demand;
 pub use event_splitter::EventSplitter;
 pub use fleet_view::{FleetView, ViewChange};
 pub use intake::{Applicant, Asked, Intake, NOBODY_WAIT, Seating};
@@ -31,7 +33,7 @@
 pub use room::{Admit, Room, RoomRules, Waiter};
 pub use seat::{Seat, SeatLoad};
 pub use seats::{Choice, SeatKey, Seats, Wanted};
-pub use shares::Shares;
+pub use shares::{Party, Shares};
 pub use start_time::StartTime;
 pub use swarm::{FetchFailure, Fetching, Holder, PieceSource, Swarm, SwarmStep};
 pub use switch_plan::{Candidate, SwitchPlan, SwitchStep};
--- a/components/dispatch/src/shares.rs
+++ b/components/dispatch/src/shares.rs
@@ -2,6 +2,17 @@
 
 use domain::{RegionId, VmId};
 
+/// An entry among which upstreams are shared out.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Party {
+    /// Its VM.
+    pub vm: VmId,
+    /// Its region.
+    pub region: RegionId,
+    /// Requests a second that it gets.
+    pub demand: u16,
+}
+
 /// Which entry fills which upstream.
 ///
 /// Answers the fleet in which a dozen entries see the same free place and all send
@@ -14,36 +25,33 @@
 }
 
 impl Shares {
-    /// Spreads `upstreams`, each with its tag and region, over `entries`. All
-    /// entries that know the same of both come to the same result.
-    pub fn new(entries: &[(VmId, RegionId)], upstreams: &[(u32, RegionId)]) -> Self {
-        let mut entries: Vec<&(VmId, RegionId)> = entries.iter().collect();
+    /// Spreads `upstreams`, each with its tag and region, over entries by their
+    /// demand. All entries that know the same come to the same result.
+    pub fn new(entries: &[Party], upstreams: &[(u32, RegionId)]) -> Self {
+        let mut entries: Vec<&Party> = entries.iter().collect();
         entries.sort();
         let mut upstreams: Vec<&(u32, RegionId)> = upstreams.iter().collect();
         upstreams.sort();
         let served = |region: &RegionId| upstreams.iter().any(|(_, r)| r == region);
-        let mut able: HashMap<&RegionId, Vec<&VmId>> = HashMap::new();
-        for (_, region) in &upstreams {
-            able.entry(region).or_insert_with(|| {
-                // Entries of regions without upstreams fill those of all others.
-                let near = |r: &RegionId| r == region || !served(r);
-                let near = entries.iter().filter(|(_, r)| near(r));
-                let vms: Vec<&VmId> = near.map(|(vm, _)| vm).collect();
-                match vms.is_empty() {
-                    true => entries.iter().map(|(vm, _)| vm).collect(),
-                    false => vms,
-                }
-            });
-        }
-        let mut turns: HashMap<&RegionId, usize> = HashMap::new();
+        // Entries of regions without upstreams fill those of all others.
+        let homeless: Vec<bool> = entries.iter().map(|e| !served(&e.region)).collect();
+        let mut given = vec![0_u32; entries.len()];
         let mut owners = HashMap::new();
-        for (tag, region) in &upstreams {
-            let turn = turns.entry(region).or_default();
-            let vms = &able[region];
-            if let Some(vm) = vms.get(*turn % vms.len().max(1)) {
-                owners.insert(*tag, (*vm).clone());
+        for (tag, region) in upstreams {
+            let near = |i: &usize| homeless[*i] || entries[*i].region == *region;
+            let lonely = !(0..entries.len()).any(|i| near(&i));
+            // The one that has the least for its demand is next.
+            let next = (0..entries.len())
+                .filter(|i| lonely || near(i))
+                .min_by(|a, b| {
+                    let load =
+                        |i: usize| f64::from(given[i] + 1) / f64::from(entries[i].demand.max(1));
+                    load(*a).total_cmp(&load(*b))
+                });
+            if let Some(i) = next {
+                given[i] += 1;
+                owners.insert(*tag, entries[i].vm.clone());
             }
-            *turn += 1;
         }
         Shares { owners }
     }
--- a/components/dispatch/tests/shares.rs
+++ b/components/dispatch/tests/shares.rs
@@ -1,9 +1,15 @@
 //! Which entry fills which upstream.
 
-use dispatch::Shares;
+use std::time::Duration;
 
-fn entries(regions: &[&str]) -> Vec<(compact_str::CompactString, compact_str::CompactString)> {
-    let entry = |(i, r): (usize, &&str)| (format!("e{i}").into(), (*r).into());
+use dispatch::{Demand, Party, Shares};
+
+fn entries(regions: &[&str]) -> Vec<Party> {
+    let entry = |(i, r): (usize, &&str)| Party {
+        vm: format!("e{i}").into(),
+        region: (*r).into(),
+        demand: 10,
+    };
     regions.iter().enumerate().map(entry).collect()
 }
 
@@ -73,3 +79,32 @@
 
     assert!(shares.owns("e0", 7));
 }
+
+/// Load pattern: the balancer gives one entry three times as many callers.
+#[test]
+fn an_entry_with_more_callers_gets_more() {
+    let mut entries = entries(&["n", "n"]);
+    entries[1].demand = 30;
+    let upstreams = upstreams(&["n"; 8]);
+
+    let shares = Shares::new(&entries, &upstreams);
+
+    assert_eq!(count(&shares, "e0", 1..=8), 2);
+    assert_eq!(count(&shares, "e1", 1..=8), 6);
+}
+
+#[test]
+fn the_demand_that_is_told_follows_large_changes_only() {
+    let mut demand = Demand::default();
+    let at = |ms| Duration::from_secs(100) + Duration::from_millis(ms);
+    (0..800).for_each(|i| demand.note(at(i * 10)));
+
+    let steady = demand.told(at(8000));
+    (0..40).for_each(|i| demand.note(at(8000 + i * 9)));
+    let little = demand.told(at(8360));
+    let idle = demand.told(at(14_000));
+
+    assert!((90..=101).contains(&steady), "{steady}");
+    assert_eq!(little, steady);
+    assert!(idle < 10, "{idle}");
+}
--- a/components/emulator/src/ours.rs
+++ b/components/emulator/src/ours.rs
@@ -4,8 +4,8 @@
 
 use compact_str::format_compact;
 use dispatch::{
-    Applicant, Asked, Intake, Returners, Room, RoomRules, Seat, SeatLoad, Seats, Shares, StartTime,
-    Wanted,
+    Applicant, Asked, Intake, Party, Returners, Room, RoomRules, Seat, SeatLoad, Seats, Shares,
+    StartTime, Wanted,
 };
 use domain::{EngineSpec, Moment, Upstream, UpstreamId, UpstreamState};
 
@@ -63,9 +63,12 @@
 
     /// Tells the entry which engines it fills.
     pub fn share(&mut self, entry: usize, entries: usize, domains: usize) {
-        let entries: Vec<_> = (0..entries)
-            .map(|e| (vm(e), domain_name(e % domains)))
-            .collect();
+        let party = |e| Party {
+            vm: vm(e),
+            region: domain_name(e % domains),
+            demand: 1,
+        };
+        let entries: Vec<Party> = (0..entries).map(party).collect();
         let seats = self.intake.seats.iter();
         let upstreams: Vec<_> = seats.map(|s| (s.tag, s.region.clone())).collect();
         let shares = Shares::new(&entries, &upstreams);
--- a/components/feed/src/notice.rs
+++ b/components/feed/src/notice.rs
@@ -19,6 +19,8 @@
     pub vm: CompactString,
     /// Its region.
     pub region: CompactString,
+    /// Requests a second that it gets from callers.
+    pub demand: u16,
     /// Start of the entry; with `number` it orders its notices.
     pub start: u64,
     /// Number of the notice.
--- a/components/gateway/src/desk/mod.rs
+++ b/components/gateway/src/desk/mod.rs
@@ -7,7 +7,7 @@
 
 use async_channel::{Receiver, bounded};
 use dispatch::{
-    Applicant, Asked, CrashWatch, FleetView, NOBODY_WAIT, Returners, Seating, StartTime,
+    Applicant, Asked, CrashWatch, Demand, FleetView, NOBODY_WAIT, Returners, Seating, StartTime,
     ViewChange, Wanted,
 };
 use domain::{Moment, NodePlace, Platform, ServiceId, Target, UpstreamId, WeightVersion, now};
@@ -52,6 +52,8 @@
                 crashes: CrashWatch::default(),
                 charged: Vec::new(),
                 notices: 0,
+                demand: Demand::default(),
+                shared_demand: 0,
                 unshared: true,
             }),
         }
@@ -262,7 +264,7 @@
             let mut state = self.state();
             state.forget_silent(now);
             self.feed
-                .view(|v| state.share_out(&self.node, |d| v.is_evacuated(d)));
+                .view(|v| state.share_out(now, &self.node, |d| v.is_evacuated(d)));
             for service in state.services.values_mut() {
                 for id in service.intake.expire(now) {
                     // Without its ticket the request learns that it is refused.
@@ -336,6 +338,7 @@
     /// Counts a request towards the repeats that its service may get.
     pub fn count(&self, service: &ServiceId) {
         let mut state = self.state();
+        state.demand.note(now());
         state.service(service, &self.node).budget.request(now());
     }
 
--- a/components/gateway/src/desk/notices.rs
+++ b/components/gateway/src/desk/notices.rs
@@ -50,6 +50,7 @@
     pub fn notice(&self, start: u64) -> EntryNotice {
         let mut state = self.state();
         state.notices += 1;
+        let demand = state.demand.told(now());
         let seats = state.services.values().flat_map(|s| s.intake.seats.iter());
         let loads = seats
             .filter(|s| s.own.requests > 0)
@@ -62,6 +63,7 @@
         EntryNotice {
             vm: self.node.vm.clone(),
             region: self.node.region.clone(),
+            demand,
             start,
             number: state.notices,
             loads,
@@ -101,8 +103,13 @@
             (tag, SeatLoad { requests, unread })
         };
         let loads = notice.loads.into_iter().map(load);
+        let known = state.peers.get(&notice.vm);
+        if known.is_some_and(|p| p.demand != notice.demand) {
+            state.unshared = true;
+        }
         let peer = Peer {
             region: notice.region,
+            demand: notice.demand,
             start: notice.start,
             number: notice.number,
             heard: now,
--- a/components/gateway/src/desk/state.rs
+++ b/components/gateway/src/desk/state.rs
@@ -3,7 +3,8 @@
 
 use async_channel::Sender;
 use dispatch::{
-    CrashWatch, Intake, RepeatBudget, Returners, Room, RoomRules, SeatLoad, Seats, Shares,
+    CrashWatch, Demand, Intake, Party, RepeatBudget, Returners, Room, RoomRules, SeatLoad, Seats,
+    Shares,
 };
 use domain::{FailureDomainId, Moment, NodePlace, Platform, RegionId, ServiceId, VmId};
 use serde_json::json;
@@ -21,6 +22,7 @@
 /// Another entry, as it last told of itself.
 pub struct Peer {
     pub(super) region: RegionId,
+    pub(super) demand: u16,
     pub(super) start: u64,
     pub(super) number: u64,
     pub(super) heard: Moment,
@@ -42,6 +44,9 @@
     pub(super) crashes: CrashWatch,
     pub(super) charged: Vec<u64>,
     pub(super) notices: u64,
+    pub(super) demand: Demand,
+    /// Own demand when upstreams were last shared out.
+    pub(super) shared_demand: u16,
     /// Entries or upstreams have changed since upstreams were shared out.
     pub(super) unshared: bool,
 }
@@ -100,18 +105,26 @@
     /// Shares the upstreams out to the entries anew if either have changed.
     pub(super) fn share_out(
         &mut self,
+        now: Moment,
         node: &NodePlace,
         evacuated: impl Fn(&FailureDomainId) -> bool,
     ) {
-        if !std::mem::take(&mut self.unshared) {
+        let demand = self.demand.told(now);
+        let changed = std::mem::replace(&mut self.shared_demand, demand) != demand;
+        if !std::mem::take(&mut self.unshared) && !changed {
             return;
         }
-        let peers = self
-            .peers
-            .iter()
-            .map(|(vm, p)| (vm.clone(), p.region.clone()));
-        let own = (node.vm.clone(), node.region.clone());
-        let entries: Vec<(VmId, RegionId)> = peers.chain([own]).collect();
+        let peers = self.peers.iter().map(|(vm, p)| Party {
+            vm: vm.clone(),
+            region: p.region.clone(),
+            demand: p.demand,
+        });
+        let own = Party {
+            vm: node.vm.clone(),
+            region: node.region.clone(),
+            demand,
+        };
+        let entries: Vec<Party> = peers.chain([own]).collect();
         for service in self.services.values_mut() {
             let seats = &mut service.intake.seats;
             let usable = seats.iter().filter(|s| !evacuated(&s.upstream.domain));
