--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -33,7 +33,7 @@
 pub use room::{Admit, Room, RoomRules, Waiter};
 pub use seat::{Seat, SeatLoad};
 pub use seats::{Choice, SeatKey, Seats, Wanted};
-pub use shares::{Party, Shares};
+pub use shares::{Holding, Party, Shares};
 pub use start_time::StartTime;
 pub use swarm::{FetchFailure, Fetching, Holder, PieceSource, Swarm, SwarmStep};
 pub use switch_plan::{Candidate, SwitchPlan, SwitchStep};
--- a/components/dispatch/src/seat.rs
+++ b/components/dispatch/src/seat.rs
@@ -3,6 +3,8 @@
 
 use domain::{Moment, Upstream, UpstreamState};
 
+use crate::Holding;
+
 /// First pause after a failed exchange.
 const FIRST_PAUSE: Duration = Duration::from_millis(400);
 /// Longest pause after repeated failures.
@@ -41,8 +43,8 @@
     pub region: domain::RegionId,
     /// Number that entries use for the upstream among themselves.
     pub tag: u32,
-    /// This entry fills the upstream; others leave its last places alone.
-    pub owned: bool,
+    /// Whether this entry fills the upstream; others leave its last places alone.
+    pub holding: Holding,
     /// What is in flight from this entry.
     pub own: SeatLoad,
     /// What is in flight from other entries, as they last said.
@@ -68,7 +70,7 @@
             upstream,
             region: region.into(),
             tag,
-            owned: true,
+            holding: Holding::Shared,
             own: SeatLoad::default(),
             others: SeatLoad::default(),
             switching: false,
@@ -93,9 +95,9 @@
     /// have sent what this one has since their last word: an upstream that has
     /// just become free looks best to all of them.
     pub fn load(&self, now: Moment, entries: u32) -> SeatLoad {
-        let others = match self.owned {
-            true => 0,
-            false => entries.saturating_sub(1),
+        let others = match self.holding {
+            Holding::Own => 0,
+            Holding::Shared | Holding::Foreign => entries.saturating_sub(1),
         };
         let recent = self.sent.iter().rev();
         let recent = recent.take_while(|(at, _)| now.saturating_sub(*at) < BLIND);
@@ -122,9 +124,9 @@
     /// Requests that this entry may have there, with those of the others.
     pub fn places(&self) -> u32 {
         let slots = self.upstream.slots;
-        match self.owned {
-            true => slots,
-            false => slots - (f64::from(slots) * RESERVED).ceil() as u32,
+        match self.holding {
+            Holding::Own | Holding::Shared => slots,
+            Holding::Foreign => slots - (f64::from(slots) * RESERVED).ceil() as u32,
         }
     }
 
--- a/components/dispatch/src/seats.rs
+++ b/components/dispatch/src/seats.rs
@@ -5,7 +5,7 @@
     FailureDomainId, ModelId, Moment, RegionId, ServiceId, Upstream, UpstreamId, WeightVersion,
 };
 
-use crate::{Seat, SeatLoad, Shares, StartTime};
+use crate::{Holding, Seat, SeatLoad, Shares, StartTime};
 
 /// Load, as a share of the slots, that a request avoids by leaving its region.
 /// Lines between regions are thin, so a near upstream may be this much busier.
@@ -117,7 +117,7 @@
     /// Takes over which upstreams `entry`, this one, fills.
     pub fn set_shares(&mut self, shares: &Shares, entry: &str) {
         for seat in &mut self.seats {
-            seat.owned = shares.owns(entry, seat.tag);
+            seat.holding = shares.holding(entry, seat.tag);
         }
     }
 
@@ -250,7 +250,7 @@
         } else if seat.upstream.domain != self.domain {
             score += DOMAIN_PENALTY;
         }
-        if !seat.owned {
+        if seat.holding == Holding::Foreign {
             score += FOREIGN_PENALTY;
         }
         if seat.is_cold(now) {
--- a/components/dispatch/src/shares.rs
+++ b/components/dispatch/src/shares.rs
@@ -2,6 +2,17 @@
 
 use domain::{RegionId, VmId};
 
+/// How an entry may use an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Holding {
+    /// Nobody has been given it yet: all entries fill it.
+    Shared,
+    /// This entry fills it.
+    Own,
+    /// Another entry fills it.
+    Foreign,
+}
+
 /// An entry among which upstreams are shared out.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Party {
@@ -56,9 +67,12 @@
         Shares { owners }
     }
 
-    /// Whether `entry` fills the upstream with this tag. One that nobody has been
-    /// given yet is filled by all.
-    pub fn owns(&self, entry: &str, tag: u32) -> bool {
-        self.owners.get(&tag).is_none_or(|owner| owner == entry)
+    /// How `entry` may use the upstream with this tag.
+    pub fn holding(&self, entry: &str, tag: u32) -> Holding {
+        match self.owners.get(&tag) {
+            None => Holding::Shared,
+            Some(owner) if owner == entry => Holding::Own,
+            Some(_) => Holding::Foreign,
+        }
     }
 }
--- a/components/dispatch/tests/shares.rs
+++ b/components/dispatch/tests/shares.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use dispatch::{Demand, Party, Shares};
+use dispatch::{Demand, Holding, Party, Shares};
 
 fn entries(regions: &[&str]) -> Vec<Party> {
     let entry = |(i, r): (usize, &&str)| Party {
@@ -18,7 +18,8 @@
 }
 
 fn count(shares: &Shares, entry: &str, tags: std::ops::RangeInclusive<u32>) -> usize {
-    tags.filter(|tag| shares.owns(entry, *tag)).count()
+    let own = |tag: &u32| shares.holding(entry, *tag) == Holding::Own;
+    tags.filter(own).count()
 }
 
 #[test]
@@ -45,7 +46,7 @@
 
     for entry in ["e0", "e1", "e2"] {
         for tag in 1..=3 {
-            assert_eq!(shares.owns(entry, tag), other.owns(entry, tag));
+            assert_eq!(shares.holding(entry, tag), other.holding(entry, tag));
         }
     }
 }
@@ -77,7 +78,7 @@
 fn an_upstream_that_nobody_has_been_given_is_filled_by_all() {
     let shares = Shares::default();
 
-    assert!(shares.owns("e0", 7));
+    assert_eq!(shares.holding("e0", 7), Holding::Shared);
 }
 
 /// Load pattern: the balancer gives one entry three times as many callers.
--- a/components/feed/src/goals_messages.rs
+++ b/components/feed/src/goals_messages.rs
@@ -5,6 +5,9 @@
 /// Path of a question for what an agent has to bring.
 pub const GOALS_PATH: &str = "/goals";
 
+/// A version and milliseconds since its declaration, where they are known.
+pub type Aged = (u64, Option<u64>);
+
 /// Asks an entry for declared versions; it answers once it has news.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct GoalsQuestion {
@@ -21,9 +24,8 @@
 /// What an entry knows of the versions to be brought.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct GoalsAnswer {
-    /// Declared versions of each model, with milliseconds since the declaration
-    /// where they are known.
-    pub declared: Vec<(CompactString, Vec<(u64, Option<u64>)>)>,
+    /// Declared versions of each model.
+    pub declared: Vec<(CompactString, Vec<Aged>)>,
     /// What agents need of the configuration.
     pub supplies: Vec<Supply>,
     /// Version of the configuration that this comes from, 0 for none.
