A depot without pieces in memory keeps to two uploads

Found by reading: the number of uploads was worked out from the length of a piece in memory, and with none there it became the most (eight) also on a narrow link. That is the loader that serves staged pieces.

--- a/components/pieces/src/depot.rs
+++ b/components/pieces/src/depot.rs
@@ -196,8 +196,11 @@
     fn most_uploads(&self) -> usize {
         let state = self.state();
         let pieces = state.pieces.values().flat_map(HashMap::values);
-        let longest = pieces.map(Bytes::len).next().unwrap_or_default();
-        let time = self.time_of(longest).as_secs_f64().max(1e-6);
+        // Without pieces in memory their length is not known.
+        let Some(bytes) = pieces.map(Bytes::len).next() else {
+            return MIN_UPLOADS;
+        };
+        let time = self.time_of(bytes).as_secs_f64().max(1e-6);
         let fit = UPLOAD_QUEUE.as_secs_f64() / time;
         (fit as usize).clamp(MIN_UPLOADS, MAX_UPLOADS)
     }
