--- a/components/emulator/src/baselines.rs
+++ b/components/emulator/src/baselines.rs
@@ -81,8 +81,6 @@
 /// The parts of a policy that are the same for all baselines.
 macro_rules! engine_state {
     () => {
-        fn began(&mut self, _engine: usize, _request: &Request) {}
-
         fn ended(&mut self, engine: usize, _request: &Request, _read: bool) {
             self.engines.end(engine);
         }
@@ -147,10 +145,6 @@
         placed
     }
 
-    fn expire(&mut self, _now: Moment) -> Vec<(u64, Duration)> {
-        Vec::new()
-    }
-
     fn leave(&mut self, id: u64) {
         self.queue.retain(|q| *q != id);
     }
@@ -186,16 +180,6 @@
         Given::Engine(engine)
     }
 
-    fn pump(&mut self, _now: Moment) -> Vec<(u64, usize)> {
-        Vec::new()
-    }
-
-    fn expire(&mut self, _now: Moment) -> Vec<(u64, Duration)> {
-        Vec::new()
-    }
-
-    fn leave(&mut self, _id: u64) {}
-
     engine_state!();
 }
 
@@ -224,15 +208,5 @@
         }
     }
 
-    fn pump(&mut self, _now: Moment) -> Vec<(u64, usize)> {
-        Vec::new()
-    }
-
-    fn expire(&mut self, _now: Moment) -> Vec<(u64, Duration)> {
-        Vec::new()
-    }
-
-    fn leave(&mut self, _id: u64) {}
-
     engine_state!();
 }
--- a/components/emulator/src/policy.rs
+++ b/components/emulator/src/policy.rs
@@ -1,9 +1,9 @@
 use std::time::Duration;
 
 use dispatch::SeatLoad;
-use domain::Moment;
+use domain::{EngineSpec, Moment};
 
-use crate::Request;
+use crate::{FirstCome, Ours, RefuseFull, Request, RoundRobin, Scale};
 
 /// What an entry does with a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -29,18 +29,23 @@
     Gone,
 }
 
-/// The decisions of one entry, as the emulator drives them.
+/// The decisions of one entry, as the emulator drives them. What has a body here
+/// is that of a policy without a queue.
 pub trait Policy {
     /// A request arrives.
     fn ask(&mut self, now: Moment, request: &Request) -> Given;
     /// Waiting requests that have a place now, with their engines.
-    fn pump(&mut self, now: Moment) -> Vec<(u64, usize)>;
+    fn pump(&mut self, _now: Moment) -> Vec<(u64, usize)> {
+        Vec::new()
+    }
     /// Waiting requests that are given up now, each with its advice.
-    fn expire(&mut self, now: Moment) -> Vec<(u64, Duration)>;
+    fn expire(&mut self, _now: Moment) -> Vec<(u64, Duration)> {
+        Vec::new()
+    }
     /// A waiting request's caller has left.
-    fn leave(&mut self, id: u64);
+    fn leave(&mut self, _id: u64) {}
     /// An engine has written the first token of a request.
-    fn began(&mut self, engine: usize, request: &Request);
+    fn began(&mut self, _engine: usize, _request: &Request) {}
     /// A request has ended; `read` tells whether it had begun.
     fn ended(&mut self, engine: usize, request: &Request, read: bool);
     /// An engine has refused a request.
@@ -90,3 +95,34 @@
         }
     }
 }
+
+/// The decisions of one entry of a fleet.
+pub(crate) fn policy_of(
+    policy: PolicyName,
+    entry: usize,
+    scale: Scale,
+    spec: &EngineSpec,
+) -> Box<dyn Policy> {
+    let ours = |objectives| {
+        let entries = u32::try_from(scale.entries).unwrap_or(u32::MAX);
+        let domain = entry % scale.domains;
+        let mut ours = Ours::new(domain, entries, spec, objectives);
+        for engine in 0..scale.engines + scale.engines / 2 {
+            let now = Duration::from_secs(1000);
+            ours.list(now, engine, engine % scale.domains, spec.slots);
+            // Those that join later are closed until they hold the weights.
+            if engine >= scale.engines {
+                ours.engine(now, engine, SeatWord::Closed);
+            }
+        }
+        ours.share(entry, scale.entries, scale.domains);
+        Box::new(ours)
+    };
+    match policy {
+        PolicyName::Ours => ours(true),
+        PolicyName::NoObjectives => ours(false),
+        PolicyName::FirstCome => Box::new(FirstCome::new(spec.slots)),
+        PolicyName::RoundRobin => Box::new(RoundRobin::new(spec.slots, entry * 3)),
+        PolicyName::RefuseFull => Box::new(RefuseFull::new(spec.slots)),
+    }
+}
--- a/components/emulator/src/world.rs
+++ b/components/emulator/src/world.rs
@@ -9,9 +9,10 @@
 use crate::callers::request;
 use crate::outcome::Ended;
 use crate::pattern::{EVENT, EVENT_END, LENGTH};
+use crate::policy::policy_of;
 use crate::{
-    Ending, Engine, EngineEvent, FirstCome, Given, Ours, Pattern, Policy, PolicyName, RefuseFull,
-    Report, Request, RoundRobin, SeatWord, kinds, users_engine,
+    Ending, Engine, EngineEvent, Given, Pattern, Policy, PolicyName, Report, Request, SeatWord,
+    kinds, users_engine,
 };
 
 /// One way between any two processes.
@@ -494,28 +495,3 @@
         }
     }
 }
-
-fn policy_of(policy: PolicyName, entry: usize, scale: Scale, spec: &EngineSpec) -> Box<dyn Policy> {
-    let ours = |objectives| {
-        let entries = u32::try_from(scale.entries).unwrap_or(u32::MAX);
-        let domain = entry % scale.domains;
-        let mut ours = Ours::new(domain, entries, spec, objectives);
-        for engine in 0..scale.engines + scale.engines / 2 {
-            let now = Duration::from_secs(1000);
-            ours.list(now, engine, engine % scale.domains, spec.slots);
-            // Those that join later are closed until they hold the weights.
-            if engine >= scale.engines {
-                ours.engine(now, engine, SeatWord::Closed);
-            }
-        }
-        ours.share(entry, scale.entries, scale.domains);
-        Box::new(ours)
-    };
-    match policy {
-        PolicyName::Ours => ours(true),
-        PolicyName::NoObjectives => ours(false),
-        PolicyName::FirstCome => Box::new(FirstCome::new(spec.slots)),
-        PolicyName::RoundRobin => Box::new(RoundRobin::new(spec.slots, entry * 3)),
-        PolicyName::RefuseFull => Box::new(RefuseFull::new(spec.slots)),
-    }
-}
