Decision lines and gauges show connections to upstreams

Entries lost unsafe requests to resets of new connections, and nothing showed how many connections an entry holds to an upstream or how an exchange ended, so that idle connections, requests in flight and half-open connections could not be told apart as the cause.

"outcome unknown" and "not run" lines now name how the exchange ended (cause), whether the connection was reused, and the idle connections, requests in flight, announced entries and the limit of the upstream. Gauges for each service: idle connections, and the most connections to one upstream. Counter of failed exchanges by cause and by new or reused connection. The cause "unsent" comes from hyper, which returns the request if it has written none of it.

--- /dev/null
+++ b/components/gateway/src/connection_use.rs
@@ -0,0 +1,27 @@
+use serde_json::{Value, json};
+
+/// Connections to one upstream, as this entry knows them.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct ConnectionUse {
+    /// Idle connections that this entry keeps.
+    pub idle: usize,
+    /// Requests of this entry in flight.
+    pub own: u32,
+    /// Requests of other entries in flight, as they last announced them.
+    pub others: u32,
+    /// Announced entries, this one included.
+    pub entries: usize,
+    /// Connections that the upstream accepts from all entries together, if the
+    /// configuration states it.
+    pub limit: usize,
+}
+
+impl ConnectionUse {
+    /// Fields of a decision line.
+    pub fn fields(&self) -> Value {
+        json!({
+            "idle": self.idle, "in_flight": self.own, "others_in_flight": self.others,
+            "entries": self.entries, "limit": self.limit,
+        })
+    }
+}
--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -13,6 +13,8 @@
 
 use crate::ResponseBody;
 use crate::caller_request::CallerRequest;
+use crate::connection_use::ConnectionUse;
+use crate::failed_exchange::FailedExchange;
 use crate::lease::Lease;
 use crate::refusal::Refusal;
 use crate::relay::Relay;
@@ -168,14 +170,14 @@
                 progress.may_have_run = ran_before;
                 self.handle_not_run(request, &lease, why, progress)
             }
-            SendOutcome::Unknown(why) => {
+            SendOutcome::Unknown(failed) => {
                 progress.runs += 1;
                 self.scheduler.exchange_broken(&lease, request.fingerprint);
-                self.handle_unknown(request, &lease, &why)
+                self.handle_unknown(request, &lease, &failed)
             }
-            SendOutcome::Silent(why) => {
+            SendOutcome::Silent(failed) => {
                 progress.runs += 1;
-                self.handle_unknown(request, &lease, &why)
+                self.handle_unknown(request, &lease, &failed)
             }
             SendOutcome::TimedOut => {
                 self.scheduler
@@ -215,6 +217,7 @@
             "request": request.head.attempt,
             "upstream": lease.target.id,
             "why": format!("{why:?}"),
+            "connections": self.connection_use(lease).fields(),
         });
         decision("dispatch", "not run", Outcome::Failure, fields);
         if progress.tried.len() > 2 * MAX_ATTEMPTS {
@@ -228,15 +231,19 @@
         &self,
         request: &CallerRequest,
         lease: &Lease<P>,
-        why: &str,
+        failed: &FailedExchange,
     ) -> AttemptOutcome {
+        failed.count();
         self.scheduler
             .with_upstream(lease, |u| u.record_failure(now()));
         let fields = json!({
             "request": request.head.attempt,
             "upstream": lease.target.id,
             "age_ms": millis(now().saturating_sub(request.arrived)),
-            "why": why,
+            "cause": failed.cause,
+            "reused": failed.reused,
+            "connections": self.connection_use(lease).fields(),
+            "why": failed.why,
         });
         decision("dispatch", "outcome unknown", Outcome::Failure, fields);
         match request.route.kind.is_retryable() {
@@ -245,6 +252,12 @@
         }
     }
 
+    /// Connections to the leased upstream, for decision lines.
+    fn connection_use(&self, lease: &Lease<P>) -> ConnectionUse {
+        let idle = self.connections.idle_count(lease.target.addr);
+        self.scheduler.connection_use(lease, idle)
+    }
+
     /// Reads the complete response before it is passed on, so that a truncated one is
     /// detected and can be replaced.
     async fn buffer(
@@ -257,13 +270,15 @@
         let UnreadResponse {
             exchange,
             response_head,
+            reused,
         } = response;
         let Exchange { head, mut body } = exchange;
         let bytes = match body.collect(MAX_RESPONSE).await {
             Ok(bytes) => bytes,
             Err(e) => {
                 self.scheduler.exchange_broken(&lease, request.fingerprint);
-                return self.handle_unknown(request, &lease, &e.to_string());
+                let failed = FailedExchange::new(&e, reused);
+                return self.handle_unknown(request, &lease, &failed);
             }
         };
         if !response_head.closing {
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -260,7 +260,7 @@
         }
         if round % 64 == 0 {
             dispatcher.connections.close_expired();
-            scheduler.publish_metrics();
+            scheduler.publish_metrics(&dispatcher.connections);
         }
     }
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -2,7 +2,9 @@
 //! requests, schedules them onto upstreams and returns the responses.
 
 mod caller_request;
+mod connection_use;
 mod dispatcher;
+mod failed_exchange;
 mod front;
 mod gateway;
 mod lease;
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -140,6 +140,7 @@
         let UnreadResponse {
             exchange,
             response_head,
+            ..
         } = *self.response;
         if !response_head.closing {
             exchange
--- a/components/gateway/src/scheduler/mod.rs
+++ b/components/gateway/src/scheduler/mod.rs
@@ -12,8 +12,10 @@
 };
 use domain::{Moment, NodeSettings, Platform, ServiceId, Target, UpstreamId, WeightVersion, now};
 use feed::Feed;
+use transport::Pool;
 
 use crate::caller_request::CallerRequest;
+use crate::connection_use::ConnectionUse;
 use crate::lease::Lease;
 use crate::shortage::Shortage;
 use state::{SchedulerState, ServiceState};
@@ -354,8 +356,25 @@
         queue.map_or(Duration::from_secs(1), |q| q.retry_after(now()))
     }
 
-    /// Updates the gauges of upstreams, requests and peers.
-    pub fn publish_metrics(&self) {
+    /// Connections to the leased upstream, `idle` of which this entry keeps idle.
+    pub fn connection_use(&self, lease: &Lease<P>, idle: usize) -> ConnectionUse {
+        let limit = self.feed.view(|v| {
+            let spec = v.config()?.services.get(&lease.service)?;
+            Some(spec.connection_limit)
+        });
+        let load = self.with_upstream(lease, |u| (u.own.requests, u.others.requests));
+        let (own, others) = load.unwrap_or_default();
+        ConnectionUse {
+            idle,
+            own,
+            others,
+            entries: self.entry_count(),
+            limit: limit.unwrap_or_default(),
+        }
+    }
+
+    /// Updates the gauges of upstreams, connections, requests and peers.
+    pub fn publish_metrics(&self, connections: &Pool) {
         let state = self.lock();
         for (name, service) in &state.services {
             let open = service
@@ -375,6 +394,15 @@
             gauge("turmerichold_upstreams_open").set(open as f64);
             gauge("turmerichold_requests_in_flight").set(own);
             gauge("turmerichold_requests_waiting").set(service.scheduler.queue.len() as f64);
+            let upstreams = service.scheduler.upstreams.iter();
+            let idle = upstreams.map(|u| (connections.idle_count(u.upstream.addr), u.own.requests));
+            let idle: Vec<(usize, u32)> = idle.collect();
+            let sum: usize = idle.iter().map(|(idle, _)| idle).sum();
+            let most = idle
+                .iter()
+                .map(|(idle, own)| *idle as f64 + f64::from(*own));
+            gauge("turmerichold_idle_connections").set(sum as f64);
+            gauge("turmerichold_most_connections").set(most.fold(0.0, f64::max));
         }
         metrics::gauge!("turmerichold_entries_heard").set(state.peers.len() as f64);
     }
--- a/components/gateway/src/send.rs
+++ b/components/gateway/src/send.rs
@@ -7,6 +7,7 @@
 use transport::{Connection, Exchange, ExchangeTimeouts, Pool, TransportError};
 
 use crate::caller_request::CallerRequest;
+use crate::failed_exchange::FailedExchange;
 use crate::lease::Lease;
 
 /// Connect timeout; upstreams accept connections within milliseconds.
@@ -25,6 +26,8 @@
     pub exchange: Exchange,
     /// Values read from the head.
     pub response_head: ResponseHead,
+    /// The request was sent on an idle connection.
+    pub reused: bool,
 }
 
 /// Outcome of one attempt at an upstream.
@@ -34,10 +37,10 @@
     /// The request provably did not run and never will.
     NotRun(NotRun),
     /// It may have run: the exchange broke off or the response is invalid.
-    Unknown(String),
+    Unknown(FailedExchange),
     /// It may have run: the upstream did not respond, because of a crash or of lost
     /// packets.
-    Silent(String),
+    Silent(FailedExchange),
     /// It may have run: no response arrived before the deadline.
     TimedOut,
 }
@@ -75,6 +78,7 @@
         true => pool.take(lease.target.addr),
         false => None,
     };
+    let reused = idle.is_some();
     let connection = match idle {
         Some(c) => c,
         None => match Connection::open(lease.target.addr, CONNECT_TIMEOUT.min(remaining)).await {
@@ -92,7 +96,7 @@
     }
     let outbound = match upstream_request(platform, request, lease, remaining, resume) {
         Ok(outbound) => outbound,
-        Err(e) => return SendOutcome::Unknown(e.to_string()),
+        Err(e) => return SendOutcome::Unknown(FailedExchange::invalid(reused, e.to_string())),
     };
     let timeout = match request.route.kind {
         kind if kind.is_stream() => STREAM_TIMEOUT,
@@ -109,12 +113,15 @@
         },
     };
     match Exchange::begin(connection, outbound, timeouts).await {
-        Ok(exchange) => classify(platform, request, exchange),
+        Ok(exchange) => classify(platform, request, exchange, reused)
+            .unwrap_or_else(|why| SendOutcome::Unknown(FailedExchange::invalid(reused, why))),
         Err(TransportError::Timeout { .. }) if request.remaining(now()) < MIN_REMAINING => {
             SendOutcome::TimedOut
         }
-        Err(e @ TransportError::Timeout { .. }) => SendOutcome::Silent(e.to_string()),
-        Err(e) => SendOutcome::Unknown(e.to_string()),
+        Err(e @ TransportError::Timeout { .. }) => {
+            SendOutcome::Silent(FailedExchange::new(&e, reused))
+        }
+        Err(e) => SendOutcome::Unknown(FailedExchange::new(&e, reused)),
     }
 }
 
@@ -146,10 +153,16 @@
     Ok(outbound)
 }
 
-/// Distinguishes valid responses from others. The outcome is unknown after a response to
-/// another attempt, a successful one without proof of its origin, an encoded one,
-/// and a status that implies without proof that the request did not run.
-fn classify<P: Platform>(platform: &P, request: &CallerRequest, exchange: Exchange) -> SendOutcome {
+/// Distinguishes valid responses from others. The outcome is unknown, with the reason as
+/// the error, after a response to another attempt, a successful one without proof of its
+/// origin, an encoded one, and a status that implies without proof that the request did
+/// not run.
+fn classify<P: Platform>(
+    platform: &P,
+    request: &CallerRequest,
+    exchange: Exchange,
+    reused: bool,
+) -> Result<SendOutcome, String> {
     let response_head = platform.dialect().response_head(&exchange.head);
     let status = exchange.head.status;
     let same_attempt = response_head
@@ -157,27 +170,28 @@
         .as_ref()
         .is_none_or(|a| *a == request.head.attempt);
     if !same_attempt {
-        return SendOutcome::Unknown("the response belongs to another attempt".to_owned());
+        return Err("the response belongs to another attempt".to_owned());
     }
     if response_head.not_run {
-        return SendOutcome::NotRun(match status.as_u16() {
+        return Ok(SendOutcome::NotRun(match status.as_u16() {
             421 => NotRun::Misdirected,
             _ => NotRun::Refused,
-        });
+        }));
     }
     if status.is_success() && (!response_head.sealed || response_head.attempt.is_none()) {
-        return SendOutcome::Unknown("the response has no proof".to_owned());
+        return Err("the response has no proof".to_owned());
     }
     if response_head.encoded {
-        return SendOutcome::Unknown("the response is encoded".to_owned());
+        return Err("the response is encoded".to_owned());
     }
     if matches!(status.as_u16(), 408 | 429 | 503) {
-        return SendOutcome::Unknown(format!(
+        return Err(format!(
             "status {status} without proof that the request did not run"
         ));
     }
-    SendOutcome::Response(Box::new(UnreadResponse {
+    Ok(SendOutcome::Response(Box::new(UnreadResponse {
         exchange,
         response_head,
-    }))
+        reused,
+    })))
 }
--- a/components/transport/src/error.rs
+++ b/components/transport/src/error.rs
@@ -3,6 +3,8 @@
 
 use derive_more::{Display, Error};
 
+use crate::AbortCause;
+
 /// An HTTP exchange failed.
 #[derive(Debug, Display, Error)]
 pub enum TransportError {
@@ -27,6 +29,8 @@
     Aborted {
         /// Address of the peer.
         addr: SocketAddr,
+        /// How far the exchange had come.
+        cause: AbortCause,
         /// What went wrong.
         reason: String,
     },
@@ -41,6 +45,16 @@
 }
 
 impl TransportError {
+    /// Name of the kind of failure in logs and metrics.
+    pub fn cause(&self) -> &'static str {
+        match self {
+            TransportError::Connect { .. } => "connect",
+            TransportError::Timeout { .. } => "silent",
+            TransportError::Aborted { cause, .. } => cause.name(),
+            TransportError::BodyTooLong { .. } => "too long",
+        }
+    }
+
     /// Whether no byte of the request can have reached the peer.
     pub fn is_unsent(&self) -> bool {
         matches!(self, TransportError::Connect { .. })
--- a/components/transport/src/exchange.rs
+++ b/components/transport/src/exchange.rs
@@ -6,7 +6,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 
-use crate::{Connection, Pool, TransportError, with_timeout};
+use crate::{AbortCause, Connection, Pool, TransportError, with_timeout};
 
 /// Timeouts of an exchange.
 #[derive(Debug, Clone, Copy)]
@@ -33,15 +33,20 @@
         timeouts: ExchangeTimeouts,
     ) -> Result<Self, TransportError> {
         let addr = connection.addr;
-        let response = with_timeout(timeouts.head, connection.sender.send_request(request))
+        let response = with_timeout(timeouts.head, connection.sender.try_send_request(request))
             .await
             .ok_or(TransportError::Timeout {
                 addr,
                 limit: timeouts.head,
             })?
-            .map_err(|e| TransportError::Aborted {
+            .map_err(|mut e| TransportError::Aborted {
                 addr,
-                reason: reason_of(&e),
+                // hyper returns the request only if it has written none of it.
+                cause: match e.take_message() {
+                    Some(_) => AbortCause::Unsent,
+                    None => AbortCause::before_head(e.error()),
+                },
+                reason: reason_of(e.error()),
             })?;
         let (head, incoming) = response.into_parts();
         Ok(Exchange {
@@ -79,6 +84,7 @@
                 Some(Err(e)) => {
                     return Err(TransportError::Aborted {
                         addr,
+                        cause: AbortCause::Truncated,
                         reason: reason_of(&e),
                     });
                 }
--- a/components/transport/src/fetch.rs
+++ b/components/transport/src/fetch.rs
@@ -5,7 +5,9 @@
 use http::{HeaderMap, Method, Request, header};
 use http_body_util::Full;
 
-use crate::{Connection, Exchange, ExchangeTimeouts, Pool, TransportError, with_timeout};
+use crate::{
+    AbortCause, Connection, Exchange, ExchangeTimeouts, Pool, TransportError, with_timeout,
+};
 
 /// A response with its complete body.
 #[derive(Debug, Clone)]
@@ -31,14 +33,17 @@
     max_bytes: usize,
 ) -> Result<FetchedResponse, TransportError> {
     let pool = pool.into();
-    let aborted = |reason: String| TransportError::Aborted { addr, reason };
     let request = Request::builder()
         .method(method)
         .uri(path)
         .header(header::HOST, addr.to_string())
         .header(header::CONTENT_TYPE, "application/json")
         .body(Full::new(body))
-        .map_err(|e| aborted(e.to_string()))?;
+        .map_err(|e| TransportError::Aborted {
+            addr,
+            cause: AbortCause::Malformed,
+            reason: e.to_string(),
+        })?;
     let response = async {
         let connection = match pool.and_then(|p| p.take(addr)) {
             Some(c) => c,
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -4,6 +4,7 @@
 //! with the connection, heads over 8 KiB, and responses that arrive before a
 //! long request body is sent. hyper handles all three.
 
+mod abort_cause;
 mod connection;
 mod error;
 mod exchange;
@@ -13,6 +14,7 @@
 mod runtime;
 mod timeout;
 
+pub use abort_cause::AbortCause;
 pub use connection::Connection;
 pub use error::TransportError;
 pub use exchange::{Exchange, ExchangeTimeouts, UpstreamBody};
--- a/components/transport/src/pool.rs
+++ b/components/transport/src/pool.rs
@@ -41,6 +41,11 @@
         }
     }
 
+    /// Number of idle connections to a peer.
+    pub fn idle_count(&self, addr: SocketAddr) -> usize {
+        self.lock().get(&addr).map_or(0, Vec::len)
+    }
+
     /// Closes the idle connections to a peer.
     pub fn close_idle(&self, addr: SocketAddr) {
         self.lock().remove(&addr);
