Idle connections to an upstream stay within its limit

Callers of services with mostly unsafe requests got 502 without any fault: the upstream had reset the new connection of their request. Cause: an unsafe request always opens a connection, which joins the idle ones after the response, where only retryable requests reuse it. Each entry kept up to 24 of them for 8 s and nothing compared the sum over all entries with the limit of the upstream, which the configuration states. With 12 entries before an upstream with a limit of 69 the decision lines show 66 to 74 idle connections at the resets, and 0 to 3 requests in flight from other entries.

A third of the limit is now kept idle: each announced entry gets an equal share, and the owner of the upstream also what cannot be divided. Below a share of one only the owner keeps any. The rest is for requests in flight, connections of lost entries, and upstreams that accept fewer while their queue is long. No more requests are sent to an upstream than the limit leaves for them. A pool keeps at most 256 idle connections in all, so that descriptors remain for requests. Services without a stated limit keep 24 a peer as before.

--- /dev/null
+++ b/components/dispatch/src/connection_budget.rs
@@ -0,0 +1,48 @@
+use crate::Ownership;
+
+/// Divisor for the part of an upstream's connections that entries keep idle. The rest is
+/// for requests in flight, for connections that lost entries left behind, and for
+/// upstreams that accept fewer while their queue is long.
+const IDLE_DIVISOR: usize = 3;
+
+/// Division of the connections that an upstream accepts from all entries together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionBudget {
+    limit: usize,
+    entries: usize,
+}
+
+impl ConnectionBudget {
+    /// A budget for `entries` entries before an upstream that accepts `limit`
+    /// connections; `None` if the configuration states no limit, that is 0.
+    pub fn new(limit: usize, entries: usize) -> Option<Self> {
+        let entries = entries.max(1);
+        (limit > 0).then_some(ConnectionBudget { limit, entries })
+    }
+
+    /// Connections that the upstream accepts.
+    pub fn limit(self) -> usize {
+        self.limit
+    }
+
+    /// Entries that share them.
+    pub fn entries(self) -> usize {
+        self.entries
+    }
+
+    /// Idle connections that an entry may keep to the upstream. All get the same share;
+    /// the owner, which sends most requests, also gets what cannot be divided evenly.
+    pub fn idle(self, ownership: Ownership) -> usize {
+        let kept = self.limit / IDLE_DIVISOR;
+        match ownership {
+            Ownership::Own => kept / self.entries + kept % self.entries,
+            Ownership::Shared | Ownership::Foreign => kept / self.entries,
+        }
+    }
+
+    /// Requests that all entries together may have in flight, each on a connection of
+    /// its own.
+    pub fn requests(self) -> usize {
+        self.limit - self.limit / IDLE_DIVISOR
+    }
+}
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each type takes the current moment and an event and returns what to do next.
 
 mod config_freshness;
+mod connection_budget;
 mod crash_watch;
 mod demand;
 mod event_splitter;
@@ -21,6 +22,7 @@
 mod upstream_pool;
 
 pub use config_freshness::{ConfigFreshness, ConfigStatus};
+pub use connection_budget::ConnectionBudget;
 pub use crash_watch::{CrashWatch, Verdict};
 pub use demand::Demand;
 pub use event_splitter::EventSplitter;
--- a/components/dispatch/src/upstream_pool.rs
+++ b/components/dispatch/src/upstream_pool.rs
@@ -78,6 +78,7 @@
     domain: FailureDomainId,
     region: RegionId,
     cold_rate: Option<f64>,
+    max_requests: Option<u32>,
     latency_model: LatencyModel,
     entries: u32,
 }
@@ -92,6 +93,7 @@
             domain,
             region,
             cold_rate: None,
+            max_requests: None,
             latency_model: LatencyModel::new(None),
             entries: 1,
         }
@@ -107,6 +109,12 @@
         self.cold_rate = rate;
     }
 
+    /// Sets the requests that an upstream may have in flight from all entries, besides
+    /// the bound by its slots.
+    pub fn set_max_requests(&mut self, max: Option<u32>) {
+        self.max_requests = max;
+    }
+
     /// Sets the number of entries that send to these upstreams, this one included.
     pub fn set_entries(&mut self, entries: u32) {
         self.entries = entries.max(1);
@@ -258,7 +266,9 @@
             && self
                 .cold_rate
                 .is_some_and(|r| !pooled.allows_cold_send(now, r));
-        pooled.is_open(now) && !cold && load.requests < pooled.capacity()
+        let capacity = pooled.capacity();
+        let capacity = self.max_requests.map_or(capacity, |max| capacity.min(max));
+        pooled.is_open(now) && !cold && load.requests < capacity
     }
 
     fn score(
--- a/components/dispatch/tests/upstream_pool.rs
+++ b/components/dispatch/tests/upstream_pool.rs
@@ -228,3 +228,20 @@
     assert_eq!(chosen(choices[0].clone()).as_deref(), Some("switches"));
     assert_eq!(choices[1], Choice::Full);
 }
+
+#[test]
+fn upstream_gets_no_more_requests_than_its_connection_limit_allows() {
+    let mut pool = pool(&[upstream("u", "a", Some(1))]);
+    pool.set_max_requests(Some(4));
+    pool.get_mut("u").unwrap().others = UpstreamLoad {
+        requests: 3,
+        prefill_tokens: 0,
+    };
+    let below = pool.choose(start(), &needs(start()), no_evacuation);
+    pool.get_mut("u").unwrap().others.requests = 4;
+
+    let at_limit = pool.choose(start(), &needs(start()), no_evacuation);
+
+    assert_eq!(chosen(below).as_deref(), Some("u"));
+    assert_eq!(at_limit, Choice::Full);
+}
--- a/components/feed/src/feed.rs
+++ b/components/feed/src/feed.rs
@@ -104,6 +104,16 @@
         others.cloned().collect()
     }
 
+    /// Number of entries that have announced themselves, except the one on this VM.
+    pub fn member_count(&self) -> usize {
+        let state = self.state();
+        state
+            .members
+            .values()
+            .filter(|m| m.vm != self.node.vm)
+            .count()
+    }
+
     /// Announces this process as an entry; `None` withdraws the announcement.
     pub async fn announce(&self, member: Option<&Member>) -> Result<(), StoreError> {
         let value = member.and_then(|m| rmp_serde::to_vec(m).ok());
--- a/components/gateway/src/connection_use.rs
+++ b/components/gateway/src/connection_use.rs
@@ -1,7 +1,8 @@
+use dispatch::ConnectionBudget;
 use serde_json::{Value, json};
 
 /// Connections to one upstream, as this entry knows them.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy)]
 pub struct ConnectionUse {
     /// Idle connections that this entry keeps.
     pub idle: usize,
@@ -9,19 +10,19 @@
     pub own: u32,
     /// Requests of other entries in flight, as they last announced them.
     pub others: u32,
-    /// Announced entries, this one included.
-    pub entries: usize,
-    /// Connections that the upstream accepts from all entries together, if the
-    /// configuration states it.
-    pub limit: usize,
+    /// Budget of the upstream, if the configuration states its limit.
+    pub budget: Option<ConnectionBudget>,
 }
 
 impl ConnectionUse {
     /// Fields of a decision line.
     pub fn fields(&self) -> Value {
         json!({
-            "idle": self.idle, "in_flight": self.own, "others_in_flight": self.others,
-            "entries": self.entries, "limit": self.limit,
+            "idle": self.idle,
+            "in_flight": self.own,
+            "others_in_flight": self.others,
+            "entries": self.budget.map(|b| b.entries()),
+            "limit": self.budget.map(|b| b.limit()),
         })
     }
 }
--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -282,7 +282,8 @@
             }
         };
         if !response_head.closing {
-            body.release(&self.connections, response_head.keep_alive);
+            let max_idle = self.scheduler.idle_share(&lease);
+            body.release(&self.connections, response_head.keep_alive, max_idle);
         }
         self.record_completion(request, &lease, now().saturating_sub(request.arrived));
         let headers = self.platform.dialect().caller_headers(&head);
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -259,7 +259,9 @@
             dispatcher.feed.expire_upstreams();
         }
         if round % 64 == 0 {
-            dispatcher.connections.close_expired();
+            let shares = scheduler.idle_shares();
+            let share = |addr| shares.get(&addr).copied().unwrap_or_default();
+            dispatcher.connections.close_surplus(share);
             scheduler.publish_metrics(&dispatcher.connections);
         }
     }
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -143,9 +143,12 @@
             ..
         } = *self.response;
         if !response_head.closing {
-            exchange
-                .body
-                .release(&self.dispatcher.connections, response_head.keep_alive);
+            let max_idle = self.dispatcher.scheduler.idle_share(&self.lease);
+            exchange.body.release(
+                &self.dispatcher.connections,
+                response_head.keep_alive,
+                max_idle,
+            );
         }
     }
 
--- a/components/gateway/src/scheduler/mod.rs
+++ b/components/gateway/src/scheduler/mod.rs
@@ -2,17 +2,18 @@
 mod state;
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use async_channel::{Receiver, bounded};
 use dispatch::{
-    Assignment, CrashWatch, Demand, FirstAttemptEstimator, FleetView, IncomingRequest,
-    LatencyModel, NO_MATCH_RETRY, Placement, Requirements, ViewChange,
+    Assignment, ConnectionBudget, CrashWatch, Demand, FirstAttemptEstimator, FleetView,
+    IncomingRequest, LatencyModel, NO_MATCH_RETRY, Placement, Requirements, ViewChange,
 };
 use domain::{Moment, NodeSettings, Platform, ServiceId, Target, UpstreamId, WeightVersion, now};
 use feed::Feed;
-use transport::Pool;
+use transport::{MAX_IDLE, Pool};
 
 use crate::caller_request::CallerRequest;
 use crate::connection_use::ConnectionUse;
@@ -94,10 +95,13 @@
             let spec = v.config()?.services.get(&upstream.service)?;
             spec.engine.clone()
         });
+        let budget = self.connection_budget(&upstream.service);
+        let max_requests = budget.and_then(|b| u32::try_from(b.requests()).ok());
         let region = self.node.region_of(&upstream.failure_domain).to_owned();
         let mut state = self.lock();
         let service = state.service(&upstream.service, &self.node);
         service.scheduler.upstreams.set_cold_rate(rate);
+        service.scheduler.upstreams.set_max_requests(max_requests);
         service
             .scheduler
             .upstreams
@@ -122,9 +126,47 @@
         (rate > 0.0).then_some((all / entries).floor().max(1.0))
     }
 
+    /// Budget for the connections to each upstream of a service; `None` if the
+    /// configuration states no limit.
+    fn connection_budget(&self, service: &str) -> Option<ConnectionBudget> {
+        let limit = self.feed.view(|v| {
+            let spec = v.config()?.services.get(service)?;
+            Some(spec.connection_limit)
+        })?;
+        ConnectionBudget::new(limit, self.entry_count())
+    }
+
+    /// Idle connections that this entry may keep to the leased upstream.
+    pub fn idle_share(&self, lease: &Lease<P>) -> usize {
+        let Some(budget) = self.connection_budget(&lease.service) else {
+            return MAX_IDLE;
+        };
+        let ownership = self.with_upstream(lease, |u| u.ownership);
+        // Nothing is kept to an upstream that has been removed or has restarted.
+        ownership.map_or(0, |o| budget.idle(o).min(MAX_IDLE))
+    }
+
+    /// Idle connections that this entry may keep, by the address of the upstream.
+    pub fn idle_shares(&self) -> HashMap<SocketAddr, usize> {
+        let names: Vec<ServiceId> = self.lock().services.keys().cloned().collect();
+        let budgets: Vec<_> = names.iter().map(|n| self.connection_budget(n)).collect();
+        let state = self.lock();
+        let mut shares = HashMap::new();
+        for (name, budget) in names.iter().zip(budgets) {
+            let Some(service) = state.services.get(name) else {
+                continue;
+            };
+            for u in service.scheduler.upstreams.iter() {
+                let share = budget.map_or(MAX_IDLE, |b| b.idle(u.ownership).min(MAX_IDLE));
+                shares.insert(u.upstream.addr, share);
+            }
+        }
+        shares
+    }
+
     /// Announced entries including this one; each of them may be sending.
     fn entry_count(&self) -> usize {
-        self.feed.members().len() + 1
+        self.feed.member_count() + 1
     }
 
     /// Estimates when the caller sent the first attempt of a request: a retry
@@ -358,18 +400,14 @@
 
     /// Connections to the leased upstream, `idle` of which this entry keeps idle.
     pub fn connection_use(&self, lease: &Lease<P>, idle: usize) -> ConnectionUse {
-        let limit = self.feed.view(|v| {
-            let spec = v.config()?.services.get(&lease.service)?;
-            Some(spec.connection_limit)
-        });
+        let budget = self.connection_budget(&lease.service);
         let load = self.with_upstream(lease, |u| (u.own.requests, u.others.requests));
         let (own, others) = load.unwrap_or_default();
         ConnectionUse {
             idle,
             own,
             others,
-            entries: self.entry_count(),
-            limit: limit.unwrap_or_default(),
+            budget,
         }
     }
 
--- a/components/transport/src/exchange.rs
+++ b/components/transport/src/exchange.rs
@@ -116,12 +116,13 @@
     }
 
     /// Returns the connection to the pool after the end of the body; `keep_alive`
-    /// is the idle time that the peer allows, if it announces one.
-    pub fn release(self, pool: &Pool, keep_alive: Option<Duration>) {
+    /// is the idle time that the peer allows, if it announces one. The pool keeps at
+    /// most `max_idle` connections to the peer.
+    pub fn release(self, pool: &Pool, keep_alive: Option<Duration>, max_idle: usize) {
         let mut connection = self.connection;
         connection.idle_since = Instant::now();
         connection.keep_alive = keep_alive;
-        pool.put(connection);
+        pool.put(connection, max_idle);
     }
 }
 
--- a/components/transport/src/fetch.rs
+++ b/components/transport/src/fetch.rs
@@ -6,7 +6,8 @@
 use http_body_util::Full;
 
 use crate::{
-    AbortCause, Connection, Exchange, ExchangeTimeouts, Pool, TransportError, with_timeout,
+    AbortCause, Connection, Exchange, ExchangeTimeouts, MAX_IDLE, Pool, TransportError,
+    with_timeout,
 };
 
 /// A response with its complete body.
@@ -61,7 +62,7 @@
             .get(header::CONNECTION)
             .is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
         if let Some(pool) = pool.filter(|_| !closing) {
-            exchange.body.release(pool, None);
+            exchange.body.release(pool, None, MAX_IDLE);
         }
         Ok(FetchedResponse {
             status: exchange.head.status.as_u16(),
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -20,6 +20,6 @@
 pub use exchange::{Exchange, ExchangeTimeouts, UpstreamBody};
 pub use fetch::{FetchedResponse, fetch};
 pub use listener::{Handler, Listener, ListenerLimits};
-pub use pool::Pool;
+pub use pool::{MAX_IDLE, Pool};
 pub use runtime::{block_on, spawn};
 pub use timeout::with_timeout;
--- a/components/transport/src/pool.rs
+++ b/components/transport/src/pool.rs
@@ -6,7 +6,9 @@
 use crate::Connection;
 
 /// Most idle connections to one peer.
-const MAX_IDLE: usize = 24;
+pub const MAX_IDLE: usize = 24;
+/// Most idle connections to all peers, so that descriptors remain for requests.
+const MAX_IDLE_TOTAL: usize = 256;
 /// Idle time after which a connection is closed, unless the peer announces a
 /// shorter one. It is below the 15 s that servers usually allow.
 const IDLE_LIMIT: Duration = Duration::from_secs(8);
@@ -31,13 +33,18 @@
         Some(list.remove(index))
     }
 
-    /// Adds a connection for reuse, unless `MAX_IDLE` are idle already.
-    pub fn put(&self, connection: Connection) {
+    /// Adds a connection for reuse. Closes the connections that were idle for longest
+    /// when there are more than `max_idle` to the peer or too many in total.
+    pub fn put(&self, connection: Connection, max_idle: usize) {
+        if max_idle == 0 || !is_usable(&connection) {
+            return;
+        }
         let mut idle = self.lock();
         let list = idle.entry(connection.addr).or_default();
-        list.retain(is_usable);
-        if list.len() < MAX_IDLE && is_usable(&connection) {
-            list.push(connection);
+        list.push(connection);
+        trim(list, max_idle);
+        if idle.values().map(Vec::len).sum::<usize>() > MAX_IDLE_TOTAL {
+            close_oldest(&mut idle);
         }
     }
 
@@ -51,10 +58,11 @@
         self.lock().remove(&addr);
     }
 
-    /// Closes connections that were idle for too long.
-    pub fn close_expired(&self) {
-        self.lock().retain(|_, list| {
-            list.retain(is_usable);
+    /// Closes connections that were idle for too long, and those beyond the number that
+    /// `max_idle` allows for their peer.
+    pub fn close_surplus(&self, max_idle: impl Fn(SocketAddr) -> usize) {
+        self.lock().retain(|addr, list| {
+            trim(list, max_idle(*addr));
             !list.is_empty()
         });
     }
@@ -64,6 +72,22 @@
     }
 }
 
+/// Closes unusable connections and those that were idle for longest, until `max_idle`
+/// are left.
+fn trim(list: &mut Vec<Connection>, max_idle: usize) {
+    list.retain(is_usable);
+    let surplus = list.len().saturating_sub(max_idle);
+    list.drain(..surplus);
+}
+
+/// Closes the connection that was idle for longest.
+fn close_oldest(idle: &mut HashMap<SocketAddr, Vec<Connection>>) {
+    let lists = idle.values_mut().filter(|l| !l.is_empty());
+    if let Some(list) = lists.min_by_key(|l| l[0].idle_since) {
+        list.remove(0);
+    }
+}
+
 fn is_usable(connection: &Connection) -> bool {
     let limit = match connection.keep_alive {
         Some(keep_alive) => keep_alive.saturating_sub(IDLE_MARGIN).min(IDLE_LIMIT),
