--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -140,11 +140,15 @@
         let UnreadResponse {
             exchange,
             response_head,
+            ..
         } = *self.response;
         if !response_head.closing {
-            exchange
-                .body
-                .release(&self.dispatcher.connections, response_head.keep_alive);
+            let max_idle = self.dispatcher.scheduler.idle_share(&self.lease);
+            exchange.body.release(
+                &self.dispatcher.connections,
+                response_head.keep_alive,
+                max_idle,
+            );
         }
     }
 
--- a/components/transport/src/fetch.rs
+++ b/components/transport/src/fetch.rs
@@ -5,7 +5,10 @@
 use http::{HeaderMap, Method, Request, header};
 use http_body_util::Full;
 
-use crate::{Connection, Exchange, ExchangeTimeouts, Pool, TransportError, with_timeout};
+use crate::{
+    AbortCause, Connection, Exchange, ExchangeTimeouts, MAX_IDLE, Pool, TransportError,
+    with_timeout,
+};
 
 /// A response with its complete body.
 #[derive(Debug, Clone)]
@@ -31,14 +34,17 @@
     max_bytes: usize,
 ) -> Result<FetchedResponse, TransportError> {
     let pool = pool.into();
-    let aborted = |reason: String| TransportError::Aborted { addr, reason };
     let request = Request::builder()
         .method(method)
         .uri(path)
         .header(header::HOST, addr.to_string())
         .header(header::CONTENT_TYPE, "application/json")
         .body(Full::new(body))
-        .map_err(|e| aborted(e.to_string()))?;
+        .map_err(|e| TransportError::Aborted {
+            addr,
+            cause: AbortCause::Malformed,
+            reason: e.to_string(),
+        })?;
     let response = async {
         let connection = match pool.and_then(|p| p.take(addr)) {
             Some(c) => c,
@@ -56,7 +62,7 @@
             .get(header::CONNECTION)
             .is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
         if let Some(pool) = pool.filter(|_| !closing) {
-            exchange.body.release(pool, None);
+            exchange.body.release(pool, None, MAX_IDLE);
         }
         Ok(FetchedResponse {
             status: exchange.head.status.as_u16(),
