Load only the declared versions of the service's own model

An agent took the declared versions of the first model of a map, in random order, whatever its service loads. With versions declared for two models, the engines of a service could be ordered to load the versions of the other one's model, and a declaration for the other model hid the initial version of their own. Each process drew its own order, so entries and agents of one service could also disagree on what to download.

The versions are now those of the model that the configuration names for the service.

--- a/components/pieces/src/target_version.rs
+++ b/components/pieces/src/target_version.rs
@@ -50,9 +50,10 @@
         let Some(source) = view.source(service) else {
             return Vec::new();
         };
+        let model = &source.model;
+        let declared = view.all_declared().find(|(m, _)| *m == model);
         // Version 1 applies as long as none is declared.
-        let default = (&source.model, &[(1, Moment::ZERO)][..]);
-        let (model, versions) = view.all_declared().next().unwrap_or(default);
+        let versions = declared.map_or(&[(1, Moment::ZERO)][..], |(_, versions)| versions);
         let superseded = |i: usize| {
             let effective = |(_, at): &(WeightVersion, Moment)| view.bound_start(*at);
             let next = versions.get(i + 1).map(effective);
