Keep the newer weight version when a notice or record arrives late

Entries take the versions that an engine holds from its record in the store and from its agent's notices, and the last to arrive won. A datagram that was delayed on the way brought back the version from before a load. So did the engine's record, which every change of the configuration lists again although the engine writes it only with its next heartbeat. Until the next notice, up to 900 ms later, the entry passed the engine over, or named the older version to it and was refused.

Within one start an engine never goes back to an older version, so an entry now keeps the newer one for each model. A new start resets them as before.

The fault refuses requests; it can't send one to older weights, since the believed version was never newer than the held one.

--- a/components/dispatch/src/pooled_upstream.rs
+++ b/components/dispatch/src/pooled_upstream.rs
@@ -1,7 +1,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use domain::{Moment, Upstream, UpstreamState};
+use domain::{HeldModel, Moment, Upstream, UpstreamState};
 
 use crate::Ownership;
 
@@ -84,13 +84,21 @@
     }
 
     /// Replaces the record of the same start of the upstream.
-    pub fn update(&mut self, now: Moment, upstream: Upstream) {
+    pub fn update(&mut self, now: Moment, mut upstream: Upstream) {
         if !upstream.cold_remaining.is_zero() {
             self.cold_until = now + upstream.cold_remaining;
         }
+        merge_newer(&mut upstream.models, &self.upstream.models);
         self.upstream = upstream;
     }
 
+    /// Applies the model versions that the agent of the same start of the upstream
+    /// announced.
+    pub fn update_models(&mut self, mut held: Vec<HeldModel>) {
+        merge_newer(&mut held, &self.upstream.models);
+        self.upstream.models = held;
+    }
+
     /// Load from all of `entries` entries. Other entries are assumed to have sent as
     /// much as this one since their last notice, because an upstream that has just
     /// become free has the best score at all of them.
@@ -194,3 +202,15 @@
         self.full_pause = (self.full_pause * 2).min(MAX_FULL_PAUSE);
     }
 }
+
+/// Adds the models of `known` that are newer than those in `held` or missing there. An
+/// engine never goes back to older weights before it restarts, so an older statement is
+/// one that arrives late.
+fn merge_newer(held: &mut Vec<HeldModel>, known: &[HeldModel]) {
+    for model in known {
+        match held.iter_mut().find(|h| h.model == model.model) {
+            Some(h) => h.version = h.version.max(model.version),
+            None => held.push(model.clone()),
+        }
+    }
+}
--- a/components/dispatch/tests/upstream_pool.rs
+++ b/components/dispatch/tests/upstream_pool.rs
@@ -3,7 +3,7 @@
 mod fixture;
 
 use dispatch::{Choice, Requirements, UpstreamLoad};
-use domain::{Moment, UpstreamState};
+use domain::{HeldModel, Moment, UpstreamState};
 use fixture::{ms, needs, pool, secs, start, upstream};
 
 fn no_evacuation(_domain: &str) -> bool {
@@ -228,3 +228,35 @@
     assert_eq!(chosen(choices[0].clone()).as_deref(), Some("switches"));
     assert_eq!(choices[1], Choice::Full);
 }
+
+/// A notice or record from before a load arrived after those that followed it, and the
+/// engine was passed over although it held the required version.
+#[test]
+fn late_statement_does_not_bring_back_an_older_version() {
+    let older = upstream("u", "a", Some(1));
+    let mut pool = pool(std::slice::from_ref(&older));
+    let held = |version| {
+        vec![HeldModel {
+            model: "m".into(),
+            version,
+        }]
+    };
+    let needs = Requirements {
+        min_weight_version: Some(2),
+        ..needs(start())
+    };
+
+    pool.get_mut("u").unwrap().update_models(held(2));
+    pool.get_mut("u").unwrap().update_models(held(1));
+    let after_notice = pool.choose(start(), &needs, no_evacuation);
+    pool.upsert(start(), &older, "north", 0);
+    let after_record = pool.choose(start(), &needs, no_evacuation);
+    let mut restarted = older;
+    restarted.started_ms += 1;
+    pool.upsert(start(), &restarted, "north", 0);
+    let after_restart = pool.choose(start(), &needs, no_evacuation);
+
+    assert_eq!(chosen(after_notice).as_deref(), Some("u"));
+    assert_eq!(chosen(after_record).as_deref(), Some("u"));
+    assert_eq!(after_restart, Choice::NoMatch);
+}
--- a/components/gateway/src/scheduler/notices.rs
+++ b/components/gateway/src/scheduler/notices.rs
@@ -178,8 +178,7 @@
                     model: m.clone(),
                     version: *v,
                 });
-                // The notice is newer than the record of the upstream.
-                upstream.upstream.models = held.collect();
+                upstream.update_models(held.collect());
             }
         }
         drop(state);
