End an announced switch when the agent falls silent

An entry sends an engine no requests while its agent says that it switches weights, and none that would end after the planned switch. Both lasted until the next notice. An agent that was killed during a switch therefore kept its engine out of use at all entries until the agent was back, although the engine had gone on loading and served again after some hundred milliseconds.

An announced switch now counts for 2.7 s after the last notice; agents send one every 900 ms. An engine that is still loading refuses requests by itself.

--- a/components/dispatch/src/pooled_upstream.rs
+++ b/components/dispatch/src/pooled_upstream.rs
@@ -22,6 +22,9 @@
 const OWNER_FRACTION: f64 = 0.25;
 /// Time for which the last requests of an engine may still run after it closes.
 const CLOSE_SLACK: Duration = Duration::from_millis(200);
+/// Time without a notice after which a switch that the agent announced no longer
+/// counts: three times the interval between notices.
+const AGENT_SILENCE: Duration = Duration::from_millis(2700);
 /// Window in which requests to a cold upstream are counted.
 const COLD_WINDOW: Duration = Duration::from_secs(1);
 
@@ -55,6 +58,8 @@
     pub closes_at: Option<Moment>,
     /// Moving average of the failure rate, 0 to 1.
     pub failure_rate: f64,
+    /// When its agent last sent a notice.
+    noticed_at: Option<Moment>,
     paused_until: Moment,
     failure_pause: Duration,
     full_pause: Duration,
@@ -76,6 +81,7 @@
             switching: false,
             closes_at: None,
             failure_rate: 0.0,
+            noticed_at: None,
             paused_until: Duration::ZERO,
             failure_pause: FIRST_PAUSE,
             full_pause: FULL_PAUSE,
@@ -92,6 +98,11 @@
         self.upstream = upstream;
     }
 
+    /// Records that its agent sent a notice.
+    pub fn record_notice(&mut self, now: Moment) {
+        self.noticed_at = Some(now);
+    }
+
     /// Applies the model versions that the agent of the same start of the upstream
     /// announced.
     pub fn update_models(&mut self, mut held: Vec<HeldModel>) {
@@ -125,13 +136,21 @@
 
     /// Whether it takes new requests now.
     pub fn is_open(&self, now: Moment) -> bool {
-        self.upstream.state == UpstreamState::Ready && !self.switching && self.paused_until <= now
+        let switching = self.switching && !self.is_agent_silent(now);
+        self.upstream.state == UpstreamState::Ready && !switching && self.paused_until <= now
     }
 
     /// Whether a request that ends at `end` is done when the upstream closes.
-    pub fn stays_open_until(&self, end: Moment) -> bool {
-        self.closes_at
-            .is_none_or(|closes| end <= closes + CLOSE_SLACK)
+    pub fn stays_open_until(&self, now: Moment, end: Moment) -> bool {
+        let closes_at = self.closes_at.filter(|_| !self.is_agent_silent(now));
+        closes_at.is_none_or(|closes| end <= closes + CLOSE_SLACK)
+    }
+
+    /// Whether its agent has stopped sending notices, for example because it was killed
+    /// during a switch. An engine that is still loading refuses requests by itself.
+    fn is_agent_silent(&self, now: Moment) -> bool {
+        self.noticed_at
+            .is_some_and(|at| now.saturating_sub(at) > AGENT_SILENCE)
     }
 
     /// Requests in flight from all entries up to which this entry may send another.
--- a/components/dispatch/src/upstream_pool.rs
+++ b/components/dispatch/src/upstream_pool.rs
@@ -240,7 +240,7 @@
         };
         let end = now + first_token + self.latency_model.generation(needs.output_tokens);
         let usable =
-            in_time && pooled.stays_open_until(end) && self.has_capacity(now, pooled, load);
+            in_time && pooled.stays_open_until(now, end) && self.has_capacity(now, pooled, load);
         usable.then(|| self.score(now, pooled, load, first_token))
     }
 
--- a/components/dispatch/tests/upstream_pool.rs
+++ b/components/dispatch/tests/upstream_pool.rs
@@ -260,3 +260,19 @@
     assert_eq!(chosen(after_record).as_deref(), Some("u"));
     assert_eq!(after_restart, Choice::NoMatch);
 }
+
+/// The plan of a switch outlived the agent that had announced it, and the engine got
+/// no requests until the agent was back.
+#[test]
+fn announced_switch_does_not_outlive_its_agent() {
+    let mut pool = pool(&[upstream("u", "a", Some(1))]);
+    let announced = pool.get_mut("u").unwrap();
+    announced.record_notice(start());
+    announced.closes_at = Some(start() + ms(300));
+
+    let closed = pool.choose(start() + secs(1), &needs(start() + secs(1)), no_evacuation);
+    let silent = pool.choose(start() + secs(4), &needs(start() + secs(4)), no_evacuation);
+
+    assert_eq!(closed, Choice::Full);
+    assert_eq!(chosen(silent).as_deref(), Some("u"));
+}
--- a/components/gateway/src/scheduler/notices.rs
+++ b/components/gateway/src/scheduler/notices.rs
@@ -171,6 +171,7 @@
                     });
                     decision("desk", "engine", Outcome::Change, fields);
                 }
+                upstream.record_notice(now());
                 upstream.switching = notice.switching;
                 let closes = notice.switch_in_ms.map(|m| Duration::from_millis(m.into()));
                 upstream.closes_at = closes.map(|c| now() + c);
