--- a/components/dispatch/src/pooled_upstream.rs
+++ b/components/dispatch/src/pooled_upstream.rs
@@ -1,7 +1,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use domain::{Moment, Upstream, UpstreamState};
+use domain::{HeldModel, Moment, Upstream, UpstreamState};
 
 use crate::Ownership;
 
@@ -22,6 +22,9 @@
 const OWNER_FRACTION: f64 = 0.25;
 /// Time for which the last requests of an engine may still run after it closes.
 const CLOSE_SLACK: Duration = Duration::from_millis(200);
+/// Time without a notice after which a switch that the agent announced no longer
+/// counts: three times the interval between notices.
+const AGENT_SILENCE: Duration = Duration::from_millis(2700);
 /// Window in which requests to a cold upstream are counted.
 const COLD_WINDOW: Duration = Duration::from_secs(1);
 
@@ -55,6 +58,8 @@
     pub closes_at: Option<Moment>,
     /// Moving average of the failure rate, 0 to 1.
     pub failure_rate: f64,
+    /// When its agent last sent a notice.
+    noticed_at: Option<Moment>,
     paused_until: Moment,
     failure_pause: Duration,
     full_pause: Duration,
@@ -76,6 +81,7 @@
             switching: false,
             closes_at: None,
             failure_rate: 0.0,
+            noticed_at: None,
             paused_until: Duration::ZERO,
             failure_pause: FIRST_PAUSE,
             full_pause: FULL_PAUSE,
@@ -84,13 +90,26 @@
     }
 
     /// Replaces the record of the same start of the upstream.
-    pub fn update(&mut self, now: Moment, upstream: Upstream) {
+    pub fn update(&mut self, now: Moment, mut upstream: Upstream) {
         if !upstream.cold_remaining.is_zero() {
             self.cold_until = now + upstream.cold_remaining;
         }
+        merge_newer(&mut upstream.models, &self.upstream.models);
         self.upstream = upstream;
     }
 
+    /// Records that its agent sent a notice.
+    pub fn record_notice(&mut self, now: Moment) {
+        self.noticed_at = Some(now);
+    }
+
+    /// Applies the model versions that the agent of the same start of the upstream
+    /// announced.
+    pub fn update_models(&mut self, mut held: Vec<HeldModel>) {
+        merge_newer(&mut held, &self.upstream.models);
+        self.upstream.models = held;
+    }
+
     /// Load from all of `entries` entries. Other entries are assumed to have sent as
     /// much as this one since their last notice, because an upstream that has just
     /// become free has the best score at all of them.
@@ -117,13 +136,21 @@
 
     /// Whether it takes new requests now.
     pub fn is_open(&self, now: Moment) -> bool {
-        self.upstream.state == UpstreamState::Ready && !self.switching && self.paused_until <= now
+        let switching = self.switching && !self.is_agent_silent(now);
+        self.upstream.state == UpstreamState::Ready && !switching && self.paused_until <= now
     }
 
     /// Whether a request that ends at `end` is done when the upstream closes.
-    pub fn stays_open_until(&self, end: Moment) -> bool {
-        self.closes_at
-            .is_none_or(|closes| end <= closes + CLOSE_SLACK)
+    pub fn stays_open_until(&self, now: Moment, end: Moment) -> bool {
+        let closes_at = self.closes_at.filter(|_| !self.is_agent_silent(now));
+        closes_at.is_none_or(|closes| end <= closes + CLOSE_SLACK)
+    }
+
+    /// Whether its agent has stopped sending notices, for example because it was killed
+    /// during a switch. An engine that is still loading refuses requests by itself.
+    fn is_agent_silent(&self, now: Moment) -> bool {
+        self.noticed_at
+            .is_some_and(|at| now.saturating_sub(at) > AGENT_SILENCE)
     }
 
     /// Requests in flight from all entries up to which this entry may send another.
@@ -194,3 +221,15 @@
         self.full_pause = (self.full_pause * 2).min(MAX_FULL_PAUSE);
     }
 }
+
+/// Adds the models of `known` that are newer than those in `held` or missing there. An
+/// engine never goes back to older weights before it restarts, so an older statement is
+/// one that arrives late.
+fn merge_newer(held: &mut Vec<HeldModel>, known: &[HeldModel]) {
+    for model in known {
+        match held.iter_mut().find(|h| h.model == model.model) {
+            Some(h) => h.version = h.version.max(model.version),
+            None => held.push(model.clone()),
+        }
+    }
+}
--- a/components/dispatch/tests/upstream_pool.rs
+++ b/components/dispatch/tests/upstream_pool.rs
@@ -3,7 +3,7 @@
 mod fixture;
 
 use dispatch::{Choice, Requirements, UpstreamLoad};
-use domain::{Moment, UpstreamState};
+use domain::{HeldModel, Moment, UpstreamState};
 use fixture::{ms, needs, pool, secs, start, upstream};
 
 fn no_evacuation(_domain: &str) -> bool {
@@ -245,3 +245,51 @@
     assert_eq!(chosen(below).as_deref(), Some("u"));
     assert_eq!(at_limit, Choice::Full);
 }
+
+/// A notice or record from before a load arrived after those that followed it, and the
+/// engine was passed over although it held the required version.
+#[test]
+fn late_statement_does_not_bring_back_an_older_version() {
+    let older = upstream("u", "a", Some(1));
+    let mut pool = pool(std::slice::from_ref(&older));
+    let held = |version| {
+        vec![HeldModel {
+            model: "m".into(),
+            version,
+        }]
+    };
+    let needs = Requirements {
+        min_weight_version: Some(2),
+        ..needs(start())
+    };
+
+    pool.get_mut("u").unwrap().update_models(held(2));
+    pool.get_mut("u").unwrap().update_models(held(1));
+    let after_notice = pool.choose(start(), &needs, no_evacuation);
+    pool.upsert(start(), &older, "north", 0);
+    let after_record = pool.choose(start(), &needs, no_evacuation);
+    let mut restarted = older;
+    restarted.started_ms += 1;
+    pool.upsert(start(), &restarted, "north", 0);
+    let after_restart = pool.choose(start(), &needs, no_evacuation);
+
+    assert_eq!(chosen(after_notice).as_deref(), Some("u"));
+    assert_eq!(chosen(after_record).as_deref(), Some("u"));
+    assert_eq!(after_restart, Choice::NoMatch);
+}
+
+/// The plan of a switch outlived the agent that had announced it, and the engine got
+/// no requests until the agent was back.
+#[test]
+fn announced_switch_does_not_outlive_its_agent() {
+    let mut pool = pool(&[upstream("u", "a", Some(1))]);
+    let announced = pool.get_mut("u").unwrap();
+    announced.record_notice(start());
+    announced.closes_at = Some(start() + ms(300));
+
+    let closed = pool.choose(start() + secs(1), &needs(start() + secs(1)), no_evacuation);
+    let silent = pool.choose(start() + secs(4), &needs(start() + secs(4)), no_evacuation);
+
+    assert_eq!(closed, Choice::Full);
+    assert_eq!(chosen(silent).as_deref(), Some("u"));
+}
