Interim responses and chunk sizes without end no longer occupy an entry

What callers saw: an upstream that answers with interim responses (100, 102, 103) or with a chunk size of zeros, without end and as fast as the socket takes it, stopped the whole entry: no other caller, probe or readiness check was answered, and the request's own deadline did not end it.

Cause: hyper skips interim responses and leading zeros of a chunk size in a loop that ends only when no byte is available. Neither counts towards its limits on heads and extensions. All tasks share one thread, so a sender that is faster than the loop keeps the thread, and no timer is polled.

Fix: a connection to an upstream or peer reads at most 256 KiB until the next part of a response is complete (its head, or data of its body); then the read fails, the connection is closed and the outcome is unknown. The limit is four times the limit on heads, which covers what hyper reads ahead. Every client of `transport` has it: requests, store, engine, origin, peers.

--- a/components/transport/src/connection.rs
+++ b/components/transport/src/connection.rs
@@ -10,6 +10,7 @@
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
+use crate::bounded_stream::{BoundedStream, ReadAllowance};
 use crate::{TransportError, spawn, with_timeout};
 
 /// TCP user timeout: a connection fails when sent bytes stay unacknowledged for
@@ -17,6 +18,9 @@
 const USER_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Longest head of a response, in bytes.
 const MAX_HEAD: usize = 64 << 10;
+/// Most bytes that are read while neither the head of a response nor a part of its body
+/// is complete: a head, interim responses, and what the client reads ahead.
+const MAX_UNDELIVERED: usize = 4 * MAX_HEAD;
 
 /// An open HTTP/1.1 connection. Dropping it closes the socket at once.
 pub struct Connection {
@@ -26,6 +30,7 @@
     pub(crate) idle_since: Instant,
     /// Idle time after which the peer closes it, if the peer announces it.
     pub(crate) keep_alive: Option<Duration>,
+    pub(crate) allowance: ReadAllowance,
     _driver: Task<()>,
 }
 
@@ -38,9 +43,11 @@
             .ok_or_else(|| failed(format!("timed out after {} ms", limit.as_millis())))?
             .map_err(|e| failed(e.to_string()))?;
         set_socket_options(&stream).map_err(|e| failed(e.to_string()))?;
+        let allowance = ReadAllowance::new(MAX_UNDELIVERED);
+        let bounded = BoundedStream::new(stream, allowance.clone());
         let (sender, driver) = Builder::new()
             .max_buf_size(MAX_HEAD)
-            .handshake(FuturesIo::new(stream))
+            .handshake(FuturesIo::new(bounded))
             .await
             .map_err(|e| failed(e.to_string()))?;
         let driver = spawn(async move {
@@ -53,6 +60,7 @@
             addr,
             idle_since: Instant::now(),
             keep_alive: None,
+            allowance,
             _driver: driver,
         })
     }
--- a/components/transport/src/exchange.rs
+++ b/components/transport/src/exchange.rs
@@ -33,6 +33,7 @@
         timeouts: ExchangeTimeouts,
     ) -> Result<Self, TransportError> {
         let addr = connection.addr;
+        connection.allowance.renew();
         let response = with_timeout(timeouts.head, connection.sender.send_request(request))
             .await
             .ok_or(TransportError::Timeout {
@@ -43,6 +44,7 @@
                 addr,
                 reason: reason_of(&e),
             })?;
+        connection.allowance.renew();
         let (head, incoming) = response.into_parts();
         Ok(Exchange {
             head,
@@ -84,6 +86,7 @@
                 }
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
+                        self.connection.allowance.renew();
                         return Ok(Some(data));
                     }
                 }
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -4,6 +4,7 @@
 //! with the connection, heads over 8 KiB, and responses that arrive before a
 //! long request body is sent. hyper handles all three.
 
+mod bounded_stream;
 mod connection;
 mod error;
 mod exchange;
