Bytes that are no event no longer reach the callers of a stream

Bytes that arrive slowly and complete no event kept the stream from being resumed until the deadline.

Cause: `EventSplitter` looked only for blank lines and gave up on long events by returning them; the relay's timeout covered the pause between two reads, not between two events. It also searched the whole buffer again after each read, which for small reads of a long event is quadratic.

Fix: events consist of comments and fields with a name and a colon, in UTF-8, of at most 64 KiB. Other bytes make the stream malformed: the events before them are passed on, and the stream is resumed at another upstream or aborted. The timeout of 1.5 s runs from the last event. Only new bytes are searched. Events without an id and comments still pass; the deadline ends such streams.

--- a/components/dispatch/src/event_splitter.rs
+++ b/components/dispatch/src/event_splitter.rs
@@ -2,7 +2,9 @@
 use compact_str::CompactString;
 
 /// Longest event that is buffered, in bytes; engines send a few hundred.
-const MAX_EVENT: usize = 256 << 10;
+const MAX_EVENT: usize = 64 << 10;
+/// Length of the longest blank line together with the end of the line before it.
+const MAX_SEPARATOR: usize = 4;
 
 /// Splits a `text/event-stream` into complete events, so that a stream that breaks off
 /// within an event can resume at another upstream.
@@ -10,23 +12,37 @@
 pub struct EventSplitter {
     buffer: BytesMut,
     last_id: Option<CompactString>,
+    is_malformed: bool,
 }
 
 impl EventSplitter {
-    /// Adds bytes and returns the events that are now complete; an event that is too
-    /// long is returned in parts.
+    /// Adds bytes and returns the events that are now complete. Returns nothing more
+    /// once the stream is malformed.
     pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+        if self.is_malformed {
+            return None;
+        }
+        // A separator may have begun in the bytes that were searched before.
+        let searched = self.buffer.len().saturating_sub(MAX_SEPARATOR - 1);
         self.buffer.extend_from_slice(bytes);
-        let end = match last_blank_line(&self.buffer) {
-            Some(end) => end,
-            None if self.buffer.len() > MAX_EVENT => self.buffer.len(),
-            None => return None,
+        let Some(end) = last_blank_line(&self.buffer[searched..]) else {
+            self.is_malformed = self.buffer.len() > MAX_EVENT;
+            return None;
         };
-        let complete = self.buffer.split_to(end).freeze();
+        let mut complete = self.buffer.split_to(searched + end).freeze();
+        let valid = valid_prefix(&complete);
+        self.is_malformed = valid < complete.len() || self.buffer.len() > MAX_EVENT;
+        complete.truncate(valid);
         if let Some(id) = last_id(&complete) {
             self.last_id = Some(id);
         }
-        Some(complete)
+        Some(complete).filter(|c| !c.is_empty())
+    }
+
+    /// Whether the stream contains bytes that are no event, or an event that is too
+    /// long.
+    pub fn is_malformed(&self) -> bool {
+        self.is_malformed
     }
 
     /// Takes the bytes of an incomplete event out of the buffer.
@@ -34,9 +50,10 @@
         self.buffer.split().freeze()
     }
 
-    /// Drops the bytes of an incomplete event.
+    /// Drops the bytes after the last complete event, before another stream continues.
     pub fn discard(&mut self) {
         self.buffer.clear();
+        self.is_malformed = false;
     }
 
     /// Id of the last complete event that has one.
@@ -55,6 +72,34 @@
     lf.max(crlf)
 }
 
+/// Length of the events before the first one that is too long or contains an invalid
+/// line.
+fn valid_prefix(events: &[u8]) -> usize {
+    let (mut valid, mut at) = (0, 0);
+    for line in events.split_inclusive(|b| *b == b'\n') {
+        at += line.len();
+        if at - valid > MAX_EVENT {
+            return valid;
+        }
+        match line.trim_ascii_end() {
+            [] => valid = at,
+            line if is_field(line) => {}
+            _ => return valid,
+        }
+    }
+    valid
+}
+
+/// Whether a line is a comment or a field of an event: UTF-8 text, with a colon after
+/// the name of the field.
+fn is_field(line: &[u8]) -> bool {
+    let Some(colon) = line.iter().position(|b| *b == b':') else {
+        return matches!(line, b"data" | b"id" | b"event" | b"retry");
+    };
+    let is_name = |b: &u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_');
+    line[..colon].iter().all(is_name) && std::str::from_utf8(line).is_ok()
+}
+
 fn last_id(events: &[u8]) -> Option<CompactString> {
     let text = std::str::from_utf8(events).ok()?;
     text.lines()
--- a/components/dispatch/tests/streams_and_budgets.rs
+++ b/components/dispatch/tests/streams_and_budgets.rs
@@ -31,6 +31,45 @@
     });
 }
 
+/// An event that was too long, and bytes that are no event, were passed on.
+#[test]
+fn junk_in_a_stream_is_not_returned() {
+    let long = [b"data: ".as_slice(), &[b'x'; 80 << 10]].concat();
+    for junk in [
+        b"junk\n\n".as_slice(),
+        b"\x00: a\r\n\r\n",
+        b"data: \xff\n\n",
+        &long,
+    ] {
+        let stream = [b"id: 1\ndata: a\n\n", junk, b"\n\nid: 2\ndata: b\n\n"].concat();
+        check_seeds(50, |u| {
+            let mut splitter = EventSplitter::default();
+            let mut out = Vec::new();
+            let mut rest = &stream[..];
+            while !rest.is_empty() {
+                let (part, later) = rest.split_at(1 + u.choose_index(rest.len())?);
+                out.extend(splitter.push(part).unwrap_or_default());
+                rest = later;
+            }
+            assert!(splitter.is_malformed());
+            assert_eq!(out, b"id: 1\ndata: a\n\n");
+            assert_eq!(splitter.last_id(), Some("1"));
+            Ok(())
+        });
+    }
+}
+
+#[test]
+fn comments_fields_and_versions_are_events() {
+    let stream = b": c\n\ndata\n\nx-weight-versions: 3\nid: 4\ndata: a: b\r\n\r\n";
+    let mut splitter = EventSplitter::default();
+
+    let events = splitter.push(stream);
+
+    assert_eq!(events.as_deref(), Some(stream.as_slice()));
+    assert_eq!(splitter.last_id(), Some("4"));
+}
+
 #[test]
 fn retries_of_all_entries_stay_within_the_budget() {
     let entries = 3;
--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -17,7 +17,7 @@
 use crate::refusal::Refusal;
 use crate::relay::Relay;
 use crate::scheduler::{AcquireOutcome, Scheduler};
-use crate::send::{NotRun, SendOutcome, UnreadResponse, send};
+use crate::send::{NotRun, STREAM_TIMEOUT, SendOutcome, UnreadResponse, send};
 use crate::shortage::Shortage;
 
 /// Longest response that is buffered before it is passed on, in bytes.
@@ -304,6 +304,7 @@
             lease,
             tried,
             events: EventSplitter::default(),
+            event_due: now() + STREAM_TIMEOUT,
         };
         let body = ResponseBody::Streamed {
             chunks: Box::pin(chunks),
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -3,7 +3,7 @@
 use async_channel::Sender;
 use bytes::Bytes;
 use dispatch::EventSplitter;
-use domain::{Platform, millis, now};
+use domain::{Moment, Platform, millis, now};
 use serde_json::json;
 use telemetry::{Outcome, decision};
 use transport::{TransportError, with_timeout};
@@ -12,7 +12,7 @@
 use crate::caller_request::CallerRequest;
 use crate::dispatcher::Dispatcher;
 use crate::lease::Lease;
-use crate::send::UnreadResponse;
+use crate::send::{STREAM_TIMEOUT, UnreadResponse};
 
 /// Passes a stream from upstreams to its caller and resumes it when it breaks.
 pub struct Relay<P: Platform> {
@@ -22,6 +22,8 @@
     pub(crate) lease: Lease<P>,
     pub(crate) tried: Vec<domain::UpstreamId>,
     pub(crate) events: EventSplitter,
+    /// Latest moment for the next event; bytes that complete none do not extend it.
+    pub(crate) event_due: Moment,
 }
 
 /// Result of one read from the upstream.
@@ -85,10 +87,19 @@
     }
 
     async fn read(&mut self) -> ReadOutcome {
-        match self.response.exchange.body.next().await {
+        if self.events.is_malformed() {
+            return ReadOutcome::Broken("the stream contains bytes that are no event".to_owned());
+        }
+        let limit = self.event_due.saturating_sub(now());
+        let next = with_timeout(limit, self.response.exchange.body.next()).await;
+        let Some(next) = next else {
+            return ReadOutcome::Silent(format!("no event for {STREAM_TIMEOUT:?}"));
+        };
+        match next {
             Ok(Some(bytes)) => match self.events.push(&bytes) {
                 Some(events) => {
                     self.lease.event_received();
+                    self.event_due = now() + STREAM_TIMEOUT;
                     ReadOutcome::Events(events)
                 }
                 None => ReadOutcome::Incomplete,
@@ -130,6 +141,7 @@
         self.log("stream resumed", Outcome::Change, &lease.target.id);
         self.response = response;
         self.lease = lease;
+        self.event_due = now() + STREAM_TIMEOUT;
         true
     }
 
--- a/components/gateway/src/send.rs
+++ b/components/gateway/src/send.rs
@@ -11,9 +11,9 @@
 
 /// Connect timeout; upstreams accept connections within milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
-/// Silence of a stream after which it is resumed at another upstream; callers give
+/// Wait for an event of a stream after which it is resumed at another upstream; callers give
 /// up after two seconds at the earliest.
-const STREAM_TIMEOUT: Duration = Duration::from_millis(1500);
+pub(crate) const STREAM_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Wait for a response after which a retryable request is sent to another upstream.
 const SAFE_TIMEOUT: Duration = Duration::from_millis(450);
 /// Least remaining time with which a request is still sent.
