Buffered responses of all requests together stay within one limit

What callers would see: an entry that is ended by the platform because it is over its memory. Each buffered response was limited to 8 MiB, but not their sum; the smallest entry has 160 MB.

Cause: the limit holds for one body. Several upstreams that send bodies without end, or one with many requests, filled 8 MiB for each request at once.

Fix: `BodyBuffers` counts the bytes of all buffered bodies. A body may take at most as much as is left over for others (dynamic threshold), of 32 MiB in all: alone, a response may still have 8 MiB; with n long ones, each gets 32 MiB / (n + 1), and short responses pass. A body that is cut off is a response with unknown outcome, as before with more than 8 MiB. The share is held until the caller's response has been passed on.

Test: `many_bodies_without_end_exhaust_the_memory`, 64 requests whose upstreams send 7.5 MiB each and hold them; the whole process must stay under 160 MB. The number of 502 and 504 equals the number of requests that upstreams received.

--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -12,6 +12,7 @@
 use transport::{Exchange, Pool, spawn, with_timeout};
 
 use crate::ResponseBody;
+use crate::body_buffers::BodyBuffers;
 use crate::caller_request::CallerRequest;
 use crate::lease::Lease;
 use crate::refusal::Refusal;
@@ -37,6 +38,7 @@
     pub(crate) feed: Arc<Feed<P>>,
     pub(crate) scheduler: Arc<Scheduler<P>>,
     pub(crate) connections: Pool,
+    pub(crate) body_buffers: BodyBuffers,
 }
 
 /// What follows an attempt.
@@ -259,7 +261,9 @@
             response_head,
         } = response;
         let Exchange { head, mut body } = exchange;
-        let bytes = match body.collect(MAX_RESPONSE).await {
+        let mut memory = self.body_buffers.reserve();
+        let accept = |len| len <= MAX_RESPONSE && memory.grow_to(len);
+        let bytes = match body.collect_while(accept).await {
             Ok(bytes) => bytes,
             Err(e) => {
                 self.scheduler.exchange_broken(&lease, request.fingerprint);
@@ -271,7 +275,7 @@
         }
         self.record_completion(request, &lease, now().saturating_sub(request.arrived));
         let headers = self.platform.dialect().caller_headers(&head);
-        let response = assemble(&head, headers, ResponseBody::Buffered(Some(bytes)));
+        let response = assemble(&head, headers, ResponseBody::buffered(bytes, Some(memory)));
         if !head.status.is_server_error() {
             return AttemptOutcome::Respond(response);
         }
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -13,6 +13,7 @@
 use telemetry::{Outcome, decision};
 use transport::{Listener, ListenerLimits, Pool, spawn, with_timeout};
 
+use crate::body_buffers::BodyBuffers;
 use crate::dispatcher::Dispatcher;
 use crate::front::Front;
 use crate::readiness::Readiness;
@@ -89,6 +90,7 @@
             feed: feed.clone(),
             scheduler: scheduler.clone(),
             connections: Pool::default(),
+            body_buffers: BodyBuffers::default(),
         });
         let readiness = Arc::new(Readiness::new(feed.clone()));
         let caller_limits = ListenerLimits {
--- a/components/gateway/src/refusal.rs
+++ b/components/gateway/src/refusal.rs
@@ -97,7 +97,7 @@
     pub fn response(self, dialect: &impl Dialect) -> Response<ResponseBody> {
         let body = json!({ "status": self.status().as_u16(), "detail": self.detail() });
         let body = Bytes::from(body.to_string());
-        let mut response = Response::new(ResponseBody::Buffered(Some(body)));
+        let mut response = Response::new(ResponseBody::buffered(body, None));
         *response.status_mut() = self.status();
         let headers: &mut HeaderMap = response.headers_mut();
         let json = HeaderValue::from_static("application/problem+json");
--- a/components/transport/src/error.rs
+++ b/components/transport/src/error.rs
@@ -30,13 +30,13 @@
         /// What went wrong.
         reason: String,
     },
-    /// The body of the response is longer than the limit.
-    #[display("body from {addr} is longer than {limit} bytes")]
+    /// The body of the response is longer than what is accepted.
+    #[display("body from {addr} is too long, {read} bytes were accepted")]
     BodyTooLong {
         /// Address of the peer.
         addr: SocketAddr,
-        /// The limit in bytes.
-        limit: usize,
+        /// Bytes accepted before that.
+        read: usize,
     },
 }
 
--- a/components/transport/src/exchange.rs
+++ b/components/transport/src/exchange.rs
@@ -101,11 +101,22 @@
 
     /// Reads the rest of the body. Fails if it is longer than `limit` bytes.
     pub async fn collect(&mut self, limit: usize) -> Result<Bytes, TransportError> {
+        self.collect_while(|len| len <= limit).await
+    }
+
+    /// Reads the rest of the body. Fails as soon as `accept` returns false for the
+    /// number of bytes that have arrived.
+    pub async fn collect_while(
+        &mut self,
+        mut accept: impl FnMut(usize) -> bool,
+    ) -> Result<Bytes, TransportError> {
         let mut body = Vec::new();
         while let Some(chunk) = self.next().await? {
-            if body.len() + chunk.len() > limit {
-                let addr = self.connection.addr;
-                return Err(TransportError::BodyTooLong { addr, limit });
+            if !accept(body.len() + chunk.len()) {
+                return Err(TransportError::BodyTooLong {
+                    addr: self.connection.addr,
+                    read: body.len(),
+                });
             }
             body.extend_from_slice(&chunk);
         }
