A head without end no longer exhausts the memory of entries and agents

What callers saw: an upstream or peer of the entry/agent family that sends bytes without a line break instead of a response filled the memory of the process until it ended; a chunk size of zeros without end stopped everything else in it. The call's own timeout did not end either.

Cause: async-h1 reads a head with `read_until(LF)` and checks the limit of 8 KiB only when a line is complete; it does not limit the digits of a chunk size. Both read within one poll for as long as bytes are available, so the timer beside them is not polled.

Test: `components/wire/tests/endless_responses.rs`, senders on threads of their own.

--- a/components/wire/src/client.rs
+++ b/components/wire/src/client.rs
@@ -8,7 +8,7 @@
 use serde::de::DeserializeOwned;
 use smol::net::TcpStream;
 
-use crate::metered::Metered;
+use crate::bounded_stream::{BoundedStream, ReadAllowance};
 use crate::pool::Pool;
 use crate::{ResponseBody, WireError, decode, encode, read_limited, with_timeout};
 
@@ -131,7 +131,9 @@
     pub async fn send(&self, call: Call) -> Result<CallResponse, WireError> {
         let addr = call.addr;
         let stream = self.connect(&call).await?;
-        let exchange = async_h1::connect(Metered(stream.clone()), call.request);
+        let allowance = ReadAllowance::new();
+        let bounded = BoundedStream::new(stream.clone(), allowance.clone());
+        let exchange = async_h1::connect(bounded, call.request);
         let head = with_timeout(call.head_timeout, exchange)
             .await
             .ok_or(WireError::Timeout {
@@ -142,7 +144,8 @@
                 addr,
                 reason: e.to_string(),
             })?;
-        self.response(head, stream, addr, call.read_timeout)
+        allowance.renew();
+        self.response(head, stream, addr, call.read_timeout, allowance)
     }
 
     /// Sends a MessagePack message with POST and decodes the response. Every wait is
@@ -205,6 +208,7 @@
         stream: TcpStream,
         addr: SocketAddr,
         read_timeout: Duration,
+        allowance: ReadAllowance,
     ) -> Result<CallResponse, WireError> {
         let aborted = |reason: &str| WireError::Aborted {
             addr,
@@ -232,6 +236,7 @@
             read_timeout,
             timer: None,
             addr,
+            allowance,
             stream: (!close).then_some(stream),
             pool: self.pool.clone(),
         };
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -1,6 +1,7 @@
 //! HTTP between processes: a pooled client, a server with graceful shutdown,
 //! MessagePack bodies and problem documents. Framing is left to `async-h1`.
 
+mod bounded_stream;
 mod client;
 mod codec;
 mod error;
--- a/components/wire/src/response_body.rs
+++ b/components/wire/src/response_body.rs
@@ -12,6 +12,7 @@
 use smol::net::TcpStream;
 
 use crate::WireError;
+use crate::bounded_stream::ReadAllowance;
 use crate::pool::Pool;
 
 /// The body of a response. Reaches its end only when all of it has arrived; a
@@ -22,6 +23,7 @@
     pub(crate) read_timeout: Duration,
     pub(crate) timer: Option<Timer>,
     pub(crate) addr: SocketAddr,
+    pub(crate) allowance: ReadAllowance,
     pub(crate) stream: Option<TcpStream>,
     pub(crate) pool: Arc<Pool>,
 }
@@ -84,6 +86,7 @@
             Poll::Ready(Ok(0)) if !buf.is_empty() => Poll::Ready(self.finish()),
             Poll::Ready(Ok(n)) => {
                 self.timer = None;
+                self.allowance.renew();
                 self.remaining = self.remaining.map(|r| r.saturating_sub(n as u64));
                 self.release_if_complete();
                 Poll::Ready(Ok(n))
--- /dev/null
+++ b/components/wire/tests/endless_responses.rs
@@ -0,0 +1,204 @@
+//! A client whose peer sends bytes that are no response, without end: memory and time
+//! are bounded, the connection is closed and not reused, and the call fails.
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{Receiver, channel};
+use std::time::{Duration, Instant};
+
+use http_types::Method;
+use wire::{Call, Client, WireError};
+
+/// Timeout of a call, and of a wait for the next byte.
+const TIMEOUT: Duration = Duration::from_millis(600);
+/// Time beyond the timeout until the call has failed and the peer sees the close.
+const SLACK: Duration = Duration::from_millis(500);
+/// Longest body that the calls accept.
+const MAX_BODY: usize = 1 << 20;
+/// Most bytes of a head that are accepted: 8 KiB, and the buffers of the kernel.
+const HEAD_BYTES: usize = 8 << 20;
+/// Most bytes of a body that are accepted: `MAX_BODY`, and the buffers of the kernel.
+const BODY_BYTES: usize = 16 << 20;
+/// Pause of a slow sender, shorter than each timeout between two reads.
+const DRIP: Duration = Duration::from_millis(20);
+/// The sender gives up after this time, in case nobody closes.
+const MAX_TIME: Duration = Duration::from_secs(5);
+const MAX_WRITTEN: usize = 1 << 30;
+
+/// What a peer sends in response to a request.
+#[derive(Clone, Copy)]
+struct Junk {
+    name: &'static str,
+    start: &'static str,
+    /// Repeated until the connection is closed.
+    unit: &'static str,
+    pause: Duration,
+}
+
+const fn fast(name: &'static str, start: &'static str, unit: &'static str) -> Junk {
+    let pause = Duration::ZERO;
+    Junk {
+        name,
+        start,
+        unit,
+        pause,
+    }
+}
+
+const fn drip(name: &'static str, start: &'static str, unit: &'static str) -> Junk {
+    Junk {
+        pause: DRIP,
+        ..fast(name, start, unit)
+    }
+}
+
+const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+
+const ENDLESS_HEADS: [Junk; 10] = [
+    fast("bytes without a line break", "", "junk"),
+    fast("status line without end", "HTTP/1.1 200 ", "junk"),
+    fast("header without end", "HTTP/1.1 200 OK\r\nx: ", "junk"),
+    fast("headers without end", "HTTP/1.1 200 OK\r\n", "x: junk\r\n"),
+    fast("interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"),
+    fast("blank lines", "", "\r\n"),
+    fast("spaces", "", " "),
+    drip("drip of a header", "HTTP/1.1 200 OK\r\nx: ", "junk"),
+    drip("drip of bytes", "", "junk"),
+    drip("drip of blank lines", "", "\r\n"),
+];
+
+const ENDLESS_BODIES: [Junk; 7] = [
+    fast("chunks", CHUNKED, "4\r\njunk\r\n"),
+    fast("chunk size", CHUNKED, "0"),
+    fast(
+        "chunk extension",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4;",
+        "junk",
+    ),
+    fast(
+        "trailers",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n",
+        "x: junk\r\n",
+    ),
+    fast("body without length", "HTTP/1.1 200 OK\r\n\r\n", "junk"),
+    fast(
+        "huge length",
+        "HTTP/1.1 200 OK\r\ncontent-length: 1099511627776\r\n\r\n",
+        "junk",
+    ),
+    drip("drip of a chunk size", CHUNKED, "0"),
+];
+
+/// Result of one connection: bytes written, and the time until it was closed.
+type Sent = (usize, Option<Duration>);
+
+/// Sends junk in response to each request, from threads of its own.
+fn endless_server(junk: Junk) -> (SocketAddr, Receiver<Sent>) {
+    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = socket.local_addr().unwrap();
+    let (sender, receiver) = channel();
+    std::thread::spawn(move || {
+        for mut stream in socket.incoming().flatten() {
+            let sender = sender.clone();
+            std::thread::spawn(move || {
+                if stream.read(&mut [0; 4096]).is_ok_and(|n| n > 0) {
+                    let _ = sender.send(write_endlessly(&mut stream, junk));
+                }
+            });
+        }
+    });
+    (addr, receiver)
+}
+
+fn write_endlessly(stream: &mut TcpStream, junk: Junk) -> Sent {
+    let started = Instant::now();
+    let block = match junk.pause {
+        Duration::ZERO => junk.unit.repeat((64 << 10) / junk.unit.len() + 1),
+        _ => junk.unit.to_owned(),
+    };
+    let step = match junk.pause {
+        Duration::ZERO => block.len(),
+        _ => 1,
+    };
+    let limit = Duration::from_millis(100);
+    stream.set_write_timeout(Some(limit)).unwrap();
+    let mut written = junk.start.len();
+    let mut closed = stream.write_all(junk.start.as_bytes()).is_err();
+    let mut at = 0;
+    while !closed && started.elapsed() < MAX_TIME && written < MAX_WRITTEN {
+        let end = block.len().min(at + step);
+        match stream.write(&block.as_bytes()[at..end]) {
+            Ok(n) => {
+                written += n;
+                at = (at + n) % block.len();
+            }
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
+            Err(_) => closed = true,
+        }
+        std::thread::sleep(junk.pause);
+    }
+    (written, closed.then(|| started.elapsed()))
+}
+
+/// Calls `addr` on the executor's thread and returns the result and its time; fails
+/// if the thread is still occupied long after the timeout.
+fn fetch(client: &Client, addr: SocketAddr) -> (Result<Vec<u8>, WireError>, Duration) {
+    let started = Instant::now();
+    let client = client.clone();
+    let (sender, receiver) = channel();
+    smol::spawn(async move {
+        let result = async {
+            let call = Call::new(Method::Get, addr, "/")?
+                .head_timeout(TIMEOUT)
+                .read_timeout(TIMEOUT);
+            client.send(call).await?.bytes(MAX_BODY).await
+        };
+        let _ = sender.send(result.await);
+    })
+    .detach();
+    // Tasks of others run meanwhile.
+    let (other, others) = channel();
+    std::thread::sleep(Duration::from_millis(50));
+    smol::spawn(async move { other.send(()).unwrap() }).detach();
+    others
+        .recv_timeout(SLACK)
+        .expect("the executor's thread is occupied");
+    let result = receiver.recv_timeout(2 * TIMEOUT + 2 * SLACK);
+    (result.expect("the call does not end"), started.elapsed())
+}
+
+fn assert_closed(junk: Junk, sent: &Receiver<Sent>, max_bytes: usize) {
+    let (written, closed) = sent.recv_timeout(MAX_TIME + SLACK).unwrap();
+    let closed = closed.unwrap_or(Duration::MAX);
+    assert!(closed < 2 * TIMEOUT + SLACK, "{}: not closed", junk.name);
+    assert!(written < max_bytes, "{}: {written} bytes", junk.name);
+}
+
+fn check_failure(junk: Junk, max_bytes: usize) {
+    let (addr, sent) = endless_server(junk);
+    let client = Client::default();
+
+    let (result, took) = fetch(&client, addr);
+
+    let error = result.map(|b| b.len()).expect_err(junk.name);
+    assert!(!error.is_unsent(), "{}: {error}", junk.name);
+    assert!(took < 2 * TIMEOUT + SLACK, "{}: {took:?}", junk.name);
+    assert_eq!(client.idle_connections(addr), 0, "{}", junk.name);
+    assert_closed(junk, &sent, max_bytes);
+}
+
+/// The library limits the length of a head only at line breaks, and reads within one
+/// poll for as long as bytes are available.
+#[test]
+fn head_without_end_exhausts_the_memory() {
+    for junk in ENDLESS_HEADS {
+        check_failure(junk, HEAD_BYTES);
+    }
+}
+
+#[test]
+fn body_without_end_is_cut_off() {
+    for junk in ENDLESS_BODIES {
+        check_failure(junk, BODY_BYTES);
+    }
+}
