An interim response is no longer taken for the response

Cause: async-h1 returns the first head that it reads. Interim responses without a length were rejected only because they have no framing.

Fix: a status of 1xx breaks off the exchange, so the outcome is unknown.

Test: "interim responses with a length" in `head_without_end_exhausts_the_memory` failed before: the call returned a body of 0 bytes instead of an error.

--- a/components/wire/src/client.rs
+++ b/components/wire/src/client.rs
@@ -214,6 +214,9 @@
             addr,
             reason: reason.to_owned(),
         };
+        if head.status().is_informational() {
+            return Err(aborted("interim response"));
+        }
         let chunked = head.header(TRANSFER_ENCODING).is_some();
         let remaining = match head.header(CONTENT_LENGTH) {
             Some(v) if v.iter().count() > 1 => return Err(aborted("repeated content-length")),
--- a/components/wire/tests/endless_responses.rs
+++ b/components/wire/tests/endless_responses.rs
@@ -53,18 +53,21 @@
 }
 
 const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+const EARLY: &str = "HTTP/1.1 103 Early Hints\r\ncontent-length: 0\r\n\r\n";
 
-const ENDLESS_HEADS: [Junk; 10] = [
+const ENDLESS_HEADS: [Junk; 12] = [
     fast("bytes without a line break", "", "junk"),
     fast("status line without end", "HTTP/1.1 200 ", "junk"),
     fast("header without end", "HTTP/1.1 200 OK\r\nx: ", "junk"),
     fast("headers without end", "HTTP/1.1 200 OK\r\n", "x: junk\r\n"),
     fast("interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"),
+    fast("interim responses with a length", "", EARLY),
     fast("blank lines", "", "\r\n"),
     fast("spaces", "", " "),
     drip("drip of a header", "HTTP/1.1 200 OK\r\nx: ", "junk"),
     drip("drip of bytes", "", "junk"),
     drip("drip of blank lines", "", "\r\n"),
+    drip("drip of interim responses", "", EARLY),
 ];
 
 const ENDLESS_BODIES: [Junk; 7] = [
