--- a/components/wire/tests/endless_responses.rs
+++ b/components/wire/tests/endless_responses.rs
@@ -53,6 +53,7 @@
 }
 
 const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+const LENGTH: &str = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole";
 const EARLY: &str = "HTTP/1.1 103 Early Hints\r\ncontent-length: 0\r\n\r\n";
 
 const ENDLESS_HEADS: [Junk; 12] = [
@@ -92,6 +93,11 @@
     drip("drip of a chunk size", CHUNKED, "0"),
 ];
 
+const BYTES_AFTER_THE_END: [Junk; 2] = [
+    fast("after the length", LENGTH, "junk"),
+    drip("drip after the length", LENGTH, "junk"),
+];
+
 /// Result of one connection: bytes written, and the time until it was closed.
 type Sent = (usize, Option<Duration>);
 
@@ -205,3 +211,18 @@
         check_failure(junk, BODY_BYTES);
     }
 }
+
+/// The connection stayed open in the pool and took bytes until it was used again.
+#[test]
+fn connection_with_bytes_after_the_end_stays_open() {
+    for junk in BYTES_AFTER_THE_END {
+        let (addr, sent) = endless_server(junk);
+        let client = Client::default();
+
+        let (result, _) = fetch(&client, addr);
+
+        assert!(result.is_ok_and(|b| b == b"whole"), "{}", junk.name);
+        assert_closed(junk, &sent, HEAD_BYTES);
+        assert_eq!(client.idle_connections(addr), 0, "{}", junk.name);
+    }
+}
