Notice a restart of the engine behind a failed report

The agent compared the start of the engine with that in the report before, and forgot it when a report failed. An engine that was back within one interval after a failed report was taken for the one before: the agent relied on pieces that the restart had lost, read all of them, and only then staged the version again. The engine stayed empty for that much longer.

The agent now keeps the start of the engine while it does not respond.

--- a/components/loader/src/agent.rs
+++ b/components/loader/src/agent.rs
@@ -33,6 +33,8 @@
 struct Status {
     /// The engine's last report; none while it does not respond.
     report: Option<EngineStatus>,
+    /// Start of the engine in its last report, also while it does not respond.
+    started_ms: Option<u64>,
     /// The engine is closed for a switch.
     switching: bool,
     /// When the engine will be closed for a switch.
@@ -87,7 +89,7 @@
         let mut status = self.status();
         match report {
             Ok(report) => {
-                let previous_start = status.report.as_ref().map(|r| r.started_ms);
+                let previous_start = status.started_ms.replace(report.started_ms);
                 if previous_start.is_some_and(|p| p != report.started_ms) {
                     // Pieces may have been lost in the restart.
                     self.local.clear_staged();
