End the announcement of a switch that is no longer due

An agent announces when its engine will close for a planned switch, and entries send no request that would last longer. The agent withdrew the announcement only when it planned its next step. If the engine came to hold the version without that, the announcement stayed, and the engine got almost no requests until the next version was declared.

An agent without a version to load now announces no switch.

--- a/components/loader/src/switching.rs
+++ b/components/loader/src/switching.rs
@@ -89,6 +89,7 @@
             return Ok(());
         };
         let Some(first) = targets.first() else {
+            self.set_closes_at(None);
             self.share_loaded().await;
             return Ok(());
         };
