A response that arrives slowly ends at the deadline of its call

What callers saw: an upstream of the entry/agent family that sends a body a byte at a time kept its request, its slot and the caller's connection for ever; a peer, the log, the list of VMs or the origin kept the call.

Cause: `read_timeout` covers the pause between two bytes. Nothing limited the whole response, and `Client::exchange` limited each wait instead of the call.

Fix: `Call::total_timeout` limits the time until the last byte, 60 s unless it is set. A run whose buffered response is cut off has an unknown outcome, a streamed one is aborted, as after other broken bodies.

Test: "drip of a body" and "drip of chunks" in `body_without_end_is_cut_off` failed before: "the call does not end". After it, 33 runs of the file: 32 passed; the first one failed once in "drip of chunks" with the close seen after 1.7 s, although the call had ended in time, with a load of 31 on 8 cores. Not traced: 24 further runs under the same load did not repeat it. The message now names the longest time between two writes of the sender, which tells the two apart.

--- a/components/agent/src/engine.rs
+++ b/components/agent/src/engine.rs
@@ -76,7 +76,9 @@
 
     /// Reads the load report; `None` if the upstream has none.
     pub async fn load(&self) -> Result<Option<LoadReport>, WireError> {
-        let call = Call::new(Method::Get, self.addr, "/load")?.head_timeout(REPORT_TIMEOUT);
+        let call = Call::new(Method::Get, self.addr, "/load")?
+            .head_timeout(REPORT_TIMEOUT)
+            .total_timeout(REPORT_TIMEOUT);
         let response = self.client.send(call).await?;
         let is_success = response.status().is_success();
         let bytes = response.bytes(MAX_RESPONSE_BYTES).await?;
--- a/components/agent/src/runner.rs
+++ b/components/agent/src/runner.rs
@@ -142,6 +142,7 @@
             .header("content-type", &request.media_type)
             .head_timeout(request.remaining)
             .read_timeout(UPSTREAM_READ_TIMEOUT)
+            .total_timeout(request.remaining)
             .body(request.body.clone());
         // The upstream may have closed an idle connection already, which would leave it
         // unknown whether the request ran.
--- a/components/entry/src/exchange.rs
+++ b/components/entry/src/exchange.rs
@@ -92,7 +92,8 @@
         // The agent responds at the deadline at the latest; the timeout leaves time for
         // that response to arrive.
         .head_timeout(timeout + SETTLE_DELAY)
-        .read_timeout(BODY_TIMEOUT))
+        .read_timeout(BODY_TIMEOUT)
+        .total_timeout(timeout + SETTLE_DELAY))
 }
 
 async fn read_head(
@@ -189,6 +190,7 @@
         .connect_timeout(SETTLE_TIMEOUT)
         .head_timeout(SETTLE_TIMEOUT)
         .read_timeout(SETTLE_TIMEOUT)
+        .total_timeout(SETTLE_TIMEOUT)
         .new_connection();
     let reply = client.send(call).await.ok()?;
     let bytes = reply.bytes(MAX_SETTLE_BYTES).await.ok()?;
--- a/components/platform/src/origin_client.rs
+++ b/components/platform/src/origin_client.rs
@@ -12,6 +12,8 @@
 const MAX_MANIFEST_BYTES: usize = 16 << 20;
 /// Longest wait for the head of a response or between two of its bytes.
 const ORIGIN_TIMEOUT: Duration = Duration::from_secs(5);
+/// Slowest transfer that is waited for, in bytes a second.
+const MIN_RATE: u64 = 64 << 10;
 
 /// A client of the origin of weights.
 #[derive(Clone)]
@@ -59,9 +61,11 @@
         expected: u16,
         limit: usize,
     ) -> Result<Vec<u8>, PlatformError> {
+        let longest = Duration::from_secs(u64::try_from(limit).unwrap_or(u64::MAX) / MIN_RATE);
         let call = call
             .head_timeout(ORIGIN_TIMEOUT)
-            .read_timeout(ORIGIN_TIMEOUT);
+            .read_timeout(ORIGIN_TIMEOUT)
+            .total_timeout(ORIGIN_TIMEOUT + longest);
         let response = self.client.send(call).await?;
         let status = u16::from(response.status());
         if status != expected {
--- a/components/wire/src/client.rs
+++ b/components/wire/src/client.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http_types::headers::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http_types::{Method, Request, Response, StatusCode, Url};
@@ -14,6 +14,8 @@
 
 /// Default of [`Call::head_timeout`] and [`Call::read_timeout`].
 const DEFAULT_RESPONSE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Default of [`Call::total_timeout`].
+const DEFAULT_TOTAL_TIMEOUT: Duration = Duration::from_secs(60);
 /// Default of [`Call::connect_timeout`].
 const DEFAULT_CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest response of [`Client::exchange`].
@@ -26,6 +28,7 @@
     connect_timeout: Duration,
     head_timeout: Duration,
     read_timeout: Duration,
+    total_timeout: Duration,
     new_connection: bool,
 }
 
@@ -42,6 +45,7 @@
             connect_timeout: DEFAULT_CONNECT_TIMEOUT,
             head_timeout: DEFAULT_RESPONSE_TIMEOUT,
             read_timeout: DEFAULT_RESPONSE_TIMEOUT,
+            total_timeout: DEFAULT_TOTAL_TIMEOUT,
             new_connection: false,
         })
     }
@@ -76,6 +80,13 @@
         self
     }
 
+    /// Limits the time until the last byte of the response has arrived, however steadily
+    /// it arrives.
+    pub fn total_timeout(mut self, limit: Duration) -> Self {
+        self.total_timeout = limit;
+        self
+    }
+
     /// Uses a new connection, never an idle one.
     pub fn new_connection(mut self) -> Self {
         self.new_connection = true;
@@ -130,26 +141,40 @@
     /// Sends a call and returns as soon as the head of the response has arrived.
     pub async fn send(&self, call: Call) -> Result<CallResponse, WireError> {
         let addr = call.addr;
+        let deadline = Instant::now() + call.total_timeout;
         let stream = self.connect(&call).await?;
         let allowance = ReadAllowance::new();
         let bounded = BoundedStream::new(stream.clone(), allowance.clone());
         let exchange = async_h1::connect(bounded, call.request);
-        let head = with_timeout(call.head_timeout, exchange)
+        let limit = deadline.saturating_duration_since(Instant::now());
+        let limit = limit.min(call.head_timeout);
+        let mut head = with_timeout(limit, exchange)
             .await
             .ok_or(WireError::Timeout {
                 addr,
-                millis: call.head_timeout.as_millis(),
+                millis: limit.as_millis(),
             })?
             .map_err(|e| WireError::Aborted {
                 addr,
                 reason: e.to_string(),
             })?;
         allowance.renew();
-        self.response(head, stream, addr, call.read_timeout, allowance)
+        let body = ResponseBody {
+            inner: head.take_body(),
+            remaining: None,
+            read_timeout: call.read_timeout,
+            deadline,
+            timer: None,
+            addr,
+            allowance,
+            stream: Some(stream),
+            pool: self.pool.clone(),
+        };
+        response(head, body)
     }
 
-    /// Sends a MessagePack message with POST and decodes the response. Every wait is
-    /// limited by `limit`; a status other than success is an error.
+    /// Sends a MessagePack message with POST and decodes the response, which has to
+    /// arrive within `limit`; a status other than success is an error.
     pub async fn exchange<Q: Serialize, A: DeserializeOwned>(
         &self,
         addr: SocketAddr,
@@ -161,7 +186,8 @@
             .body(encode(message)?)
             .connect_timeout(limit)
             .head_timeout(limit)
-            .read_timeout(limit);
+            .read_timeout(limit)
+            .total_timeout(limit);
         let response = self.send(call).await?;
         let status = response.status();
         let bytes = response.bytes(MAX_MESSAGE_BYTES).await?;
@@ -187,63 +213,47 @@
             addr: call.addr,
             reason,
         };
-        let stream = with_timeout(call.connect_timeout, TcpStream::connect(call.addr))
+        let limit = call.connect_timeout.min(call.total_timeout);
+        let stream = with_timeout(limit, TcpStream::connect(call.addr))
             .await
-            .ok_or_else(|| {
-                connect_error(format!(
-                    "no connection within {} ms",
-                    call.connect_timeout.as_millis()
-                ))
-            })?
+            .ok_or_else(|| connect_error(format!("no connection within {} ms", limit.as_millis())))?
             .map_err(|e| connect_error(e.to_string()))?;
         stream
             .set_nodelay(true)
             .map_err(|e| connect_error(e.to_string()))?;
         Ok(stream)
     }
+}
 
-    fn response(
-        &self,
-        mut head: Response,
-        stream: TcpStream,
-        addr: SocketAddr,
-        read_timeout: Duration,
-        allowance: ReadAllowance,
-    ) -> Result<CallResponse, WireError> {
-        let aborted = |reason: &str| WireError::Aborted {
-            addr,
-            reason: reason.to_owned(),
-        };
-        if head.status().is_informational() {
-            return Err(aborted("interim response"));
-        }
-        let chunked = head.header(TRANSFER_ENCODING).is_some();
-        let remaining = match head.header(CONTENT_LENGTH) {
-            Some(v) if v.iter().count() > 1 => return Err(aborted("repeated content-length")),
-            Some(v) => Some(
-                v.last()
-                    .as_str()
-                    .parse()
-                    .map_err(|_| aborted("invalid content-length"))?,
-            ),
-            None if chunked => None,
-            None if head.status() == StatusCode::NoContent => Some(0),
-            None => return Err(aborted("neither content-length nor chunked coding")),
-        };
-        let close = head
-            .header("connection")
-            .is_some_and(|v| v.last().as_str().eq_ignore_ascii_case("close"));
-        let mut body = ResponseBody {
-            inner: head.take_body(),
-            remaining,
-            read_timeout,
-            timer: None,
-            addr,
-            allowance,
-            stream: (!close).then_some(stream),
-            pool: self.pool.clone(),
-        };
-        body.release_if_complete();
-        Ok(CallResponse { head, body })
+/// Checks how the body is framed.
+fn response(head: Response, mut body: ResponseBody) -> Result<CallResponse, WireError> {
+    let aborted = |reason: &str| WireError::Aborted {
+        addr: body.addr,
+        reason: reason.to_owned(),
+    };
+    if head.status().is_informational() {
+        return Err(aborted("interim response"));
+    }
+    let chunked = head.header(TRANSFER_ENCODING).is_some();
+    let remaining = match head.header(CONTENT_LENGTH) {
+        Some(v) if v.iter().count() > 1 => return Err(aborted("repeated content-length")),
+        Some(v) => Some(
+            v.last()
+                .as_str()
+                .parse()
+                .map_err(|_| aborted("invalid content-length"))?,
+        ),
+        None if chunked => None,
+        None if head.status() == StatusCode::NoContent => Some(0),
+        None => return Err(aborted("neither content-length nor chunked coding")),
+    };
+    let close = head
+        .header("connection")
+        .is_some_and(|v| v.last().as_str().eq_ignore_ascii_case("close"));
+    if close {
+        body.stream = None;
     }
+    body.remaining = remaining;
+    body.release_if_complete();
+    Ok(CallResponse { head, body })
 }
--- a/components/wire/src/response_body.rs
+++ b/components/wire/src/response_body.rs
@@ -4,7 +4,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_lite::{AsyncRead, AsyncReadExt};
 use http_types::Body;
@@ -21,6 +21,8 @@
     pub(crate) inner: Body,
     pub(crate) remaining: Option<u64>,
     pub(crate) read_timeout: Duration,
+    /// Latest moment for the last byte.
+    pub(crate) deadline: Instant,
     pub(crate) timer: Option<Timer>,
     pub(crate) addr: SocketAddr,
     pub(crate) allowance: ReadAllowance,
@@ -62,10 +64,13 @@
     }
 
     fn check_read_timeout(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
-        let limit = self.read_timeout;
-        let timer = self.timer.get_or_insert_with(|| Timer::after(limit));
+        let (limit, deadline) = (self.read_timeout, self.deadline);
+        let timer = self
+            .timer
+            .get_or_insert_with(|| Timer::at(deadline.min(Instant::now() + limit)));
         match Pin::new(timer).poll(cx) {
             Poll::Pending => Poll::Pending,
+            Poll::Ready(_) if self.is_overdue() => Poll::Ready(Err(self.overdue())),
             Poll::Ready(_) => {
                 self.stream = None;
                 let text = format!("no byte received for {} ms", limit.as_millis());
@@ -73,6 +78,16 @@
             }
         }
     }
+
+    fn is_overdue(&self) -> bool {
+        !self.is_complete() && Instant::now() >= self.deadline
+    }
+
+    fn overdue(&mut self) -> io::Error {
+        self.stream = None;
+        let text = "the body did not end before its deadline";
+        io::Error::new(io::ErrorKind::TimedOut, text)
+    }
 }
 
 impl AsyncRead for ResponseBody {
@@ -89,6 +104,9 @@
                 self.allowance.renew();
                 self.remaining = self.remaining.map(|r| r.saturating_sub(n as u64));
                 self.release_if_complete();
+                if self.is_overdue() {
+                    return Poll::Ready(Err(self.overdue()));
+                }
                 Poll::Ready(Ok(n))
             }
             Poll::Ready(Err(e)) => {
--- a/components/wire/tests/endless_responses.rs
+++ b/components/wire/tests/endless_responses.rs
@@ -71,7 +71,7 @@
     drip("drip of interim responses", "", EARLY),
 ];
 
-const ENDLESS_BODIES: [Junk; 7] = [
+const ENDLESS_BODIES: [Junk; 9] = [
     fast("chunks", CHUNKED, "4\r\njunk\r\n"),
     fast("chunk size", CHUNKED, "0"),
     fast(
@@ -90,7 +90,13 @@
         "HTTP/1.1 200 OK\r\ncontent-length: 1099511627776\r\n\r\n",
         "junk",
     ),
+    drip(
+        "drip of a body",
+        "HTTP/1.1 200 OK\r\ncontent-length: 100000\r\n\r\n",
+        "junk",
+    ),
     drip("drip of a chunk size", CHUNKED, "0"),
+    drip("drip of chunks", CHUNKED, "1\r\nx\r\n"),
 ];
 
 const BYTES_AFTER_THE_END: [Junk; 2] = [
@@ -98,8 +104,9 @@
     drip("drip after the length", LENGTH, "junk"),
 ];
 
-/// Result of one connection: bytes written, and the time until it was closed.
-type Sent = (usize, Option<Duration>);
+/// Result of one connection: bytes written, the time until it was closed, and the longest
+/// time between two writes.
+type Sent = (usize, Option<Duration>, Duration);
 
 /// Sends junk in response to each request, from threads of its own.
 fn endless_server(junk: Junk) -> (SocketAddr, Receiver<Sent>) {
@@ -133,7 +140,7 @@
     stream.set_write_timeout(Some(limit)).unwrap();
     let mut written = junk.start.len();
     let mut closed = stream.write_all(junk.start.as_bytes()).is_err();
-    let mut at = 0;
+    let (mut at, mut last, mut longest) = (0, started, Duration::ZERO);
     while !closed && started.elapsed() < MAX_TIME && written < MAX_WRITTEN {
         let end = block.len().min(at + step);
         match stream.write(&block.as_bytes()[at..end]) {
@@ -144,9 +151,11 @@
             Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
             Err(_) => closed = true,
         }
+        longest = longest.max(last.elapsed());
+        last = Instant::now();
         std::thread::sleep(junk.pause);
     }
-    (written, closed.then(|| started.elapsed()))
+    (written, closed.then(|| started.elapsed()), longest)
 }
 
 /// Calls `addr` on the executor's thread and returns the result and its time; fails
@@ -159,7 +168,8 @@
         let result = async {
             let call = Call::new(Method::Get, addr, "/")?
                 .head_timeout(TIMEOUT)
-                .read_timeout(TIMEOUT);
+                .read_timeout(TIMEOUT)
+                .total_timeout(TIMEOUT);
             client.send(call).await?.bytes(MAX_BODY).await
         };
         let _ = sender.send(result.await);
@@ -177,9 +187,13 @@
 }
 
 fn assert_closed(junk: Junk, sent: &Receiver<Sent>, max_bytes: usize) {
-    let (written, closed) = sent.recv_timeout(MAX_TIME + SLACK).unwrap();
+    let (written, closed, longest) = sent.recv_timeout(MAX_TIME + SLACK).unwrap();
     let closed = closed.unwrap_or(Duration::MAX);
-    assert!(closed < 2 * TIMEOUT + SLACK, "{}: not closed", junk.name);
+    assert!(
+        closed < 2 * TIMEOUT + SLACK,
+        "{}: not closed: {closed:?}, longest time between two writes {longest:?}",
+        junk.name
+    );
     assert!(written < max_bytes, "{}: {written} bytes", junk.name);
 }
 
