A chunk from a peer is limited to its length

What agents saw: a peer that answers a request for a chunk with bytes without end had 64 MiB of them read before the chunk was rejected, six times at once; an agent's machine has 128 MB.

Cause: the limit was that of the longest chunk which any manifest may have.

Fix: the limit is the length that the manifest gives, as for the origin, and the time follows from it (64 KiB/s). Not covered by a test of its own: the limit of `CallResponse::bytes` is tested in `wire`.

--- a/components/agent/src/weights_service.rs
+++ b/components/agent/src/weights_service.rs
@@ -27,6 +27,8 @@
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Longest wait for the head of a peer's response, and between two bytes of its body.
 const PEER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Slowest transfer from a peer that is waited for, in bytes a second.
+const MIN_PEER_RATE: u64 = 64 << 10;
 /// Longest time from an order until the engine reports that it serves the version.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -225,7 +227,7 @@
     async fn fetch(&self, manifest: &Manifest, fetch: &Fetch) -> Result<(), FetchError> {
         let bytes = match &fetch.source {
             Source::Origin => self.fetch_from_origin(manifest, fetch).await?,
-            Source::Peer(peer) => self.fetch_from_peer(peer, fetch).await?,
+            Source::Peer(peer) => self.fetch_from_peer(manifest, peer, fetch).await?,
         };
         let size = bytes.len() as u64;
         {
@@ -269,12 +271,20 @@
             })
     }
 
-    async fn fetch_from_peer(&self, peer: &Peer, fetch: &Fetch) -> Result<Vec<u8>, FetchError> {
+    async fn fetch_from_peer(
+        &self,
+        manifest: &Manifest,
+        peer: &Peer,
+        fetch: &Fetch,
+    ) -> Result<Vec<u8>, FetchError> {
+        let range = manifest.chunk_range(fetch.index);
+        let len = range.end - range.start;
         let path = format!("{}{}", paths::CHUNK, fetch.digest);
         let call = Call::new(Method::Get, peer.addr, &path)
             .map_err(|_| FetchError::Unreachable)?
             .head_timeout(PEER_TIMEOUT)
-            .read_timeout(PEER_TIMEOUT);
+            .read_timeout(PEER_TIMEOUT)
+            .total_timeout(PEER_TIMEOUT + Duration::from_secs(len / MIN_PEER_RATE));
         let response = self.client.send(call).await.map_err(|e| {
             log::warn!(
                 "weights: chunk {} could not be fetched from peer {}: {e}",
@@ -286,7 +296,8 @@
         if !response.status().is_success() {
             return Err(FetchError::NotAvailable);
         }
-        response.bytes(64 << 20).await.map_err(|e| {
+        let limit = usize::try_from(len).unwrap_or(usize::MAX);
+        response.bytes(limit).await.map_err(|e| {
             log::warn!(
                 "weights: chunk {} could not be fetched from peer {}: {e}",
                 fetch.index,
