Do not order a restarted engine to load pieces that it lost

An engine that restarted after its staged pieces had been verified was ordered to load them, although the restart had lost them: it would have served with missing layers.

The agent's log shows the report that precedes the order, the line "engine restarted" 0.1 ms before "order", and the order with the sequence number of the new start, so that the engine accepted it. Pieces are verified before the engine is closed, 60 ms and more before that report.

The report clears what is known to be staged; the order is now given only if the version is still known to be staged after it. The next step stages it again.

engine_that_restarts_after_verification_is_not_ordered_to_load_lost_pieces failed before: "left: 1, right: 0" incomplete orders.

--- a/components/loader/src/switching.rs
+++ b/components/loader/src/switching.rs
@@ -209,6 +209,11 @@
     async fn order(&self, target: &TargetVersion) -> anyhow::Result<()> {
         self.read_report().await;
         let report = self.report().context("the engine does not answer")?;
+        // The report may show a restart, in which verified pieces were lost.
+        ensure!(
+            self.local.is_staged(&target.model, target.version),
+            "the engine restarted; the version will be staged again"
+        );
         let fields = json!({
             "model": target.model, "version": target.version, "sequence": report.sequence,
         });
