Idle connections leave room for lost entries' and closing ones

A third of the limit was kept idle whatever the slots of the upstream. None of the configurations that we know has such an upstream: all state at least six times the slots.

Idle connections are now also limited to half of what twice the slots leave. Budgets of upstreams whose limit is at least six times their slots are unchanged.

--- a/components/dispatch/src/connection_budget.rs
+++ b/components/dispatch/src/connection_budget.rs
@@ -30,10 +30,15 @@
         self.entries
     }
 
-    /// Idle connections that an entry may keep to the upstream. All get the same share;
-    /// the owner, which sends most requests, also gets what cannot be divided evenly.
-    pub fn idle(self, ownership: Ownership) -> usize {
-        let kept = self.limit / IDLE_DIVISOR;
+    /// Idle connections that an entry may keep to an upstream with `slots` slots. All
+    /// get the same share; the owner, which sends most requests, also gets what cannot
+    /// be divided evenly.
+    pub fn idle(self, ownership: Ownership, slots: u32) -> usize {
+        let slots = usize::try_from(slots).unwrap_or(usize::MAX);
+        // As many connections may be closing as were in use, and lost entries may have
+        // left as many idle ones as are kept.
+        let unused = self.limit.saturating_sub(slots.saturating_mul(2));
+        let kept = (self.limit / IDLE_DIVISOR).min(unused / 2);
         match ownership {
             Ownership::Own => kept / self.entries + kept % self.entries,
             Ownership::Shared | Ownership::Foreign => kept / self.entries,
--- a/components/dispatch/tests/connection_budget.rs
+++ b/components/dispatch/tests/connection_budget.rs
@@ -4,11 +4,11 @@
 use dispatch::{ConnectionBudget, Ownership};
 
 /// Idle connections of all entries to an upstream, one of which may own it.
-fn idle_of_all(budget: ConnectionBudget, entries: usize, owned: bool) -> usize {
-    let share = budget.idle(Ownership::Foreign);
+fn idle_of_all(budget: ConnectionBudget, slots: u32, entries: usize, owned: bool) -> usize {
+    let share = budget.idle(Ownership::Foreign, slots);
     match owned {
-        true => budget.idle(Ownership::Own) + (entries - 1) * share,
-        false => entries * budget.idle(Ownership::Shared),
+        true => budget.idle(Ownership::Own, slots) + (entries - 1) * share,
+        false => entries * budget.idle(Ownership::Shared, slots),
     }
 }
 
@@ -17,10 +17,11 @@
     arbtest(|u| {
         let limit: usize = u.int_in_range(1..=1000)?;
         let entries: usize = u.int_in_range(1..=1000)?;
+        let slots: u32 = u.int_in_range(0..=100)?;
         let budget = ConnectionBudget::new(limit, entries).unwrap();
 
         for owned in [false, true] {
-            let idle = idle_of_all(budget, entries, owned);
+            let idle = idle_of_all(budget, slots, entries, owned);
 
             assert!(idle + budget.requests() <= limit);
             assert!(budget.requests() > 0);
@@ -29,22 +30,30 @@
     });
 }
 
+/// Beside the idle connections of all entries: as many that lost entries left behind,
+/// those in use, and as many that are closing.
 #[test]
-fn entries_that_replace_lost_ones_fit_beside_their_connections() {
-    let budget = ConnectionBudget::new(69, 16).unwrap();
+fn idle_connections_fit_beside_those_of_lost_entries_and_closing_ones() {
+    arbtest(|u| {
+        let slots: u32 = u.int_in_range(1..=100)?;
+        let limit: usize = u.int_in_range(2 * slots as usize..=1000)?;
+        let entries: usize = u.int_in_range(1..=400)?;
+        let budget = ConnectionBudget::new(limit, entries).unwrap();
 
-    let idle = idle_of_all(budget, 16, true);
+        let idle = idle_of_all(budget, slots, entries, true);
 
-    assert!(2 * idle + 12 <= 69, "{idle} idle connections");
+        assert!(2 * idle + 2 * slots as usize <= limit);
+        Ok(())
+    });
 }
 
 #[test]
 fn only_the_owner_keeps_connections_when_there_is_not_one_for_each_entry() {
     let budget = ConnectionBudget::new(69, 390).unwrap();
 
-    assert_eq!(budget.idle(Ownership::Foreign), 0);
-    assert_eq!(budget.idle(Ownership::Shared), 0);
-    assert_eq!(budget.idle(Ownership::Own), 23);
+    assert_eq!(budget.idle(Ownership::Foreign, 6), 0);
+    assert_eq!(budget.idle(Ownership::Shared, 6), 0);
+    assert_eq!(budget.idle(Ownership::Own, 6), 23);
 }
 
 #[test]
--- a/components/gateway/src/scheduler/mod.rs
+++ b/components/gateway/src/scheduler/mod.rs
@@ -141,9 +141,9 @@
         let Some(budget) = self.connection_budget(&lease.service) else {
             return MAX_IDLE;
         };
-        let ownership = self.with_upstream(lease, |u| u.ownership);
+        let share = self.with_upstream(lease, |u| budget.idle(u.ownership, u.upstream.slots));
         // Nothing is kept to an upstream that has been removed or has restarted.
-        ownership.map_or(0, |o| budget.idle(o).min(MAX_IDLE))
+        share.unwrap_or(0).min(MAX_IDLE)
     }
 
     /// Idle connections that this entry may keep, by the address of the upstream.
@@ -157,7 +157,9 @@
                 continue;
             };
             for u in service.scheduler.upstreams.iter() {
-                let share = budget.map_or(MAX_IDLE, |b| b.idle(u.ownership).min(MAX_IDLE));
+                let share = budget.map_or(MAX_IDLE, |b| {
+                    b.idle(u.ownership, u.upstream.slots).min(MAX_IDLE)
+                });
                 shares.insert(u.upstream.addr, share);
             }
         }
