Test that fetches from the origin fit its connections

The origin of weights accepts 48 connections from all processes, and the numbers of fetches are constants. The bound of 42 is the limit less the six readers of digests.

--- a/components/dispatch/tests/swarm.rs
+++ b/components/dispatch/tests/swarm.rs
@@ -43,6 +43,8 @@
     /// When the link of a process, or of the origin (`None`), is free again.
     free_at: HashMap<Option<usize>, Duration>,
     from_origin: u32,
+    /// Most fetches that the origin had at once.
+    most_at_origin: usize,
     between_regions: u32,
     origin_up: bool,
     /// When an origin that is down is up again.
@@ -77,6 +79,7 @@
             transfers: Vec::new(),
             free_at: HashMap::new(),
             from_origin: 0,
+            most_at_origin: 0,
             between_regions: 0,
             origin_up: true,
             origin_back: None,
@@ -125,6 +128,9 @@
                 arrives_at,
                 sent: !self.shared_link,
             });
+            let from_origin = |t: &&Transfer| t.fetch.source == PieceSource::Origin;
+            let at_origin = self.transfers.iter().filter(from_origin).count();
+            self.most_at_origin = self.most_at_origin.max(at_origin);
         }
     }
 
@@ -335,6 +341,21 @@
     assert!(took < secs(11), "{took:?}");
 }
 
+/// The origin accepts 48 connections, of which up to six are for readers of digests.
+#[test]
+fn fetches_of_three_regions_fit_the_connection_limit_of_the_origin() {
+    let mut agents_only = Fleet::new(88);
+    let mut with_entries = Fleet::with_entries(24, 4);
+    with_entries.origin_up = false;
+    with_entries.origin_back = Some(start() + secs(6));
+
+    for fleet in [&mut agents_only, &mut with_entries] {
+        fleet.run(secs(30)).expect("complete");
+
+        assert!(fleet.most_at_origin <= 42, "{}", fleet.most_at_origin);
+    }
+}
+
 #[test]
 fn lost_piece_is_fetched_again() {
     let mut swarm = Swarm::new(start(), "a".into(), "north".into(), false, 1);
