--- a/components/transport/src/abort_cause.rs
+++ b/components/transport/src/abort_cause.rs
@@ -35,6 +35,8 @@
         }
         match io_kind(error) {
             Some(io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe) => AbortCause::Reset,
+            // Bytes without end that contain no response.
+            Some(io::ErrorKind::InvalidData) => AbortCause::Malformed,
             _ => AbortCause::Closed,
         }
     }
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -5,6 +5,7 @@
 //! long request body is sent. hyper handles all three.
 
 mod abort_cause;
+mod bounded_stream;
 mod connection;
 mod error;
 mod exchange;
