Entries that do not know the others keep no idle connections

An entry is ready as soon as it has a configuration. Twelve entries that restart together could keep 276 idle connections before a limit of 69.

Nothing is kept now until the announcements were read once, the seeds and the entries heard count as well, and the remainder goes to the owner only if it hears most of the entries. An entry that is cut off from the others therefore keeps its equal share only.

New unit test: nothing_is_kept_idle_while_the_entries_are_not_known.

--- a/components/dispatch/src/connection_budget.rs
+++ b/components/dispatch/src/connection_budget.rs
@@ -9,14 +9,15 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ConnectionBudget {
     limit: usize,
-    entries: usize,
+    entries: Option<usize>,
 }
 
 impl ConnectionBudget {
     /// A budget for `entries` entries before an upstream that accepts `limit`
-    /// connections; `None` if the configuration states no limit, that is 0.
-    pub fn new(limit: usize, entries: usize) -> Option<Self> {
-        let entries = entries.max(1);
+    /// connections; `None` if the configuration states no limit, that is 0. While the
+    /// entries are not known, nothing is kept idle.
+    pub fn new(limit: usize, entries: Option<usize>) -> Option<Self> {
+        let entries = entries.map(|e| e.max(1));
         (limit > 0).then_some(ConnectionBudget { limit, entries })
     }
 
@@ -25,8 +26,8 @@
         self.limit
     }
 
-    /// Entries that share them.
-    pub fn entries(self) -> usize {
+    /// Entries that share them, if they are known.
+    pub fn entries(self) -> Option<usize> {
         self.entries
     }
 
@@ -34,14 +35,17 @@
     /// get the same share; the owner, which sends most requests, also gets what cannot
     /// be divided evenly.
     pub fn idle(self, ownership: Ownership, slots: u32) -> usize {
+        let Some(entries) = self.entries else {
+            return 0;
+        };
         let slots = usize::try_from(slots).unwrap_or(usize::MAX);
         // As many connections may be closing as were in use, and lost entries may have
         // left as many idle ones as are kept.
         let unused = self.limit.saturating_sub(slots.saturating_mul(2));
         let kept = (self.limit / IDLE_DIVISOR).min(unused / 2);
         match ownership {
-            Ownership::Own => kept / self.entries + kept % self.entries,
-            Ownership::Shared | Ownership::Foreign => kept / self.entries,
+            Ownership::Own => kept / entries + kept % entries,
+            Ownership::Shared | Ownership::Foreign => kept / entries,
         }
     }
 
--- a/components/dispatch/tests/connection_budget.rs
+++ b/components/dispatch/tests/connection_budget.rs
@@ -18,7 +18,7 @@
         let limit: usize = u.int_in_range(1..=1000)?;
         let entries: usize = u.int_in_range(1..=1000)?;
         let slots: u32 = u.int_in_range(0..=100)?;
-        let budget = ConnectionBudget::new(limit, entries).unwrap();
+        let budget = ConnectionBudget::new(limit, Some(entries)).unwrap();
 
         for owned in [false, true] {
             let idle = idle_of_all(budget, slots, entries, owned);
@@ -38,7 +38,7 @@
         let slots: u32 = u.int_in_range(1..=100)?;
         let limit: usize = u.int_in_range(2 * slots as usize..=1000)?;
         let entries: usize = u.int_in_range(1..=400)?;
-        let budget = ConnectionBudget::new(limit, entries).unwrap();
+        let budget = ConnectionBudget::new(limit, Some(entries)).unwrap();
 
         let idle = idle_of_all(budget, slots, entries, true);
 
@@ -49,7 +49,7 @@
 
 #[test]
 fn only_the_owner_keeps_connections_when_there_is_not_one_for_each_entry() {
-    let budget = ConnectionBudget::new(69, 390).unwrap();
+    let budget = ConnectionBudget::new(69, Some(390)).unwrap();
 
     assert_eq!(budget.idle(Ownership::Foreign, 6), 0);
     assert_eq!(budget.idle(Ownership::Shared, 6), 0);
@@ -58,5 +58,13 @@
 
 #[test]
 fn service_without_a_limit_has_no_budget() {
-    assert_eq!(ConnectionBudget::new(0, 3), None);
+    assert_eq!(ConnectionBudget::new(0, Some(3)), None);
+}
+
+#[test]
+fn nothing_is_kept_idle_while_the_entries_are_not_known() {
+    let budget = ConnectionBudget::new(69, None).unwrap();
+
+    assert_eq!(budget.idle(Ownership::Own, 6), 0);
+    assert_eq!(budget.idle(Ownership::Shared, 6), 0);
 }
--- a/components/feed/src/feed.rs
+++ b/components/feed/src/feed.rs
@@ -114,6 +114,16 @@
             .count()
     }
 
+    /// Number of entries, this one included: the announced ones, or the seeds if they
+    /// are more. `None` until the announcements were read.
+    pub fn entry_count(&self) -> Option<usize> {
+        let state = self.state();
+        state.mirrors[Topic::Members.index()].end()?;
+        let announced = state.members.values().filter(|m| m.vm != self.node.vm);
+        let seeds = self.node.seeds.iter().filter(|s| s.ip() != self.node.ip);
+        Some(announced.count().max(seeds.count()) + 1)
+    }
+
     /// Announces this process as an entry; `None` withdraws the announcement.
     pub async fn announce(&self, member: Option<&Member>) -> Result<(), StoreError> {
         let value = member.and_then(|m| rmp_serde::to_vec(m).ok());
--- a/components/gateway/src/connection_use.rs
+++ b/components/gateway/src/connection_use.rs
@@ -21,7 +21,7 @@
             "idle": self.idle,
             "in_flight": self.own,
             "others_in_flight": self.others,
-            "entries": self.budget.map(|b| b.entries()),
+            "entries": self.budget.and_then(|b| b.entries()),
             "limit": self.budget.map(|b| b.limit()),
         })
     }
--- a/components/gateway/src/scheduler/mod.rs
+++ b/components/gateway/src/scheduler/mod.rs
@@ -9,7 +9,7 @@
 use async_channel::{Receiver, bounded};
 use dispatch::{
     Assignment, ConnectionBudget, CrashWatch, Demand, FirstAttemptEstimator, FleetView,
-    IncomingRequest, LatencyModel, NO_MATCH_RETRY, Placement, Requirements, ViewChange,
+    IncomingRequest, LatencyModel, NO_MATCH_RETRY, Ownership, Placement, Requirements, ViewChange,
 };
 use domain::{Moment, NodeSettings, Platform, ServiceId, Target, UpstreamId, WeightVersion, now};
 use feed::Feed;
@@ -133,7 +133,9 @@
             let spec = v.config()?.services.get(service)?;
             Some(spec.connection_limit)
         })?;
-        ConnectionBudget::new(limit, self.entry_count())
+        let heard = self.lock().peers.len() + 1;
+        let entries = self.feed.entry_count().map(|known| known.max(heard));
+        ConnectionBudget::new(limit, entries)
     }
 
     /// Idle connections that this entry may keep to the leased upstream.
@@ -141,7 +143,15 @@
         let Some(budget) = self.connection_budget(&lease.service) else {
             return MAX_IDLE;
         };
-        let share = self.with_upstream(lease, |u| budget.idle(u.ownership, u.upstream.slots));
+        let hears_most = self.lock().hears_most(budget);
+        let share = self.with_upstream(lease, |u| {
+            let ownership = if hears_most {
+                u.ownership
+            } else {
+                Ownership::Foreign
+            };
+            budget.idle(ownership, u.upstream.slots)
+        });
         // Nothing is kept to an upstream that has been removed or has restarted.
         share.unwrap_or(0).min(MAX_IDLE)
     }
@@ -158,7 +168,13 @@
             };
             for u in service.scheduler.upstreams.iter() {
                 let share = budget.map_or(MAX_IDLE, |b| {
-                    b.idle(u.ownership, u.upstream.slots).min(MAX_IDLE)
+                    let hears_most = state.hears_most(b);
+                    let ownership = if hears_most {
+                        u.ownership
+                    } else {
+                        Ownership::Foreign
+                    };
+                    b.idle(ownership, u.upstream.slots).min(MAX_IDLE)
                 });
                 shares.insert(u.upstream.addr, share);
             }
--- a/components/gateway/src/scheduler/state.rs
+++ b/components/gateway/src/scheduler/state.rs
@@ -3,8 +3,8 @@
 
 use async_channel::Sender;
 use dispatch::{
-    CrashWatch, Demand, EntryDemand, FirstAttemptEstimator, QueueLimits, RequestQueue, RetryBudget,
-    ServiceScheduler, UpstreamLoad, UpstreamOwners, UpstreamPool,
+    ConnectionBudget, CrashWatch, Demand, EntryDemand, FirstAttemptEstimator, QueueLimits,
+    RequestQueue, RetryBudget, ServiceScheduler, UpstreamLoad, UpstreamOwners, UpstreamPool,
 };
 use domain::{FailureDomainId, Moment, NodeSettings, Platform, RegionId, ServiceId, VmId};
 use serde_json::json;
@@ -79,6 +79,13 @@
             })
     }
 
+    /// Whether this entry hears most of the entries of `budget`. One that does not may
+    /// take itself for the owner of upstreams that others own.
+    pub(super) fn hears_most(&self, budget: ConnectionBudget) -> bool {
+        let heard = self.peers.len() + 1;
+        budget.entries().is_some_and(|entries| heard > entries / 2)
+    }
+
     /// Removes the peers that no longer send notices.
     pub(super) fn expire_peers(&mut self, now: Moment) {
         let silent = |p: &Peer| now.saturating_sub(p.received_at) > PEER_TIMEOUT;
