Decision lines state from when a version's bound is counted

Logs could not tell from which moment an entry counted a bound, what that moment rests on, whether the end of an outage restarted all bounds, nor when a request was cancelled because it had not begun in time.

New lines: `version bound` (with its basis: waiting read, late read, after a failure, newest state, peer), `outage over` (with bounds_restarted) and `begins too late`; `answered` names the required upstream's weights. The first two come once a declaration or outage, the third has the limit of failures. No decision changes. `explain` shows the new line of a request as any other.

--- a/components/dispatch/src/config_freshness.rs
+++ b/components/dispatch/src/config_freshness.rs
@@ -2,6 +2,8 @@
 
 use domain::Moment;
 
+use crate::{WriteBasis, WriteTime};
+
 /// Age of the last confirmation up to which the configuration counts as current, also
 /// for refusals. Reads of the store return every second, so the age is
 /// normally well below.
@@ -64,11 +66,23 @@
         sent: Moment,
         wait: Duration,
         followed: bool,
-    ) -> Moment {
+    ) -> WriteTime {
         let on_time = now.saturating_sub(sent) <= wait + LATE_AFTER;
-        match followed && on_time {
-            true => now,
-            false => self.confirmed_at.unwrap_or_default(),
+        match (followed, on_time) {
+            (true, true) => WriteTime {
+                at: now,
+                basis: WriteBasis::WaitingRead,
+            },
+            (true, false) => self.since_confirmed(WriteBasis::LateRead),
+            (false, _) => self.since_confirmed(WriteBasis::AfterFailure),
+        }
+    }
+
+    /// Write time of a record that was not known at the last confirmation.
+    pub fn since_confirmed(&self, basis: WriteBasis) -> WriteTime {
+        WriteTime {
+            at: self.confirmed_at.unwrap_or_default(),
+            basis,
         }
     }
 
--- a/components/dispatch/src/fleet_view.rs
+++ b/components/dispatch/src/fleet_view.rs
@@ -38,6 +38,16 @@
     Lapsed(UpstreamId),
 }
 
+/// The end of an outage of the store, as one process saw it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StoreRegained {
+    /// How long the process could not read the store.
+    pub outage: Duration,
+    /// The bounds of all versions are counted from now on, as no peer could read the
+    /// store either.
+    pub bounds_restarted: bool,
+}
+
 /// The fleet as the records of the store describe it.
 #[derive(Debug, Default)]
 pub struct FleetView {
@@ -51,7 +61,8 @@
     upstreams: HashMap<UpstreamId, Upstream>,
     /// Upstreams whose records lapsed, and the moment until which they are used.
     lapsed: HashMap<UpstreamId, Moment>,
-    store_down: bool,
+    /// Since when this process cannot read the store.
+    down_since: Option<Moment>,
     /// When a peer could last read the store.
     peer_access: Option<Moment>,
     /// When the store was last reachable again after an outage.
@@ -106,7 +117,7 @@
     /// reached the agents: older weights are better than none.
     pub fn in_force(&self, now: Moment, model: &str, bound: Duration) -> Option<WeightVersion> {
         let before_outage = self.before_outage.get(model).copied();
-        if self.store_down && !self.has_peer_access(now) {
+        if self.down_since.is_some() && !self.has_peer_access(now) {
             return before_outage;
         }
         let declared_by = now.saturating_sub(bound);
@@ -140,9 +151,14 @@
     }
 
     /// Records whether this process can read the store; `bound` is the time after
-    /// which a declared version is in force.
-    pub fn set_store_reachable(&mut self, now: Moment, reachable: bool, bound: Duration) {
-        if !reachable && !self.store_down {
+    /// which a declared version is in force. Returns the end of an outage.
+    pub fn set_store_reachable(
+        &mut self,
+        now: Moment,
+        reachable: bool,
+        bound: Duration,
+    ) -> Option<StoreRegained> {
+        if !reachable && self.down_since.is_none() {
             let models: Vec<ModelId> = self.declared.keys().cloned().collect();
             for model in models {
                 if let Some(version) = self.in_force(now, &model, bound) {
@@ -150,14 +166,23 @@
                 }
             }
         }
-        if reachable && self.store_down && !self.has_peer_access(now) {
+        let ended = self.down_since.filter(|_| reachable);
+        let regained = ended.map(|since| StoreRegained {
+            outage: now.saturating_sub(since),
+            bounds_restarted: !self.has_peer_access(now),
+        });
+        if regained.is_some_and(|r| r.bounds_restarted) {
             self.store_back = Some(now);
             for until in self.lapsed.values_mut() {
                 *until = (*until).min(now + RELIST_TIME);
             }
         }
-        self.caught_up = reachable && !self.store_down;
-        self.store_down = !reachable;
+        self.caught_up = reachable && self.down_since.is_none();
+        self.down_since = match reachable {
+            true => None,
+            false => self.down_since.or(Some(now)),
+        };
+        regained
     }
 
     /// Records that a peer can read the store at `now`. The outage then affects this
@@ -264,7 +289,7 @@
     /// Moment until which an upstream is used whose record is removed now; `None` if
     /// the removal can't be due to an outage of the store.
     fn lapse_until(&self, now: Moment) -> Option<Moment> {
-        if self.store_down {
+        if self.down_since.is_some() {
             return (!self.has_peer_access(now)).then_some(Duration::MAX);
         }
         let relist_by = self.store_back? + RELIST_TIME;
@@ -279,20 +304,26 @@
     }
 
     /// Merges a peer's declared versions of a model, with the moments of their
-    /// declaration.
-    pub fn merge_declared(&mut self, model: &ModelId, versions: &[(WeightVersion, Moment)]) {
+    /// declaration; returns those that were taken over.
+    pub fn merge_declared(
+        &mut self,
+        model: &ModelId,
+        versions: &[(WeightVersion, Moment)],
+    ) -> Vec<(WeightVersion, Moment)> {
         let known = self.declared.entry(model.clone()).or_default();
         // A version newer than all known ones arrives with its own record.
         let newest = known.last().map_or(0, |(v, _)| *v);
+        let mut merged = Vec::new();
         for (version, at) in versions {
             match known.iter_mut().find(|(v, _)| v == version) {
-                Some((_, known_at)) if known_at.is_zero() => *known_at = *at,
-                Some(_) => {}
+                Some((_, known_at)) if known_at.is_zero() && !at.is_zero() => *known_at = *at,
                 None if *version < newest => known.push((*version, *at)),
-                None => {}
+                _ => continue,
             }
+            merged.push((*version, *at));
         }
         known.sort_by_key(|(v, _)| *v);
+        merged
     }
 
     /// Declared versions of each model and the moments of their declaration; zero
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -19,13 +19,14 @@
 mod switch_plan;
 mod upstream_owners;
 mod upstream_pool;
+mod write_time;
 
 pub use config_freshness::{ConfigFreshness, ConfigStatus};
 pub use crash_watch::{CrashWatch, Verdict};
 pub use demand::Demand;
 pub use event_splitter::EventSplitter;
 pub use first_attempt_estimator::FirstAttemptEstimator;
-pub use fleet_view::{FleetView, ViewChange};
+pub use fleet_view::{FleetView, StoreRegained, ViewChange};
 pub use latency_model::LatencyModel;
 pub use mirror::Mirror;
 pub use piece_set::PieceSet;
@@ -39,3 +40,4 @@
 pub use switch_plan::{SwitchPlan, SwitchStep, VersionCandidate};
 pub use upstream_owners::{EntryDemand, Ownership, UpstreamOwners};
 pub use upstream_pool::{Choice, Requirements, UpstreamPool};
+pub use write_time::{WriteBasis, WriteTime};
--- a/components/dispatch/tests/records.rs
+++ b/components/dispatch/tests/records.rs
@@ -3,7 +3,7 @@
 mod fixture;
 
 use bytes::Bytes;
-use dispatch::{ConfigFreshness, ConfigStatus, FleetView, Mirror, ViewChange};
+use dispatch::{ConfigFreshness, ConfigStatus, FleetView, Mirror, StoreRegained, ViewChange};
 use domain::{FleetRecord, Record, RecordBatch};
 use fixture::{ms, secs, start, upstream};
 
@@ -182,6 +182,28 @@
     assert_eq!((during, soon, later), (Some(2), Some(2), Some(3)));
 }
 
+#[test]
+fn end_of_an_outage_states_whether_bounds_restart() {
+    let mut view = FleetView::default();
+    view.set_store_reachable(start(), false, secs(8));
+    let alone = view.set_store_reachable(start() + secs(3), true, secs(8));
+    view.set_store_reachable(start() + secs(4), false, secs(8));
+    view.record_peer_access(start() + secs(4));
+
+    let with_peer = view.set_store_reachable(start() + secs(5), true, secs(8));
+    let reachable = view.set_store_reachable(start() + secs(6), true, secs(8));
+
+    let regained = |outage, bounds_restarted| {
+        Some(StoreRegained {
+            outage,
+            bounds_restarted,
+        })
+    };
+    assert_eq!(alone, regained(secs(3), true));
+    assert_eq!(with_peer, regained(secs(1), false));
+    assert_eq!(reachable, None);
+}
+
 #[test]
 fn older_version_is_ignored() {
     let mut view = FleetView::default();
@@ -237,9 +259,11 @@
     let (sent, wait) = (start() + ms(950), ms(900));
     let received = sent + ms(850);
 
-    let regular = freshness.earliest_write(received, sent, wait, true);
-    let after_failures = freshness.earliest_write(received, sent, wait, false);
-    let late = freshness.earliest_write(sent + ms(1600), sent, wait, true);
+    let regular = freshness.earliest_write(received, sent, wait, true).at;
+    let after_failures = freshness.earliest_write(received, sent, wait, false).at;
+    let late = freshness
+        .earliest_write(sent + ms(1600), sent, wait, true)
+        .at;
 
     assert_eq!(
         (regular, after_failures, late),
--- a/components/feed/src/feed.rs
+++ b/components/feed/src/feed.rs
@@ -3,9 +3,12 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use dispatch::{ConfigFreshness, ConfigStatus, FleetView, Mirror, ViewChange};
+use dispatch::{
+    ConfigFreshness, ConfigStatus, FleetView, Mirror, ViewChange, WriteBasis, WriteTime,
+};
 use domain::{
-    Moment, NodeSettings, Platform, Record, RecordBatch, RecordStore, StoreError, VmId, now,
+    ModelId, Moment, NodeSettings, Platform, Record, RecordBatch, RecordStore, StoreError, VmId,
+    WeightVersion, millis, now,
 };
 use event_listener::{Event, EventListener};
 use serde_json::json;
@@ -112,20 +115,20 @@
         store.put(topic, &self.node.vm, value.as_deref()).await
     }
 
-    /// Applies records that were written at `earliest_write` or later.
+    /// Applies records that were written at `written` or later.
     pub(crate) fn apply(
         &self,
         topic: Topic,
         batch: RecordBatch,
         merge: fn(&mut Mirror, RecordBatch) -> Vec<Record>,
-        earliest_write: Moment,
+        written: WriteTime,
     ) {
         let mut changes = Vec::new();
         {
             let mut state = self.state();
             let state = &mut *state;
             for record in merge(&mut state.mirrors[topic.index()], batch) {
-                changes.extend(self.apply_record(state, topic, &record, earliest_write));
+                changes.extend(self.apply_record(state, topic, &record, written));
             }
         }
         self.publish(changes);
@@ -136,7 +139,7 @@
         state: &mut State,
         topic: Topic,
         record: &Record,
-        earliest_write: Moment,
+        written: WriteTime,
     ) -> Option<ViewChange> {
         let now = now();
         let (key, value) = (record.key.as_str(), record.value.as_ref());
@@ -144,7 +147,11 @@
             Topic::Fleet => {
                 let record = value.map(|v| self.platform.fleet_record(key, v));
                 let record = skip_invalid(record.transpose())?;
-                state.view.apply_fleet_record(earliest_write, key, record)
+                let change = state.view.apply_fleet_record(written.at, key, record);
+                if let Some(ViewChange::Weights(model, version)) = &change {
+                    log_bound(&state.view, model, *version, written.at, written.basis);
+                }
+                change
             }
             Topic::Upstreams => {
                 let upstream = value.map(|v| self.platform.upstream(key, v));
@@ -195,7 +202,13 @@
         let reachable = error.is_none();
         if topic == Topic::Upstreams {
             let bound = self.node.bounds.weight_rollout;
-            state.view.set_store_reachable(now(), reachable, bound);
+            if let Some(regained) = state.view.set_store_reachable(now(), reachable, bound) {
+                let fields = json!({
+                    "outage_ms": millis(regained.outage),
+                    "bounds_restarted": regained.bounds_restarted,
+                });
+                decision("feed", "outage over", Outcome::Change, fields);
+            }
         }
         let was_reachable = std::mem::replace(&mut state.reachable[topic.index()], reachable);
         drop(state);
@@ -241,6 +254,25 @@
     }
 }
 
+/// Logs from when the bound of a declared version is counted.
+pub(crate) fn log_bound(
+    view: &FleetView,
+    model: &ModelId,
+    version: WeightVersion,
+    at: Moment,
+    basis: WriteBasis,
+) {
+    let age = |at: Moment| millis(now().saturating_sub(at));
+    let fields = json!({
+        "model": model,
+        "version": version,
+        "declared_ms_ago": (!at.is_zero()).then(|| age(at)),
+        "counted_ms_ago": (!at.is_zero()).then(|| age(view.bound_start(at))),
+        "basis": basis.name(),
+    });
+    decision("feed", "version bound", Outcome::Change, fields);
+}
+
 fn log_change(change: &ViewChange) {
     if let ViewChange::Config(version) = change {
         metrics::gauge!("turmerichold_plan_version").set(*version as f64);
--- a/components/feed/src/peers.rs
+++ b/components/feed/src/peers.rs
@@ -3,13 +3,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use dispatch::Mirror;
+use dispatch::{Mirror, WriteBasis};
 use domain::{ModelId, Moment, Platform, millis, now};
 use http::Method;
 use smol::Timer;
 use transport::fetch;
 
 use crate::Feed;
+use crate::feed::log_bound;
 use crate::peer_messages::{RECORDS_PATH, RecordsRequest, RecordsResponse};
 use crate::topic::{Role, Topic};
 
@@ -89,8 +90,8 @@
         let records: RecordsResponse = rmp_serde::from_slice(&response.body)?;
         for (topic, batch) in Topic::ALL.into_iter().zip(records.topics) {
             let Some(batch) = batch else { continue };
-            let earliest_write = self.state().freshness.confirmed_at().unwrap_or_default();
-            self.apply(topic, batch.into(), Mirror::extend, earliest_write);
+            let written = self.state().freshness.since_confirmed(WriteBasis::Peer);
+            self.apply(topic, batch.into(), Mirror::extend, written);
         }
         self.merge_declared(sent_at, &records.declared);
         if let Some(age) = records.age {
@@ -113,7 +114,9 @@
             let declared_at =
                 |(v, age): &(u64, u64)| (*v, sent_at.saturating_sub(Duration::from_millis(*age)));
             let versions: Vec<_> = versions.iter().map(declared_at).collect();
-            state.view.merge_declared(model, &versions);
+            for (version, at) in state.view.merge_declared(model, &versions) {
+                log_bound(&state.view, model, version, at, WriteBasis::Peer);
+            }
         }
     }
 
--- a/components/feed/src/store_reader.rs
+++ b/components/feed/src/store_reader.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dispatch::Mirror;
+use dispatch::{Mirror, WriteBasis};
 use domain::{Platform, ReadOutcome, RecordStore, StoreError, now};
 use smol::Timer;
 
@@ -81,19 +81,19 @@
         };
         match read {
             ReadOutcome::Records(batch) => {
-                let earliest_write = {
+                let written = {
                     let state = self.state();
                     let followed = state.reachable[topic.index()];
                     state
                         .freshness
                         .earliest_write(now(), sent_at, wait, followed)
                 };
-                self.apply(topic, batch, Mirror::extend, earliest_write);
+                self.apply(topic, batch, Mirror::extend, written);
             }
             ReadOutcome::Gap => {
                 let batch = store.newest(name).await?;
-                let earliest_write = self.state().freshness.confirmed_at().unwrap_or_default();
-                self.apply(topic, batch, Mirror::reset, earliest_write);
+                let written = self.state().freshness.since_confirmed(WriteBasis::Newest);
+                self.apply(topic, batch, Mirror::reset, written);
             }
         }
         if topic == Topic::Fleet {
--- a/components/feed/src/targets.rs
+++ b/components/feed/src/targets.rs
@@ -2,12 +2,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use dispatch::FleetView;
+use dispatch::{FleetView, WriteBasis};
 use domain::{Moment, Platform, millis, now};
 use http::Method;
 use transport::{fetch, with_timeout};
 
 use crate::Feed;
+use crate::feed::log_bound;
 use crate::peers::{PEER_FRESH, PEER_LIMIT};
 use crate::targets_messages::{TARGETS_PATH, TargetsRequest, TargetsResponse};
 
@@ -93,8 +94,12 @@
                 for (version, age) in versions {
                     let since = |age| responded.saturating_sub(Duration::from_millis(age));
                     let at = age.map_or(Duration::ZERO, since);
-                    changes.extend(state.view.declare(model.clone(), version, at));
-                    state.view.merge_declared(&model, &[(version, at)]);
+                    let declared = state.view.declare(model.clone(), version, at);
+                    let merged = state.view.merge_declared(&model, &[(version, at)]);
+                    if declared.is_some() || !merged.is_empty() {
+                        log_bound(&state.view, &model, version, at, WriteBasis::Peer);
+                    }
+                    changes.extend(declared);
                 }
             }
             if targets.config_version > 0 {
--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -385,6 +385,7 @@
                 "took_ms": millis(took),
                 "prompt": request.head.tokens.map(|t| t.prompt),
                 "expected": request.head.expected_tokens,
+                "weights": lease.weight_version,
             });
             write("dispatch", "answered", left_out, fields);
         }
--- a/components/gateway/src/send.rs
+++ b/components/gateway/src/send.rs
@@ -1,9 +1,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use domain::{Dialect, ForwardParams, Platform, ResponseHead, now};
+use domain::{Dialect, ForwardParams, Moment, Platform, ResponseHead, millis, now};
 use http::Request;
 use http_body_util::Full;
+use serde_json::json;
+use telemetry::{Outcome, decision};
 use transport::{Connection, Exchange, ExchangeTimeouts, Pool, TransportError};
 
 use crate::caller_request::CallerRequest;
@@ -113,11 +115,30 @@
         Err(TransportError::Timeout { .. }) if request.remaining(now()) < MIN_REMAINING => {
             SendOutcome::TimedOut
         }
-        Err(e @ TransportError::Timeout { .. }) => SendOutcome::Silent(e.to_string()),
+        Err(e @ TransportError::Timeout { .. }) => {
+            if let Some(by) = lease.begin_by.filter(|by| *by <= now()) {
+                log_late_begin(request, lease, by);
+            }
+            SendOutcome::Silent(e.to_string())
+        }
         Err(e) => SendOutcome::Unknown(e.to_string()),
     }
 }
 
+/// Logs a request that was cancelled because newer weights came into force before it
+/// began.
+fn log_late_begin<P: Platform>(request: &CallerRequest, lease: &Lease<P>, begin_by: Moment) {
+    let now = now();
+    let fields = json!({
+        "request": request.head.attempt,
+        "upstream": lease.target.id,
+        "weights": lease.weight_version,
+        "sent_ms_ago": millis(now.saturating_sub(lease.leased_at)),
+        "late_ms": millis(now.saturating_sub(begin_by)),
+    });
+    decision("dispatch", "begins too late", Outcome::Failure, fields);
+}
+
 fn upstream_request<P: Platform>(
     platform: &P,
     request: &CallerRequest,
