Queued requests require the version in force when they are assigned

Callers got 502 after 500 ms and engines worked in vain; with a longer wait, a request would have begun on an older version after its bound. The required version was computed when a request arrived, not when it left the queue.

The queue now raises the requirement of a request to the version in force at each assignment, and requests that no upstream may serve any longer are refused at once rather than block the queue. The test failed before: assign_queued returned the assignment to the engine with version 1.

--- a/components/dispatch/src/request_queue.rs
+++ b/components/dispatch/src/request_queue.rs
@@ -108,9 +108,14 @@
         self.waiting.iter()
     }
 
-    /// The request at an index of the queue.
-    pub fn get(&self, index: usize) -> Option<&QueuedRequest> {
-        self.waiting.get(index)
+    /// The request at an index of the queue, mutable.
+    pub fn get_mut(&mut self, index: usize) -> Option<&mut QueuedRequest> {
+        self.waiting.get_mut(index)
+    }
+
+    /// The waiting requests in queue order, mutable.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut QueuedRequest> {
+        self.waiting.iter_mut()
     }
 
     /// Removes the request at an index of the queue, which is about to be started.
--- a/components/dispatch/src/service_scheduler.rs
+++ b/components/dispatch/src/service_scheduler.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use domain::{Moment, UpstreamId};
+use domain::{Moment, UpstreamId, WeightVersion};
 
 use crate::{Choice, EnqueueResult, QueuedRequest, RequestQueue, Requirements, UpstreamPool};
 
@@ -139,19 +139,24 @@
         }
     }
 
-    /// Assigns waiting requests to upstreams with free slots.
+    /// Assigns waiting requests to upstreams with free slots. `in_force` returns the
+    /// version of a model that is in force now: it may have changed since a request
+    /// was queued.
     pub fn assign_queued(
         &mut self,
         now: Moment,
+        in_force: impl Fn(&str) -> Option<WeightVersion>,
         evacuated: impl Fn(&str) -> bool,
     ) -> Vec<Assignment> {
         let mut assigned = Vec::new();
         let mut skipped = 0;
+        let shortage = self.has_shortage(now);
         while skipped < MAX_SKIPPED {
-            let Some(queued) = self.queue.get(skipped) else {
+            let Some(queued) = self.queue.get_mut(skipped) else {
                 break;
             };
-            if !queued.on_time && self.has_shortage(now) {
+            queued.needs.raise_version(&in_force);
+            if !queued.on_time && shortage {
                 break;
             }
             let Choice::Send(id) = self.upstreams.choose(now, &queued.needs, &evacuated) else {
@@ -169,6 +174,28 @@
         assigned
     }
 
+    /// Removes the requests that no upstream may serve any longer, as a newer version
+    /// has come into force; returns their ids.
+    pub fn remove_unmatched(
+        &mut self,
+        now: Moment,
+        in_force: impl Fn(&str) -> Option<WeightVersion>,
+        evacuated: impl Fn(&str) -> bool,
+    ) -> Vec<u64> {
+        let mut unmatched = Vec::new();
+        for queued in self.queue.iter_mut() {
+            if queued.needs.raise_version(&in_force)
+                && self.upstreams.choose(now, &queued.needs, &evacuated) == Choice::NoMatch
+            {
+                unmatched.push(queued.id);
+            }
+        }
+        for id in &unmatched {
+            self.queue.remove(*id);
+        }
+        unmatched
+    }
+
     /// Removes the requests that waited for too long; returns their ids.
     pub fn expire(&mut self, now: Moment) -> Vec<u64> {
         let expired = self.queue.expire(now);
--- a/components/dispatch/src/upstream_pool.rs
+++ b/components/dispatch/src/upstream_pool.rs
@@ -52,6 +52,17 @@
 }
 
 impl Requirements {
+    /// Raises the oldest acceptable version to the one that `in_force` returns for the
+    /// model; returns whether it changed.
+    pub fn raise_version(&mut self, in_force: impl Fn(&str) -> Option<WeightVersion>) -> bool {
+        let required = self.model.as_deref().and_then(in_force);
+        let raised = required > self.min_weight_version;
+        if raised {
+            self.min_weight_version = required;
+        }
+        raised
+    }
+
     /// Whether the request excludes upstreams by region or by earlier attempts.
     pub fn is_restricted(&self) -> bool {
         !self.home_regions.is_empty() || !self.tried.is_empty()
--- /dev/null
+++ b/components/dispatch/tests/service_scheduler.rs
@@ -0,0 +1,67 @@
+//! Assignment of the queued requests of a service.
+
+mod fixture;
+
+use dispatch::{
+    IncomingRequest, Placement, QueueLimits, RequestQueue, Requirements, ServiceScheduler,
+};
+use domain::WeightVersion;
+use fixture::{ms, needs, pool, secs, start, upstream};
+
+/// Holds one queued request, accepted while version 1 was in force; the only upstream
+/// has version `held` and a free slot again.
+fn scheduler_with_queued_request(held: WeightVersion) -> ServiceScheduler {
+    let mut upstreams = pool(&[upstream("u", "a", Some(held))]);
+    upstreams.get_mut("u").unwrap().own.requests = 16;
+    let queue = RequestQueue::new(QueueLimits { capacity: 8 });
+    let mut scheduler = ServiceScheduler::new(upstreams, queue);
+    let request = IncomingRequest {
+        id: 1,
+        priority: 1,
+        first_attempt: start(),
+        target_latency: ms(500),
+        deadline: start() + secs(6),
+        needs: Requirements {
+            min_weight_version: Some(1),
+            ..needs(start())
+        },
+    };
+    let placement = scheduler.submit(start(), request, |_| false);
+    assert_eq!(placement, Placement::Queued);
+    scheduler.upstreams.get_mut("u").unwrap().own.requests = 0;
+    scheduler
+}
+
+/// A request was queued 25 ms before a version came into force and sent to an engine
+/// with the older one 303 ms later.
+#[test]
+fn queued_request_is_not_assigned_to_weights_that_expired_while_it_waited() {
+    let mut scheduler = scheduler_with_queued_request(1);
+    let now = start() + ms(50);
+
+    let assigned = scheduler.assign_queued(now, |_| Some(2), |_| false);
+
+    assert!(assigned.is_empty());
+}
+
+#[test]
+fn queued_request_is_assigned_to_the_version_that_came_into_force_meanwhile() {
+    let mut scheduler = scheduler_with_queued_request(2);
+    let now = start() + ms(50);
+
+    let unmatched = scheduler.remove_unmatched(now, |_| Some(2), |_| false);
+    let assigned = scheduler.assign_queued(now, |_| Some(2), |_| false);
+
+    assert!(unmatched.is_empty());
+    assert_eq!(assigned[0].needs.min_weight_version, Some(2));
+}
+
+#[test]
+fn queued_request_without_any_matching_upstream_leaves_the_queue() {
+    let mut scheduler = scheduler_with_queued_request(1);
+
+    let unmatched = scheduler.remove_unmatched(start() + ms(50), |_| Some(2), |_| false);
+
+    assert_eq!(unmatched, [1]);
+    assert!(scheduler.queue.is_empty());
+}
--- a/components/emulator/src/production_policy.rs
+++ b/components/emulator/src/production_policy.rs
@@ -135,7 +135,7 @@
     }
 
     fn assign_queued(&mut self, now: Moment) -> Vec<(u64, usize)> {
-        let assigned = self.scheduler.assign_queued(now, |_| false);
+        let assigned = self.scheduler.assign_queued(now, |_| None, |_| false);
         assigned
             .iter()
             .map(|a| (a.id, engine_index(&a.upstream)))
--- a/components/gateway/src/scheduler/mod.rs
+++ b/components/gateway/src/scheduler/mod.rs
@@ -199,13 +199,9 @@
     }
 
     fn requirements(&self, request: &CallerRequest, tried: &[UpstreamId]) -> Option<Requirements> {
-        let bound = self
-            .node
-            .bounds
-            .weight_rollout
-            .saturating_sub(WEIGHTS_MARGIN);
         let model = request.head.model.as_deref();
-        let weight_version = model.and_then(|m| self.feed.view(|v| v.in_force(now(), m, bound)));
+        let required = |m| self.feed.view(|v| self.required_version(v, now(), m));
+        let weight_version = model.and_then(required);
         Some(Requirements {
             home_regions: request.home_regions()?,
             tried: tried.to_vec(),
@@ -217,6 +213,17 @@
         })
     }
 
+    /// Oldest version that may be sent a request now.
+    fn required_version(
+        &self,
+        view: &FleetView,
+        now: Moment,
+        model: &str,
+    ) -> Option<WeightVersion> {
+        let bound = self.node.bounds.weight_rollout;
+        view.in_force(now, model, bound.saturating_sub(WEIGHTS_MARGIN))
+    }
+
     /// The lease for the slot that `assignment` has reserved.
     fn lease(
         self: &Arc<Self>,
@@ -268,9 +275,10 @@
             };
             let now = now();
             let scheduler = &mut service.scheduler;
-            let assignments = self
-                .feed
-                .view(|v| scheduler.assign_queued(now, |d| v.is_evacuated(d)));
+            let assignments = self.feed.view(|v| {
+                let in_force = |model: &str| self.required_version(v, now, model);
+                scheduler.assign_queued(now, in_force, |d| v.is_evacuated(d))
+            });
             for assignment in assignments {
                 let lease = self.lease(service, now, &assignment);
                 let unsent = match service.waiters.remove(&assignment.id) {
@@ -298,7 +306,12 @@
             self.feed
                 .view(|v| state.update_owners(now, &self.node, |d| v.is_evacuated(d)));
             for service in state.services.values_mut() {
-                for id in service.scheduler.expire(now) {
+                let unmatched = self.feed.view(|v| {
+                    let in_force = |model: &str| self.required_version(v, now, model);
+                    let evacuated = |d: &str| v.is_evacuated(d);
+                    service.scheduler.remove_unmatched(now, in_force, evacuated)
+                });
+                for id in unmatched.into_iter().chain(service.scheduler.expire(now)) {
                     // Dropping the sender refuses the request.
                     service.waiters.remove(&id);
                 }
