Bound of a version counts from before its record could have been read

An entry took a record that a read returned on time as written at that moment. It checked how long the read had taken, not whether the process ran in between: an entry that was stopped between two reads, or while the response arrived, counted the bound from the moment it resumed.

A beat every 30 ms now shows up to when the process had handled its input. A record that a waiting read returned is newer than the last settled beat within the read; one that was returned at once is as old as the last settled beat of the read before at most.

The tests record_read_after_the_process_was_stopped_is_not_dated_by_its_arrival (before: dated at 2,505 ms, the arrival) and two on the beats are new. record_returned_by_a_waiting_read_was_written_just_now expects the last settled beat, 30 ms before the arrival, instead of the arrival itself; the other two values in it are as before.

--- a/components/dispatch/src/config_freshness.rs
+++ b/components/dispatch/src/config_freshness.rs
@@ -27,10 +27,33 @@
     Expired,
 }
 
+/// Course of a read of the store.
+#[derive(Debug, Clone, Copy)]
+pub struct ReadTiming {
+    /// When it was sent.
+    pub sent: Moment,
+    /// How long it waits for the first record.
+    pub wait: Duration,
+    /// Whether it came right after another read, not after failures.
+    pub followed: bool,
+    /// Moment up to which the process had handled all input when the read returned, by
+    /// [`Pulse::settled`](crate::Pulse::settled).
+    pub settled: Moment,
+}
+
+impl ReadTiming {
+    /// Last moment at which the read was known to be pending.
+    fn pending_until(&self) -> Option<Moment> {
+        (self.settled > self.sent).then_some(self.settled)
+    }
+}
+
 /// Tracks when the store last confirmed the configuration.
 #[derive(Debug, Clone)]
 pub struct ConfigFreshness {
     confirmed_at: Option<Moment>,
+    /// Records written before this moment are known, unless links delayed a response.
+    complete_until: Option<Moment>,
     max_key_age: Duration,
 }
 
@@ -40,6 +63,7 @@
     pub fn new(revocation: Duration) -> Self {
         ConfigFreshness {
             confirmed_at: None,
+            complete_until: None,
             // The rest covers the transit of a request that was just forwarded.
             max_key_age: revocation * 4 / 5,
         }
@@ -56,32 +80,38 @@
         self.confirmed_at
     }
 
-    /// Earliest moment at which a record of a read was written. The read was sent at
-    /// `sent` and waits for up to `wait`; `followed` is true if it came right after
-    /// another one, false after failures. A waiting read returns a record as soon as
-    /// it is written; only a late read, or one after a gap, can return an older one.
-    pub fn earliest_write(
-        &self,
-        now: Moment,
-        sent: Moment,
-        wait: Duration,
-        followed: bool,
-    ) -> WriteTime {
-        let on_time = now.saturating_sub(sent) <= wait + LATE_AFTER;
-        match (followed, on_time) {
-            (true, true) => WriteTime {
-                at: now,
+    /// Records a successful read: it returned all records written before.
+    pub fn record_read(&mut self, read: &ReadTiming) {
+        self.confirm(read.sent);
+        let pending_until = read.pending_until().unwrap_or(read.sent);
+        self.complete_until = self.complete_until.max(Some(pending_until));
+    }
+
+    /// Earliest moment at which a record of a read was written. A waiting read returns
+    /// a record as soon as it is written, so the record is newer than the last moment
+    /// at which the read was known to be pending. A read that returned at once may
+    /// return what was written since the read before it.
+    pub fn earliest_write(&self, now: Moment, read: &ReadTiming) -> WriteTime {
+        if !read.followed {
+            return self.since_last_read(WriteBasis::AfterFailure);
+        }
+        if now.saturating_sub(read.sent) > read.wait + LATE_AFTER {
+            return self.since_last_read(WriteBasis::LateRead);
+        }
+        match read.pending_until() {
+            Some(at) => WriteTime {
+                at,
                 basis: WriteBasis::WaitingRead,
             },
-            (true, false) => self.since_confirmed(WriteBasis::LateRead),
-            (false, _) => self.since_confirmed(WriteBasis::AfterFailure),
+            None => self.since_last_read(WriteBasis::PreviousRead),
         }
     }
 
-    /// Write time of a record that was not known at the last confirmation.
-    pub fn since_confirmed(&self, basis: WriteBasis) -> WriteTime {
+    /// Write time of a record that the last read or confirmation did not include.
+    pub fn since_last_read(&self, basis: WriteBasis) -> WriteTime {
+        let complete_until = self.complete_until.max(self.confirmed_at);
         WriteTime {
-            at: self.confirmed_at.unwrap_or_default(),
+            at: complete_until.unwrap_or_default(),
             basis,
         }
     }
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 mod mirror;
 mod piece_set;
 mod pooled_upstream;
+mod pulse;
 mod request_queue;
 mod retry_budget;
 mod service_scheduler;
@@ -21,7 +22,7 @@
 mod upstream_pool;
 mod write_time;
 
-pub use config_freshness::{ConfigFreshness, ConfigStatus};
+pub use config_freshness::{ConfigFreshness, ConfigStatus, ReadTiming};
 pub use crash_watch::{CrashWatch, Verdict};
 pub use demand::Demand;
 pub use event_splitter::EventSplitter;
@@ -31,6 +32,7 @@
 pub use mirror::Mirror;
 pub use piece_set::PieceSet;
 pub use pooled_upstream::{PooledUpstream, UpstreamLoad};
+pub use pulse::Pulse;
 pub use request_queue::{EnqueueResult, QueueLimits, QueuedRequest, RequestQueue};
 pub use retry_budget::RetryBudget;
 pub use service_scheduler::{
--- a/components/dispatch/tests/records.rs
+++ b/components/dispatch/tests/records.rs
@@ -3,8 +3,10 @@
 mod fixture;
 
 use bytes::Bytes;
-use dispatch::{ConfigFreshness, ConfigStatus, FleetView, Mirror, StoreRegained, ViewChange};
-use domain::{FleetRecord, Record, RecordBatch};
+use dispatch::{
+    ConfigFreshness, ConfigStatus, FleetView, Mirror, Pulse, ReadTiming, StoreRegained, ViewChange,
+};
+use domain::{FleetRecord, Moment, Record, RecordBatch};
 use fixture::{ms, secs, start, upstream};
 
 fn change(key: &str, offset: u64, value: Option<&'static str>) -> Record {
@@ -249,6 +251,16 @@
     );
 }
 
+/// Timing of a read with a wait of 900 ms that was sent at `sent`, right after another.
+fn read(sent: Moment, settled: Moment) -> ReadTiming {
+    ReadTiming {
+        sent,
+        wait: ms(900),
+        followed: true,
+        settled,
+    }
+}
+
 /// Records were treated as old as the last confirmation, which can be two waits of a
 /// read ago. A version declared under load came into force two seconds early, when no
 /// engine held it.
@@ -256,17 +268,72 @@
 fn record_returned_by_a_waiting_read_was_written_just_now() {
     let mut freshness = ConfigFreshness::new(secs(5));
     freshness.confirm(start());
-    let (sent, wait) = (start() + ms(950), ms(900));
+    let sent = start() + ms(950);
     let received = sent + ms(850);
+    let settled = received - ms(30);
+    let failed_before = ReadTiming {
+        followed: false,
+        ..read(sent, settled)
+    };
 
-    let regular = freshness.earliest_write(received, sent, wait, true).at;
-    let after_failures = freshness.earliest_write(received, sent, wait, false).at;
-    let late = freshness
-        .earliest_write(sent + ms(1600), sent, wait, true)
-        .at;
+    let regular = freshness.earliest_write(received, &read(sent, settled));
+    let after_failures = freshness.earliest_write(received, &failed_before);
+    let late = freshness.earliest_write(sent + ms(1600), &read(sent, settled));
 
     assert_eq!(
-        (regular, after_failures, late),
-        (received, start(), start())
+        [regular, after_failures, late].map(|w| w.at),
+        [settled, start(), start()]
     );
 }
+
+/// An entry was stopped while a version was declared. It counted the bound from the
+/// moment at which it read the record, and requests began on the older version for up
+/// to two seconds after the bound.
+#[test]
+fn record_read_after_the_process_was_stopped_is_not_dated_by_its_arrival() {
+    let mut freshness = ConfigFreshness::new(secs(5));
+    let last_read = read(start(), start() + ms(870));
+    freshness.record_read(&last_read);
+    let resumed = start() + ms(2500);
+
+    let returned_at_once = read(resumed, start() + ms(870));
+    let stopped_while_pending = read(start() + ms(930), start() + ms(1400));
+    let at_once = freshness.earliest_write(resumed + ms(5), &returned_at_once);
+    let pending = freshness.earliest_write(start() + ms(2400), &stopped_while_pending);
+
+    assert_eq!(at_once.at, start() + ms(870));
+    assert_eq!(pending.at, start() + ms(1400));
+}
+
+#[test]
+fn record_returned_at_once_is_as_old_as_the_read_before_at_most() {
+    let mut freshness = ConfigFreshness::new(secs(5));
+    freshness.record_read(&read(start(), start() + ms(870)));
+    let sent = start() + ms(935);
+
+    let written = freshness.earliest_write(sent + ms(4), &read(sent, start() + ms(900)));
+
+    assert_eq!(written.at, start() + ms(870));
+}
+
+#[test]
+fn input_counts_as_handled_up_to_the_beat_before_last() {
+    let mut pulse = Pulse::default();
+    pulse.beat(start());
+    pulse.beat(start() + ms(30));
+
+    assert_eq!(pulse.settled(), start());
+}
+
+#[test]
+fn input_that_arrived_while_the_process_was_stopped_is_not_yet_handled_when_it_resumes() {
+    let mut pulse = Pulse::default();
+    pulse.beat(start());
+    pulse.beat(start() + ms(30));
+    pulse.beat(start() + ms(2000));
+    let resumed = pulse.settled();
+    pulse.beat(start() + ms(2030));
+
+    assert_eq!(resumed, start());
+    assert_eq!(pulse.settled(), start() + ms(2000));
+}
--- a/components/feed/src/feed.rs
+++ b/components/feed/src/feed.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use dispatch::{
-    ConfigFreshness, ConfigStatus, FleetView, Mirror, ViewChange, WriteBasis, WriteTime,
+    ConfigFreshness, ConfigStatus, FleetView, Mirror, Pulse, ViewChange, WriteBasis, WriteTime,
 };
 use domain::{
     ModelId, Moment, NodeSettings, Platform, Record, RecordBatch, RecordStore, StoreError, VmId,
@@ -24,6 +24,7 @@
     pub(crate) mirrors: [Mirror; 3],
     pub(crate) view: FleetView,
     pub(crate) freshness: ConfigFreshness,
+    pub(crate) pulse: Pulse,
     pub(crate) members: HashMap<VmId, Member>,
     /// Whether the last read of each topic succeeded, by [`Topic::index`].
     pub(crate) reachable: [bool; 3],
@@ -55,6 +56,7 @@
                 mirrors: Default::default(),
                 view: FleetView::default(),
                 freshness: ConfigFreshness::new(node.bounds.revocation),
+                pulse: Pulse::default(),
                 members: HashMap::new(),
                 reachable: [true; 3],
             }),
--- a/components/feed/src/peers.rs
+++ b/components/feed/src/peers.rs
@@ -90,7 +90,7 @@
         let records: RecordsResponse = rmp_serde::from_slice(&response.body)?;
         for (topic, batch) in Topic::ALL.into_iter().zip(records.topics) {
             let Some(batch) = batch else { continue };
-            let written = self.state().freshness.since_confirmed(WriteBasis::Peer);
+            let written = self.state().freshness.since_last_read(WriteBasis::Peer);
             self.apply(topic, batch.into(), Mirror::extend, written);
         }
         self.merge_declared(sent_at, &records.declared);
--- a/components/feed/src/store_reader.rs
+++ b/components/feed/src/store_reader.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dispatch::{Mirror, WriteBasis};
+use dispatch::{Mirror, Pulse, ReadTiming, WriteBasis};
 use domain::{Platform, ReadOutcome, RecordStore, StoreError, now};
 use smol::Timer;
 
@@ -18,6 +18,7 @@
 impl<P: Platform> Feed<P> {
     /// Reads all topics in a loop until the task is dropped.
     pub async fn follow(self: Arc<Self>) {
+        let pulse = transport::spawn(self.clone().beat());
         let tasks: Vec<_> = Topic::ALL
             .iter()
             .map(|t| transport::spawn(self.clone().follow_topic(*t)))
@@ -26,6 +27,7 @@
         for task in tasks {
             task.await;
         }
+        pulse.await;
     }
 
     async fn follow_topic(self: Arc<Self>, topic: Topic) {
@@ -60,44 +62,52 @@
         }
     }
 
+    async fn beat(self: Arc<Self>) {
+        loop {
+            self.state().pulse.beat(now());
+            Timer::after(Pulse::INTERVAL).await;
+        }
+    }
+
     async fn read(&self, topic: Topic) -> Result<(), StoreError> {
-        let sent_at = now();
+        let sent = now();
         let store = self.platform.store();
         let name = self.topic_name(topic);
-        let (from, wait) = {
+        let (from, wait, followed) = {
             let state = self.state();
+            let followed = state.reachable[topic.index()];
             // The first read after a failure does not wait, so that it returns only
             // records written during the outage. A removal that a later, waiting read
             // returns is recent and does not count as a lapse during the outage.
-            let wait = match state.reachable[topic.index()] {
+            let wait = match followed {
                 true => topic.wait(self.role),
                 false => Duration::ZERO,
             };
-            (state.mirrors[topic.index()].end(), wait)
+            (state.mirrors[topic.index()].end(), wait, followed)
         };
         let read = match from {
             Some(from) => store.read(name, from, wait).await?,
             None => ReadOutcome::Gap,
         };
+        let timing = ReadTiming {
+            sent,
+            wait,
+            followed,
+            settled: self.state().pulse.settled(),
+        };
         match read {
             ReadOutcome::Records(batch) => {
-                let written = {
-                    let state = self.state();
-                    let followed = state.reachable[topic.index()];
-                    state
-                        .freshness
-                        .earliest_write(now(), sent_at, wait, followed)
-                };
+                let written = self.state().freshness.earliest_write(now(), &timing);
                 self.apply(topic, batch, Mirror::extend, written);
             }
             ReadOutcome::Gap => {
                 let batch = store.newest(name).await?;
-                let written = self.state().freshness.since_confirmed(WriteBasis::Newest);
+                let written = self.state().freshness.since_last_read(WriteBasis::Newest);
                 self.apply(topic, batch, Mirror::reset, written);
             }
         }
         if topic == Topic::Fleet {
-            self.state().freshness.confirm(sent_at);
+            self.state().freshness.record_read(&timing);
         }
         Ok(())
     }
