A single failed read does not restart the bounds of versions

One read of the list of upstreams that failed counted as an outage of the store unless a peer had answered in time: the entry then counted the bounds of all versions anew, also of one of unknown age after the start of a process, and used older weights for up to eight seconds more.

Bounds now follow the confirmations of the operators' records. They pause once reads of them fail and neither this process nor a peer that it asked has confirmed them for 2.4 s, and restart after that. Time for which the process was stopped is no evidence of an outage; the statement of a running peer is, also for a process that starts during the outage. A paused bound no longer limits when a request must begin (expires_at). The list of upstreams keeps its own rule for lapsed records.

--- a/components/dispatch/src/config_freshness.rs
+++ b/components/dispatch/src/config_freshness.rs
@@ -54,6 +54,8 @@
     confirmed_at: Option<Moment>,
     /// Records written before this moment are known, unless links delayed a response.
     complete_until: Option<Moment>,
+    /// When a peer last stated that its confirmation was old.
+    stale_peer: Option<Moment>,
     max_key_age: Duration,
 }
 
@@ -64,6 +66,7 @@
         ConfigFreshness {
             confirmed_at: None,
             complete_until: None,
+            stale_peer: None,
             // The rest covers the transit of a request that was just forwarded.
             max_key_age: revocation * 4 / 5,
         }
@@ -80,6 +83,28 @@
         self.confirmed_at
     }
 
+    /// Records that a peer, which was running all the while, had not confirmed the
+    /// configuration for longer than it counts as current.
+    pub fn record_stale_peer(&mut self, at: Moment) {
+        self.stale_peer = self.stale_peer.max(Some(at));
+    }
+
+    /// Whether no process has read the store for a while, as far as this one knows.
+    /// It runs since `resumed`: that it confirmed nothing before is no evidence, but
+    /// what a peer said since then is.
+    pub fn is_outage(&self, now: Moment, resumed: Moment) -> bool {
+        let is_stale = |at: Moment| now.saturating_sub(at) > FRESH_AGE;
+        let peer_is_stale = self.stale_peer.is_some_and(|at| at >= resumed);
+        self.confirmed_at.is_some_and(is_stale) && (is_stale(resumed) || peer_is_stale)
+    }
+
+    /// Age of the last confirmation to be sent to peers: none if it is old because
+    /// this process was held up until `resumed`.
+    pub fn age_for_peers(&self, now: Moment, resumed: Moment) -> Option<Duration> {
+        let age = now.saturating_sub(self.confirmed_at?);
+        (age <= FRESH_AGE || now.saturating_sub(resumed) > FRESH_AGE).then_some(age)
+    }
+
     /// Records a successful read: it returned all records written before.
     pub fn record_read(&mut self, read: &ReadTiming) {
         self.confirm(read.sent);
--- a/components/dispatch/src/fleet_view.rs
+++ b/components/dispatch/src/fleet_view.rs
@@ -38,16 +38,6 @@
     Lapsed(UpstreamId),
 }
 
-/// The end of an outage of the store, as one process saw it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct StoreRegained {
-    /// How long the process could not read the store.
-    pub outage: Duration,
-    /// The bounds of all versions are counted from now on, as no peer could read the
-    /// store either.
-    pub bounds_restarted: bool,
-}
-
 /// The fleet as the records of the store describe it.
 #[derive(Debug, Default)]
 pub struct FleetView {
@@ -61,8 +51,7 @@
     upstreams: HashMap<UpstreamId, Upstream>,
     /// Upstreams whose records lapsed, and the moment until which they are used.
     lapsed: HashMap<UpstreamId, Moment>,
-    /// Since when this process cannot read the store.
-    down_since: Option<Moment>,
+    store_down: bool,
     /// When a peer could last read the store.
     peer_access: Option<Moment>,
     /// When the store was last reachable again after an outage.
@@ -70,8 +59,12 @@
     /// Whether the store was also reachable at the check before the last one, so that
     /// the backlog of an outage has been read.
     caught_up: bool,
-    /// Versions that were in force when the outage of the store began.
-    before_outage: HashMap<ModelId, WeightVersion>,
+    /// Since when the bounds of versions do not run.
+    bounds_paused: Option<Moment>,
+    /// When the bounds of versions last began to run again.
+    bounds_restarted: Option<Moment>,
+    /// Versions that were in force when the bounds were paused.
+    before_pause: HashMap<ModelId, WeightVersion>,
 }
 
 impl FleetView {
@@ -113,31 +106,58 @@
     }
 
     /// The newest version of a model that was declared at least `bound` ago. The bound
-    /// does not run during an outage of the store, when the version may not have
-    /// reached the agents: older weights are better than none.
+    /// does not run while it is paused: older weights are better than none.
     pub fn in_force(&self, now: Moment, model: &str, bound: Duration) -> Option<WeightVersion> {
-        let before_outage = self.before_outage.get(model).copied();
-        if self.down_since.is_some() && !self.has_peer_access(now) {
-            return before_outage;
+        let before_pause = self.before_pause.get(model).copied();
+        if self.bounds_paused.is_some() {
+            return before_pause;
         }
         let declared_by = now.saturating_sub(bound);
         let versions = self.declared.get(model)?.iter();
         let in_force = versions.filter(|(_, at)| self.bound_start(*at) <= declared_by);
-        in_force.map(|(v, _)| *v).max().max(before_outage)
+        in_force.map(|(v, _)| *v).max().max(before_pause)
     }
 
     /// When the next version after `held` comes into force, `bound` after its
     /// declaration. From then on no request may start on `held`.
     pub fn expires_at(&self, model: &str, held: WeightVersion, bound: Duration) -> Option<Moment> {
+        if self.bounds_paused.is_some() {
+            return None;
+        }
         let versions = self.declared.get(model)?.iter();
         let newer = versions.filter(|(v, _)| *v > held);
         newer.map(|(_, at)| self.bound_start(*at) + bound).min()
     }
 
-    /// When the bound on a version declared at `at` begins to run: after an outage of
-    /// the store, not before its end.
+    /// When the bound on a version declared at `at` begins to run: after a pause, not
+    /// before its end.
     pub fn bound_start(&self, at: Moment) -> Moment {
-        at.max(self.store_back.unwrap_or_default())
+        at.max(self.bounds_restarted.unwrap_or_default())
+    }
+
+    /// Pauses the bounds of all versions, in an outage of the store: a declared
+    /// version may not have reached the agents. `bound` is the time after which a
+    /// version is in force. Returns false if they are paused already.
+    pub fn pause_bounds(&mut self, now: Moment, bound: Duration) -> bool {
+        if self.bounds_paused.is_some() {
+            return false;
+        }
+        let models: Vec<ModelId> = self.declared.keys().cloned().collect();
+        for model in models {
+            if let Some(version) = self.in_force(now, &model, bound) {
+                self.before_pause.insert(model, version);
+            }
+        }
+        self.bounds_paused = Some(now);
+        true
+    }
+
+    /// Ends the pause of the bounds of versions, if they are paused, and returns how
+    /// long it lasted. All bounds are counted from `now` on.
+    pub fn restart_bounds(&mut self, now: Moment) -> Option<Duration> {
+        let since = self.bounds_paused.take()?;
+        self.bounds_restarted = Some(now);
+        Some(now.saturating_sub(since))
     }
 
     /// Upstreams in use, listed or lapsed.
@@ -150,39 +170,16 @@
         self.upstreams.get(id)
     }
 
-    /// Records whether this process can read the store; `bound` is the time after
-    /// which a declared version is in force. Returns the end of an outage.
-    pub fn set_store_reachable(
-        &mut self,
-        now: Moment,
-        reachable: bool,
-        bound: Duration,
-    ) -> Option<StoreRegained> {
-        if !reachable && self.down_since.is_none() {
-            let models: Vec<ModelId> = self.declared.keys().cloned().collect();
-            for model in models {
-                if let Some(version) = self.in_force(now, &model, bound) {
-                    self.before_outage.insert(model, version);
-                }
-            }
-        }
-        let ended = self.down_since.filter(|_| reachable);
-        let regained = ended.map(|since| StoreRegained {
-            outage: now.saturating_sub(since),
-            bounds_restarted: !self.has_peer_access(now),
-        });
-        if regained.is_some_and(|r| r.bounds_restarted) {
+    /// Records whether this process can read the list of upstreams from the store.
+    pub fn set_store_reachable(&mut self, now: Moment, reachable: bool) {
+        if reachable && self.store_down && !self.has_peer_access(now) {
             self.store_back = Some(now);
             for until in self.lapsed.values_mut() {
                 *until = (*until).min(now + RELIST_TIME);
             }
         }
-        self.caught_up = reachable && self.down_since.is_none();
-        self.down_since = match reachable {
-            true => None,
-            false => self.down_since.or(Some(now)),
-        };
-        regained
+        self.caught_up = reachable && !self.store_down;
+        self.store_down = !reachable;
     }
 
     /// Records that a peer can read the store at `now`. The outage then affects this
@@ -289,7 +286,7 @@
     /// Moment until which an upstream is used whose record is removed now; `None` if
     /// the removal can't be due to an outage of the store.
     fn lapse_until(&self, now: Moment) -> Option<Moment> {
-        if self.down_since.is_some() {
+        if self.store_down {
             return (!self.has_peer_access(now)).then_some(Duration::MAX);
         }
         let relist_by = self.store_back? + RELIST_TIME;
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -27,7 +27,7 @@
 pub use demand::Demand;
 pub use event_splitter::EventSplitter;
 pub use first_attempt_estimator::FirstAttemptEstimator;
-pub use fleet_view::{FleetView, StoreRegained, ViewChange};
+pub use fleet_view::{FleetView, ViewChange};
 pub use latency_model::LatencyModel;
 pub use mirror::Mirror;
 pub use piece_set::PieceSet;
--- a/components/dispatch/src/pulse.rs
+++ b/components/dispatch/src/pulse.rs
@@ -5,12 +5,17 @@
 /// Longest time between two beats of a process that was not held up between them.
 const MAX_GAP: Duration = Duration::from_millis(100);
 
+/// Time between two beats after which the process counts as resumed: evidence about
+/// other processes starts anew.
+const RESUME_GAP: Duration = Duration::from_millis(500);
+
 /// Regular beats of a process, which show whether it was held up: stopped, or without
 /// processor time. After that it may handle input that arrived long before.
 #[derive(Debug, Clone, Default)]
 pub struct Pulse {
     last: Moment,
     settled: Moment,
+    resumed: Moment,
 }
 
 impl Pulse {
@@ -22,9 +27,19 @@
         if now.saturating_sub(self.last) <= MAX_GAP {
             self.settled = self.last;
         }
+        self.resumed = self.resumed(now);
         self.last = now;
     }
 
+    /// When the process started, or last resumed after it was held up for long; `now`
+    /// if it resumes just now, before its first beat.
+    pub fn resumed(&self, now: Moment) -> Moment {
+        match now.saturating_sub(self.last) > RESUME_GAP {
+            true => now,
+            false => self.resumed,
+        }
+    }
+
     /// Moment up to which all input that had arrived has been handled.
     pub fn settled(&self) -> Moment {
         self.settled
--- a/components/dispatch/tests/records.rs
+++ b/components/dispatch/tests/records.rs
@@ -3,9 +3,7 @@
 mod fixture;
 
 use bytes::Bytes;
-use dispatch::{
-    ConfigFreshness, ConfigStatus, FleetView, Mirror, Pulse, ReadTiming, StoreRegained, ViewChange,
-};
+use dispatch::{ConfigFreshness, ConfigStatus, FleetView, Mirror, Pulse, ReadTiming, ViewChange};
 use domain::{FleetRecord, Moment, Record, RecordBatch};
 use fixture::{ms, secs, start, upstream};
 
@@ -91,9 +89,9 @@
 fn upstream_that_lapsed_in_an_outage_is_used_until_relist_time() {
     let mut view = FleetView::default();
     view.apply_upstream_record(start(), "u", Some(upstream("u", "a", None)));
-    view.set_store_reachable(start() + secs(1), false, secs(8));
+    view.set_store_reachable(start() + secs(1), false);
     let back = start() + secs(6);
-    view.set_store_reachable(back, true, secs(8));
+    view.set_store_reachable(back, true);
 
     let change = view.apply_upstream_record(back, "u", None);
     let early = view.expire(back + secs(2));
@@ -110,10 +108,10 @@
 fn upstream_removed_after_the_backlog_expires_well_before_the_bound() {
     let mut view = FleetView::default();
     view.apply_upstream_record(start(), "u", Some(upstream("u", "a", None)));
-    view.set_store_reachable(start(), false, secs(8));
+    view.set_store_reachable(start(), false);
     let back = start() + secs(5);
-    view.set_store_reachable(back, true, secs(8));
-    view.set_store_reachable(back + ms(300), true, secs(8));
+    view.set_store_reachable(back, true);
+    view.set_store_reachable(back + ms(300), true);
     let left = back + ms(1100);
 
     view.apply_upstream_record(left, "u", None);
@@ -125,7 +123,7 @@
 fn upstream_is_removed_at_once_while_a_peer_reads_the_store() {
     let mut view = FleetView::default();
     view.apply_upstream_record(start(), "u", Some(upstream("u", "a", None)));
-    view.set_store_reachable(start(), false, secs(8));
+    view.set_store_reachable(start(), false);
     view.record_peer_access(start() + secs(1));
 
     let change = view.apply_upstream_record(start() + secs(2), "u", None);
@@ -173,37 +171,115 @@
     let weights = |v| Some(FleetRecord::Weights("m".into(), v));
     view.apply_fleet_record(start(), "w", weights(2));
     view.apply_fleet_record(start() + secs(9), "w", weights(3));
-    view.set_store_reachable(start() + secs(10), false, secs(8));
+    view.pause_bounds(start() + secs(10), secs(8));
     let during = view.in_force(start() + secs(20), "m", secs(8));
+    let begin_by = view.expires_at("m", 2, secs(8));
     let back = start() + secs(20);
-    view.set_store_reachable(back, true, secs(8));
+    let pause = view.restart_bounds(back);
 
     let soon = view.in_force(back + secs(7), "m", secs(8));
     let later = view.in_force(back + secs(8), "m", secs(8));
 
     assert_eq!((during, soon, later), (Some(2), Some(2), Some(3)));
+    assert_eq!((begin_by, pause), (None, Some(secs(10))));
+    assert_eq!(view.expires_at("m", 2, secs(8)), Some(back + secs(8)));
 }
 
+/// One read broke off while the peers that were asked were restarting. The entry took
+/// it for an outage of the store and counted the bounds of all versions anew.
 #[test]
-fn end_of_an_outage_states_whether_bounds_restart() {
+fn one_failed_read_does_not_count_as_an_outage() {
+    let mut freshness = ConfigFreshness::new(secs(5));
+    freshness.confirm(start());
+
+    // Two waits of a read and two pauses after failures.
+    let is_outage = freshness.is_outage(start() + ms(2300), start() - secs(60));
+
+    assert!(!is_outage);
+}
+
+#[test]
+fn reads_that_fail_for_longer_than_a_confirmation_is_fresh_are_an_outage() {
+    let mut freshness = ConfigFreshness::new(secs(5));
+    freshness.confirm(start());
+
+    let is_outage = freshness.is_outage(start() + ms(2500), start() - secs(60));
+
+    assert!(is_outage);
+}
+
+#[test]
+fn read_that_fails_after_the_process_was_stopped_does_not_count_as_an_outage() {
+    let mut freshness = ConfigFreshness::new(secs(5));
+    freshness.confirm(start());
+    let resumed = start() + secs(6);
+
+    let is_outage = freshness.is_outage(resumed + ms(500), resumed);
+
+    assert!(!is_outage);
+}
+
+/// An entry whose first read failed counted the bound of a version of unknown age from
+/// that moment and used the older weights for another eight seconds.
+#[test]
+fn version_of_unknown_age_stays_in_force_after_a_failed_first_read() {
+    let freshness = ConfigFreshness::new(secs(5));
     let mut view = FleetView::default();
-    view.set_store_reachable(start(), false, secs(8));
-    let alone = view.set_store_reachable(start() + secs(3), true, secs(8));
-    view.set_store_reachable(start() + secs(4), false, secs(8));
-    view.record_peer_access(start() + secs(4));
-
-    let with_peer = view.set_store_reachable(start() + secs(5), true, secs(8));
-    let reachable = view.set_store_reachable(start() + secs(6), true, secs(8));
-
-    let regained = |outage, bounds_restarted| {
-        Some(StoreRegained {
-            outage,
-            bounds_restarted,
-        })
-    };
-    assert_eq!(alone, regained(secs(3), true));
-    assert_eq!(with_peer, regained(secs(1), false));
-    assert_eq!(reachable, None);
+    view.set_store_reachable(start(), false);
+    let is_outage = freshness.is_outage(start(), start());
+    view.set_store_reachable(start() + ms(150), true);
+    let zero = std::time::Duration::ZERO;
+    view.apply_fleet_record(zero, "w", Some(FleetRecord::Weights("m".into(), 2)));
+
+    assert!(!is_outage);
+    assert_eq!(view.in_force(start() + secs(1), "m", secs(8)), Some(2));
+}
+
+/// An entry that was started during an outage counted the bounds of versions from
+/// before the outage and refused callers for seconds after it.
+#[test]
+fn peer_that_cannot_read_the_store_shows_an_outage_to_a_process_just_started() {
+    let mut freshness = ConfigFreshness::new(secs(5));
+    let started = start() + secs(7);
+    let asked = started + ms(20);
+    freshness.record_stale_peer(asked);
+    freshness.confirm(start());
+
+    assert!(freshness.is_outage(asked, started));
+    assert!(!freshness.is_outage(asked + ms(500), asked + ms(400)));
+}
+
+#[test]
+fn process_that_was_stopped_states_no_old_confirmation_to_peers() {
+    let mut freshness = ConfigFreshness::new(secs(5));
+    freshness.confirm(start());
+    let now = start() + secs(6);
+
+    let running = freshness.age_for_peers(now, start() - secs(60));
+    let just_resumed = freshness.age_for_peers(now, now - ms(500));
+    let recent = freshness.age_for_peers(start() + secs(1), start());
+
+    assert_eq!(running, Some(secs(6)));
+    assert_eq!(just_resumed, None);
+    assert_eq!(recent, Some(secs(1)));
+}
+
+/// After a stop, reads returned before the first beat: the entry took the time of the
+/// stop for an outage of the store.
+#[test]
+fn process_counts_as_resumed_before_its_first_beat() {
+    let mut pulse = Pulse::default();
+    pulse.beat(start());
+    pulse.beat(start() + ms(400));
+    let slow = pulse.resumed(start() + ms(800));
+    let before_beat = pulse.resumed(start() + secs(3));
+    pulse.beat(start() + secs(3));
+    let after_beat = pulse.resumed(start() + ms(3400));
+
+    assert_eq!(
+        [slow, before_beat, after_beat],
+        [start(), start() + secs(3), start() + secs(3)]
+    );
 }
 
 #[test]
--- a/components/feed/src/feed.rs
+++ b/components/feed/src/feed.rs
@@ -203,14 +203,7 @@
         let mut state = self.state();
         let reachable = error.is_none();
         if topic == Topic::Upstreams {
-            let bound = self.node.bounds.weight_rollout;
-            if let Some(regained) = state.view.set_store_reachable(now(), reachable, bound) {
-                let fields = json!({
-                    "outage_ms": millis(regained.outage),
-                    "bounds_restarted": regained.bounds_restarted,
-                });
-                decision("feed", "outage over", Outcome::Change, fields);
-            }
+            state.view.set_store_reachable(now(), reachable);
         }
         let was_reachable = std::mem::replace(&mut state.reachable[topic.index()], reachable);
         drop(state);
@@ -227,6 +220,34 @@
         decision("store", what, Outcome::Change, fields);
     }
 
+    /// Pauses the bounds of versions while neither this process nor a peer that it asks
+    /// can read the operators' records, and restarts them afterwards. A single read
+    /// that fails says nothing about the store. Agents count as their entries do.
+    pub(crate) fn update_bounds(&self) {
+        if self.role == Role::Agent {
+            return;
+        }
+        let now = now();
+        let mut state = self.state();
+        let state = &mut *state;
+        if state.freshness.is_outage(now, state.pulse.resumed(now)) {
+            if state
+                .view
+                .pause_bounds(now, self.node.bounds.weight_rollout)
+            {
+                let age = state
+                    .freshness
+                    .confirmed_at()
+                    .map(|at| now.saturating_sub(at));
+                let fields = json!({ "confirmed_ms_ago": age.map(millis) });
+                decision("feed", "bounds paused", Outcome::Change, fields);
+            }
+        } else if let Some(pause) = state.view.restart_bounds(now) {
+            let fields = json!({ "paused_ms": millis(pause) });
+            decision("feed", "bounds restarted", Outcome::Change, fields);
+        }
+    }
+
     pub(crate) fn topic_name(&self, topic: Topic) -> &'static str {
         match topic {
             Topic::Fleet => self.platform.fleet_topic(),
--- a/components/feed/src/peers.rs
+++ b/components/feed/src/peers.rs
@@ -97,6 +97,8 @@
         if let Some(age) = records.age {
             if Duration::from_millis(age) < PEER_FRESH {
                 self.state().view.record_peer_access(sent_at);
+            } else {
+                self.state().freshness.record_stale_peer(sent_at);
             }
             // The peer computed the age after the request was sent, so counting back
             // from `sent_at` gives the earliest time of the confirmation.
@@ -142,14 +144,13 @@
             let from = request.from[t.index()]?;
             state.mirrors[t.index()].since(from).map(Into::into)
         });
-        let age = state
-            .freshness
-            .confirmed_at()
-            .map(|at: Moment| now().saturating_sub(at));
+        let now = now();
+        let resumed = state.pulse.resumed(now);
+        let age = state.freshness.age_for_peers(now, resumed);
         let ages = |versions: &[(u64, Moment)]| {
             let known = versions.iter().filter(|(_, at)| !at.is_zero());
             known
-                .map(|(v, at)| (*v, millis(now().saturating_sub(*at))))
+                .map(|(v, at)| (*v, millis(now.saturating_sub(*at))))
                 .collect()
         };
         let declared = state.view.all_declared();
--- a/components/feed/src/store_reader.rs
+++ b/components/feed/src/store_reader.rs
@@ -41,11 +41,17 @@
                 Ok(()) => {
                     pause = FAILURE_PAUSE;
                     self.record_reachable(topic, None);
+                    if topic == Topic::Fleet {
+                        self.update_bounds();
+                    }
                     Timer::after(topic.pause(self.role)).await;
                 }
                 Err(e) => {
                     self.record_reachable(topic, Some(&e));
                     self.fetch_records().await;
+                    if topic == Topic::Fleet {
+                        self.update_bounds();
+                    }
                     Timer::after(pause.mul_f64(0.75 + 0.5 * fastrand::f64())).await;
                     pause = (pause * 2).min(MAX_FAILURE_PAUSE);
                 }
