A read is complete up to its wait, however late it is handled

After a stop, several beats can come before the read that was pending gets its turn, so the time of handling counted as known to be complete: an empty response that the store gave at 900 ms and that was handled at 2,840 ms made a version declared between them look up to 1.9 s younger than it was.

An empty read now proves completeness up to the end of its wait and no more, a read with records at most that, and beats after a gap say nothing about a read that was sent before it. The bound on the error no longer rests on the beats, and a process whose beats are often late dates a record at most one wait early instead of two.

Three tests failed before: empty_read_that_returns_late_is_complete_only_up_to_its_wait (2,840 instead of 900 ms), record_of_a_late_response_was_written_within_the_wait (1,470 instead of 900) and read_sent_before_a_stop_is_not_settled_by_beats_after_it (2,040 instead of 30). Two tests on write times expect 900 ms, the wait of the empty read before, where they expected its last settled beat, 870 ms.

--- a/components/dispatch/src/config_freshness.rs
+++ b/components/dispatch/src/config_freshness.rs
@@ -42,9 +42,11 @@
 }
 
 impl ReadTiming {
-    /// Last moment at which the read was known to be pending.
+    /// Last moment at which the read was known to be pending. The store answers when
+    /// the wait is over, however late the response is handled.
     fn pending_until(&self) -> Option<Moment> {
-        (self.settled > self.sent).then_some(self.settled)
+        let settled = self.settled.min(self.sent + self.wait);
+        (settled > self.sent).then_some(settled)
     }
 }
 
@@ -105,11 +107,15 @@
         (age <= FRESH_AGE || now.saturating_sub(resumed) > FRESH_AGE).then_some(age)
     }
 
-    /// Records a successful read: it returned all records written before.
-    pub fn record_read(&mut self, read: &ReadTiming) {
+    /// Records a successful read: it returned all records written before. An empty one
+    /// was pending for its whole wait.
+    pub fn record_read(&mut self, now: Moment, read: &ReadTiming, is_empty: bool) {
         self.confirm(read.sent);
-        let pending_until = read.pending_until().unwrap_or(read.sent);
-        self.complete_until = self.complete_until.max(Some(pending_until));
+        let complete_until = match is_empty {
+            true => now.min(read.sent + read.wait),
+            false => read.pending_until().unwrap_or(read.sent),
+        };
+        self.complete_until = self.complete_until.max(Some(complete_until));
     }
 
     /// Earliest moment at which a record of a read was written. A waiting read returns
--- a/components/dispatch/src/pulse.rs
+++ b/components/dispatch/src/pulse.rs
@@ -15,6 +15,9 @@
 pub struct Pulse {
     last: Moment,
     settled: Moment,
+    /// When the last gap ended, and what was settled before it.
+    gap_end: Moment,
+    settled_before_gap: Moment,
     resumed: Moment,
 }
 
@@ -26,6 +29,9 @@
     pub fn beat(&mut self, now: Moment) {
         if now.saturating_sub(self.last) <= MAX_GAP {
             self.settled = self.last;
+        } else {
+            self.settled_before_gap = self.settled;
+            self.gap_end = now;
         }
         self.resumed = self.resumed(now);
         self.last = now;
@@ -40,8 +46,13 @@
         }
     }
 
-    /// Moment up to which all input that had arrived has been handled.
-    pub fn settled(&self) -> Moment {
-        self.settled
+    /// Moment up to which all input that had arrived for a task has been handled. The
+    /// task waits since `since`: one that waited in a gap may get its turn late after
+    /// it, so beats after the gap show nothing.
+    pub fn settled(&self, since: Moment) -> Moment {
+        match since < self.gap_end {
+            true => self.settled_before_gap,
+            false => self.settled,
+        }
     }
 }
--- a/components/dispatch/tests/records.rs
+++ b/components/dispatch/tests/records.rs
@@ -369,7 +369,7 @@
 fn record_read_after_the_process_was_stopped_is_not_dated_by_its_arrival() {
     let mut freshness = ConfigFreshness::new(secs(5));
     let last_read = read(start(), start() + ms(870));
-    freshness.record_read(&last_read);
+    freshness.record_read(start() + ms(905), &last_read, true);
     let resumed = start() + ms(2500);
 
     let returned_at_once = read(resumed, start() + ms(870));
@@ -377,19 +377,56 @@
     let at_once = freshness.earliest_write(resumed + ms(5), &returned_at_once);
     let pending = freshness.earliest_write(start() + ms(2400), &stopped_while_pending);
 
-    assert_eq!(at_once.at, start() + ms(870));
+    assert_eq!(at_once.at, start() + ms(900));
     assert_eq!(pending.at, start() + ms(1400));
 }
 
 #[test]
 fn record_returned_at_once_is_as_old_as_the_read_before_at_most() {
     let mut freshness = ConfigFreshness::new(secs(5));
-    freshness.record_read(&read(start(), start() + ms(870)));
+    freshness.record_read(start() + ms(905), &read(start(), start() + ms(870)), true);
     let sent = start() + ms(935);
 
     let written = freshness.earliest_write(sent + ms(4), &read(sent, start() + ms(900)));
 
-    assert_eq!(written.at, start() + ms(870));
+    assert_eq!(written.at, start() + ms(900));
+}
+
+/// An entry was stopped while an empty response arrived and handled it late. A version
+/// declared after the store had answered was dated by the time of handling.
+#[test]
+fn empty_read_that_returns_late_is_complete_only_up_to_its_wait() {
+    let mut freshness = ConfigFreshness::new(secs(5));
+    freshness.record_read(start() + ms(2900), &read(start(), start() + ms(2840)), true);
+    let sent = start() + ms(2930);
+
+    let written = freshness.earliest_write(sent + ms(4), &read(sent, start() + ms(2840)));
+
+    assert_eq!(written.at, start() + ms(900));
+}
+
+#[test]
+fn record_of_a_late_response_was_written_within_the_wait() {
+    let freshness = ConfigFreshness::new(secs(5));
+    let timing = read(start(), start() + ms(1470));
+
+    let written = freshness.earliest_write(start() + ms(1500), &timing);
+
+    assert_eq!(written.at, start() + ms(900));
+}
+
+/// After a stop, several beats can come before the read that was pending gets its turn.
+#[test]
+fn read_sent_before_a_stop_is_not_settled_by_beats_after_it() {
+    let mut pulse = Pulse::default();
+    for at in [0, 30, 60, 2000, 2040, 2080] {
+        pulse.beat(start() + ms(at));
+    }
+
+    let before = pulse.settled(start() + ms(40));
+    let after = pulse.settled(start() + ms(2010));
+
+    assert_eq!((before, after), (start() + ms(30), start() + ms(2040)));
 }
 
 #[test]
@@ -398,7 +435,7 @@
     pulse.beat(start());
     pulse.beat(start() + ms(30));
 
-    assert_eq!(pulse.settled(), start());
+    assert_eq!(pulse.settled(start()), start());
 }
 
 #[test]
@@ -407,9 +444,9 @@
     pulse.beat(start());
     pulse.beat(start() + ms(30));
     pulse.beat(start() + ms(2000));
-    let resumed = pulse.settled();
+    let resumed = pulse.settled(start());
     pulse.beat(start() + ms(2030));
 
     assert_eq!(resumed, start());
-    assert_eq!(pulse.settled(), start() + ms(2000));
+    assert_eq!(pulse.settled(start() + ms(2000)), start() + ms(2000));
 }
--- a/components/feed/src/store_reader.rs
+++ b/components/feed/src/store_reader.rs
@@ -99,11 +99,13 @@
             sent,
             wait,
             followed,
-            settled: self.state().pulse.settled(),
+            settled: self.state().pulse.settled(sent),
         };
+        let returned = now();
+        let is_empty = matches!(&read, ReadOutcome::Records(batch) if batch.records.is_empty());
         match read {
             ReadOutcome::Records(batch) => {
-                let written = self.state().freshness.earliest_write(now(), &timing);
+                let written = self.state().freshness.earliest_write(returned, &timing);
                 self.apply(topic, batch, Mirror::extend, written);
             }
             ReadOutcome::Gap => {
@@ -113,7 +115,8 @@
             }
         }
         if topic == Topic::Fleet {
-            self.state().freshness.record_read(&timing);
+            let mut state = self.state();
+            state.freshness.record_read(returned, &timing, is_empty);
         }
         Ok(())
     }
