--- a/components/dispatch/src/config_freshness.rs
+++ b/components/dispatch/src/config_freshness.rs
@@ -2,6 +2,8 @@
 
 use domain::Moment;
 
+use crate::{WriteBasis, WriteTime};
+
 /// Age of the last confirmation up to which the configuration counts as current, also
 /// for refusals. Reads of the store return every second, so the age is
 /// normally well below.
@@ -25,10 +27,37 @@
     Expired,
 }
 
+/// Course of a read of the store.
+#[derive(Debug, Clone, Copy)]
+pub struct ReadTiming {
+    /// When it was sent.
+    pub sent: Moment,
+    /// How long it waits for the first record.
+    pub wait: Duration,
+    /// Whether it came right after another read, not after failures.
+    pub followed: bool,
+    /// Moment up to which the process had handled all input when the read returned, by
+    /// [`Pulse::settled`](crate::Pulse::settled).
+    pub settled: Moment,
+}
+
+impl ReadTiming {
+    /// Last moment at which the read was known to be pending. The store answers when
+    /// the wait is over, however late the response is handled.
+    fn pending_until(&self) -> Option<Moment> {
+        let settled = self.settled.min(self.sent + self.wait);
+        (settled > self.sent).then_some(settled)
+    }
+}
+
 /// Tracks when the store last confirmed the configuration.
 #[derive(Debug, Clone)]
 pub struct ConfigFreshness {
     confirmed_at: Option<Moment>,
+    /// Records written before this moment are known, unless links delayed a response.
+    complete_until: Option<Moment>,
+    /// When a peer last stated that its confirmation was old.
+    stale_peer: Option<Moment>,
     max_key_age: Duration,
 }
 
@@ -38,6 +67,8 @@
     pub fn new(revocation: Duration) -> Self {
         ConfigFreshness {
             confirmed_at: None,
+            complete_until: None,
+            stale_peer: None,
             // The rest covers the transit of a request that was just forwarded.
             max_key_age: revocation * 4 / 5,
         }
@@ -54,21 +85,65 @@
         self.confirmed_at
     }
 
-    /// Earliest moment at which a record of a read was written. The read was sent at
-    /// `sent` and waits for up to `wait`; `followed` is true if it came right after
-    /// another one, false after failures. A waiting read returns a record as soon as
-    /// it is written; only a late read, or one after a gap, can return an older one.
-    pub fn earliest_write(
-        &self,
-        now: Moment,
-        sent: Moment,
-        wait: Duration,
-        followed: bool,
-    ) -> Moment {
-        let on_time = now.saturating_sub(sent) <= wait + LATE_AFTER;
-        match followed && on_time {
-            true => now,
-            false => self.confirmed_at.unwrap_or_default(),
+    /// Records that a peer, which was running all the while, had not confirmed the
+    /// configuration for longer than it counts as current.
+    pub fn record_stale_peer(&mut self, at: Moment) {
+        self.stale_peer = self.stale_peer.max(Some(at));
+    }
+
+    /// Whether no process has read the store for a while, as far as this one knows.
+    /// It runs since `resumed`: that it confirmed nothing before is no evidence, but
+    /// what a peer said since then is.
+    pub fn is_outage(&self, now: Moment, resumed: Moment) -> bool {
+        let is_stale = |at: Moment| now.saturating_sub(at) > FRESH_AGE;
+        let peer_is_stale = self.stale_peer.is_some_and(|at| at >= resumed);
+        self.confirmed_at.is_some_and(is_stale) && (is_stale(resumed) || peer_is_stale)
+    }
+
+    /// Age of the last confirmation to be sent to peers: none if it is old because
+    /// this process was held up until `resumed`.
+    pub fn age_for_peers(&self, now: Moment, resumed: Moment) -> Option<Duration> {
+        let age = now.saturating_sub(self.confirmed_at?);
+        (age <= FRESH_AGE || now.saturating_sub(resumed) > FRESH_AGE).then_some(age)
+    }
+
+    /// Records a successful read: it returned all records written before. An empty one
+    /// was pending for its whole wait.
+    pub fn record_read(&mut self, now: Moment, read: &ReadTiming, is_empty: bool) {
+        self.confirm(read.sent);
+        let complete_until = match is_empty {
+            true => now.min(read.sent + read.wait),
+            false => read.pending_until().unwrap_or(read.sent),
+        };
+        self.complete_until = self.complete_until.max(Some(complete_until));
+    }
+
+    /// Earliest moment at which a record of a read was written. A waiting read returns
+    /// a record as soon as it is written, so the record is newer than the last moment
+    /// at which the read was known to be pending. A read that returned at once may
+    /// return what was written since the read before it.
+    pub fn earliest_write(&self, now: Moment, read: &ReadTiming) -> WriteTime {
+        if !read.followed {
+            return self.since_last_read(WriteBasis::AfterFailure);
+        }
+        if now.saturating_sub(read.sent) > read.wait + LATE_AFTER {
+            return self.since_last_read(WriteBasis::LateRead);
+        }
+        match read.pending_until() {
+            Some(at) => WriteTime {
+                at,
+                basis: WriteBasis::WaitingRead,
+            },
+            None => self.since_last_read(WriteBasis::PreviousRead),
+        }
+    }
+
+    /// Write time of a record that the last read or confirmation did not include.
+    pub fn since_last_read(&self, basis: WriteBasis) -> WriteTime {
+        let complete_until = self.complete_until.max(self.confirmed_at);
+        WriteTime {
+            at: complete_until.unwrap_or_default(),
+            basis,
         }
     }
 
--- a/components/dispatch/src/fleet_view.rs
+++ b/components/dispatch/src/fleet_view.rs
@@ -59,8 +59,12 @@
     /// Whether the store was also reachable at the check before the last one, so that
     /// the backlog of an outage has been read.
     caught_up: bool,
-    /// Versions that were in force when the outage of the store began.
-    before_outage: HashMap<ModelId, WeightVersion>,
+    /// Since when the bounds of versions do not run.
+    bounds_paused: Option<Moment>,
+    /// When the bounds of versions last began to run again.
+    bounds_restarted: Option<Moment>,
+    /// Versions that were in force when the bounds were paused.
+    before_pause: HashMap<ModelId, WeightVersion>,
 }
 
 impl FleetView {
@@ -102,31 +106,58 @@
     }
 
     /// The newest version of a model that was declared at least `bound` ago. The bound
-    /// does not run during an outage of the store, when the version may not have
-    /// reached the agents: older weights are better than none.
+    /// does not run while it is paused: older weights are better than none.
     pub fn in_force(&self, now: Moment, model: &str, bound: Duration) -> Option<WeightVersion> {
-        let before_outage = self.before_outage.get(model).copied();
-        if self.store_down && !self.has_peer_access(now) {
-            return before_outage;
+        let before_pause = self.before_pause.get(model).copied();
+        if self.bounds_paused.is_some() {
+            return before_pause;
         }
         let declared_by = now.saturating_sub(bound);
         let versions = self.declared.get(model)?.iter();
         let in_force = versions.filter(|(_, at)| self.bound_start(*at) <= declared_by);
-        in_force.map(|(v, _)| *v).max().max(before_outage)
+        in_force.map(|(v, _)| *v).max().max(before_pause)
     }
 
     /// When the next version after `held` comes into force, `bound` after its
     /// declaration. From then on no request may start on `held`.
     pub fn expires_at(&self, model: &str, held: WeightVersion, bound: Duration) -> Option<Moment> {
+        if self.bounds_paused.is_some() {
+            return None;
+        }
         let versions = self.declared.get(model)?.iter();
         let newer = versions.filter(|(v, _)| *v > held);
         newer.map(|(_, at)| self.bound_start(*at) + bound).min()
     }
 
-    /// When the bound on a version declared at `at` begins to run: after an outage of
-    /// the store, not before its end.
+    /// When the bound on a version declared at `at` begins to run: after a pause, not
+    /// before its end.
     pub fn bound_start(&self, at: Moment) -> Moment {
-        at.max(self.store_back.unwrap_or_default())
+        at.max(self.bounds_restarted.unwrap_or_default())
+    }
+
+    /// Pauses the bounds of all versions, in an outage of the store: a declared
+    /// version may not have reached the agents. `bound` is the time after which a
+    /// version is in force. Returns false if they are paused already.
+    pub fn pause_bounds(&mut self, now: Moment, bound: Duration) -> bool {
+        if self.bounds_paused.is_some() {
+            return false;
+        }
+        let models: Vec<ModelId> = self.declared.keys().cloned().collect();
+        for model in models {
+            if let Some(version) = self.in_force(now, &model, bound) {
+                self.before_pause.insert(model, version);
+            }
+        }
+        self.bounds_paused = Some(now);
+        true
+    }
+
+    /// Ends the pause of the bounds of versions, if they are paused, and returns how
+    /// long it lasted. All bounds are counted from `now` on.
+    pub fn restart_bounds(&mut self, now: Moment) -> Option<Duration> {
+        let since = self.bounds_paused.take()?;
+        self.bounds_restarted = Some(now);
+        Some(now.saturating_sub(since))
     }
 
     /// Upstreams in use, listed or lapsed.
@@ -139,17 +170,8 @@
         self.upstreams.get(id)
     }
 
-    /// Records whether this process can read the store; `bound` is the time after
-    /// which a declared version is in force.
-    pub fn set_store_reachable(&mut self, now: Moment, reachable: bool, bound: Duration) {
-        if !reachable && !self.store_down {
-            let models: Vec<ModelId> = self.declared.keys().cloned().collect();
-            for model in models {
-                if let Some(version) = self.in_force(now, &model, bound) {
-                    self.before_outage.insert(model, version);
-                }
-            }
-        }
+    /// Records whether this process can read the list of upstreams from the store.
+    pub fn set_store_reachable(&mut self, now: Moment, reachable: bool) {
         if reachable && self.store_down && !self.has_peer_access(now) {
             self.store_back = Some(now);
             for until in self.lapsed.values_mut() {
@@ -279,20 +301,26 @@
     }
 
     /// Merges a peer's declared versions of a model, with the moments of their
-    /// declaration.
-    pub fn merge_declared(&mut self, model: &ModelId, versions: &[(WeightVersion, Moment)]) {
+    /// declaration; returns those that were taken over.
+    pub fn merge_declared(
+        &mut self,
+        model: &ModelId,
+        versions: &[(WeightVersion, Moment)],
+    ) -> Vec<(WeightVersion, Moment)> {
         let known = self.declared.entry(model.clone()).or_default();
         // A version newer than all known ones arrives with its own record.
         let newest = known.last().map_or(0, |(v, _)| *v);
+        let mut merged = Vec::new();
         for (version, at) in versions {
             match known.iter_mut().find(|(v, _)| v == version) {
-                Some((_, known_at)) if known_at.is_zero() => *known_at = *at,
-                Some(_) => {}
+                Some((_, known_at)) if known_at.is_zero() && !at.is_zero() => *known_at = *at,
                 None if *version < newest => known.push((*version, *at)),
-                None => {}
+                _ => continue,
             }
+            merged.push((*version, *at));
         }
         known.sort_by_key(|(v, _)| *v);
+        merged
     }
 
     /// Declared versions of each model and the moments of their declaration; zero
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -13,6 +13,7 @@
 mod mirror;
 mod piece_set;
 mod pooled_upstream;
+mod pulse;
 mod request_queue;
 mod retry_budget;
 mod service_scheduler;
@@ -20,8 +21,9 @@
 mod switch_plan;
 mod upstream_owners;
 mod upstream_pool;
+mod write_time;
 
-pub use config_freshness::{ConfigFreshness, ConfigStatus};
+pub use config_freshness::{ConfigFreshness, ConfigStatus, ReadTiming};
 pub use connection_budget::ConnectionBudget;
 pub use crash_watch::{CrashWatch, Verdict};
 pub use demand::Demand;
@@ -32,6 +34,7 @@
 pub use mirror::Mirror;
 pub use piece_set::PieceSet;
 pub use pooled_upstream::{PooledUpstream, UpstreamLoad};
+pub use pulse::Pulse;
 pub use request_queue::{EnqueueResult, QueueLimits, QueuedRequest, RequestQueue};
 pub use retry_budget::RetryBudget;
 pub use service_scheduler::{
@@ -41,3 +44,4 @@
 pub use switch_plan::{SwitchPlan, SwitchStep, VersionCandidate};
 pub use upstream_owners::{EntryDemand, Ownership, UpstreamOwners};
 pub use upstream_pool::{Choice, Requirements, UpstreamPool};
+pub use write_time::{WriteBasis, WriteTime};
--- a/components/dispatch/tests/records.rs
+++ b/components/dispatch/tests/records.rs
@@ -3,8 +3,8 @@
 mod fixture;
 
 use bytes::Bytes;
-use dispatch::{ConfigFreshness, ConfigStatus, FleetView, Mirror, ViewChange};
-use domain::{FleetRecord, Record, RecordBatch};
+use dispatch::{ConfigFreshness, ConfigStatus, FleetView, Mirror, Pulse, ReadTiming, ViewChange};
+use domain::{FleetRecord, Moment, Record, RecordBatch};
 use fixture::{ms, secs, start, upstream};
 
 fn change(key: &str, offset: u64, value: Option<&'static str>) -> Record {
@@ -89,9 +89,9 @@
 fn upstream_that_lapsed_in_an_outage_is_used_until_relist_time() {
     let mut view = FleetView::default();
     view.apply_upstream_record(start(), "u", Some(upstream("u", "a", None)));
-    view.set_store_reachable(start() + secs(1), false, secs(8));
+    view.set_store_reachable(start() + secs(1), false);
     let back = start() + secs(6);
-    view.set_store_reachable(back, true, secs(8));
+    view.set_store_reachable(back, true);
 
     let change = view.apply_upstream_record(back, "u", None);
     let early = view.expire(back + secs(2));
@@ -108,10 +108,10 @@
 fn upstream_removed_after_the_backlog_expires_well_before_the_bound() {
     let mut view = FleetView::default();
     view.apply_upstream_record(start(), "u", Some(upstream("u", "a", None)));
-    view.set_store_reachable(start(), false, secs(8));
+    view.set_store_reachable(start(), false);
     let back = start() + secs(5);
-    view.set_store_reachable(back, true, secs(8));
-    view.set_store_reachable(back + ms(300), true, secs(8));
+    view.set_store_reachable(back, true);
+    view.set_store_reachable(back + ms(300), true);
     let left = back + ms(1100);
 
     view.apply_upstream_record(left, "u", None);
@@ -123,7 +123,7 @@
 fn upstream_is_removed_at_once_while_a_peer_reads_the_store() {
     let mut view = FleetView::default();
     view.apply_upstream_record(start(), "u", Some(upstream("u", "a", None)));
-    view.set_store_reachable(start(), false, secs(8));
+    view.set_store_reachable(start(), false);
     view.record_peer_access(start() + secs(1));
 
     let change = view.apply_upstream_record(start() + secs(2), "u", None);
@@ -171,15 +171,115 @@
     let weights = |v| Some(FleetRecord::Weights("m".into(), v));
     view.apply_fleet_record(start(), "w", weights(2));
     view.apply_fleet_record(start() + secs(9), "w", weights(3));
-    view.set_store_reachable(start() + secs(10), false, secs(8));
+    view.pause_bounds(start() + secs(10), secs(8));
     let during = view.in_force(start() + secs(20), "m", secs(8));
+    let begin_by = view.expires_at("m", 2, secs(8));
     let back = start() + secs(20);
-    view.set_store_reachable(back, true, secs(8));
+    let pause = view.restart_bounds(back);
 
     let soon = view.in_force(back + secs(7), "m", secs(8));
     let later = view.in_force(back + secs(8), "m", secs(8));
 
     assert_eq!((during, soon, later), (Some(2), Some(2), Some(3)));
+    assert_eq!((begin_by, pause), (None, Some(secs(10))));
+    assert_eq!(view.expires_at("m", 2, secs(8)), Some(back + secs(8)));
+}
+
+/// One read broke off while the peers that were asked were restarting. The entry took
+/// it for an outage of the store and counted the bounds of all versions anew.
+#[test]
+fn one_failed_read_does_not_count_as_an_outage() {
+    let mut freshness = ConfigFreshness::new(secs(5));
+    freshness.confirm(start());
+
+    // Two waits of a read and two pauses after failures.
+    let is_outage = freshness.is_outage(start() + ms(2300), start() - secs(60));
+
+    assert!(!is_outage);
+}
+
+#[test]
+fn reads_that_fail_for_longer_than_a_confirmation_is_fresh_are_an_outage() {
+    let mut freshness = ConfigFreshness::new(secs(5));
+    freshness.confirm(start());
+
+    let is_outage = freshness.is_outage(start() + ms(2500), start() - secs(60));
+
+    assert!(is_outage);
+}
+
+#[test]
+fn read_that_fails_after_the_process_was_stopped_does_not_count_as_an_outage() {
+    let mut freshness = ConfigFreshness::new(secs(5));
+    freshness.confirm(start());
+    let resumed = start() + secs(6);
+
+    let is_outage = freshness.is_outage(resumed + ms(500), resumed);
+
+    assert!(!is_outage);
+}
+
+/// An entry whose first read failed counted the bound of a version of unknown age from
+/// that moment and used the older weights for another eight seconds.
+#[test]
+fn version_of_unknown_age_stays_in_force_after_a_failed_first_read() {
+    let freshness = ConfigFreshness::new(secs(5));
+    let mut view = FleetView::default();
+    view.set_store_reachable(start(), false);
+    let is_outage = freshness.is_outage(start(), start());
+    view.set_store_reachable(start() + ms(150), true);
+    let zero = std::time::Duration::ZERO;
+    view.apply_fleet_record(zero, "w", Some(FleetRecord::Weights("m".into(), 2)));
+
+    assert!(!is_outage);
+    assert_eq!(view.in_force(start() + secs(1), "m", secs(8)), Some(2));
+}
+
+/// An entry that was started during an outage counted the bounds of versions from
+/// before the outage and refused callers for seconds after it.
+#[test]
+fn peer_that_cannot_read_the_store_shows_an_outage_to_a_process_just_started() {
+    let mut freshness = ConfigFreshness::new(secs(5));
+    let started = start() + secs(7);
+    let asked = started + ms(20);
+    freshness.record_stale_peer(asked);
+    freshness.confirm(start());
+
+    assert!(freshness.is_outage(asked, started));
+    assert!(!freshness.is_outage(asked + ms(500), asked + ms(400)));
+}
+
+#[test]
+fn process_that_was_stopped_states_no_old_confirmation_to_peers() {
+    let mut freshness = ConfigFreshness::new(secs(5));
+    freshness.confirm(start());
+    let now = start() + secs(6);
+
+    let running = freshness.age_for_peers(now, start() - secs(60));
+    let just_resumed = freshness.age_for_peers(now, now - ms(500));
+    let recent = freshness.age_for_peers(start() + secs(1), start());
+
+    assert_eq!(running, Some(secs(6)));
+    assert_eq!(just_resumed, None);
+    assert_eq!(recent, Some(secs(1)));
+}
+
+/// After a stop, reads returned before the first beat: the entry took the time of the
+/// stop for an outage of the store.
+#[test]
+fn process_counts_as_resumed_before_its_first_beat() {
+    let mut pulse = Pulse::default();
+    pulse.beat(start());
+    pulse.beat(start() + ms(400));
+    let slow = pulse.resumed(start() + ms(800));
+    let before_beat = pulse.resumed(start() + secs(3));
+    pulse.beat(start() + secs(3));
+    let after_beat = pulse.resumed(start() + ms(3400));
+
+    assert_eq!(
+        [slow, before_beat, after_beat],
+        [start(), start() + secs(3), start() + secs(3)]
+    );
 }
 
 #[test]
@@ -227,6 +327,16 @@
     );
 }
 
+/// Timing of a read with a wait of 900 ms that was sent at `sent`, right after another.
+fn read(sent: Moment, settled: Moment) -> ReadTiming {
+    ReadTiming {
+        sent,
+        wait: ms(900),
+        followed: true,
+        settled,
+    }
+}
+
 /// Records were treated as old as the last confirmation, which can be two waits of a
 /// read ago. A version declared under load came into force two seconds early, when no
 /// engine held it.
@@ -234,15 +344,109 @@
 fn record_returned_by_a_waiting_read_was_written_just_now() {
     let mut freshness = ConfigFreshness::new(secs(5));
     freshness.confirm(start());
-    let (sent, wait) = (start() + ms(950), ms(900));
+    let sent = start() + ms(950);
     let received = sent + ms(850);
+    let settled = received - ms(30);
+    let failed_before = ReadTiming {
+        followed: false,
+        ..read(sent, settled)
+    };
 
-    let regular = freshness.earliest_write(received, sent, wait, true);
-    let after_failures = freshness.earliest_write(received, sent, wait, false);
-    let late = freshness.earliest_write(sent + ms(1600), sent, wait, true);
+    let regular = freshness.earliest_write(received, &read(sent, settled));
+    let after_failures = freshness.earliest_write(received, &failed_before);
+    let late = freshness.earliest_write(sent + ms(1600), &read(sent, settled));
 
     assert_eq!(
-        (regular, after_failures, late),
-        (received, start(), start())
+        [regular, after_failures, late].map(|w| w.at),
+        [settled, start(), start()]
     );
 }
+
+/// An entry was stopped while a version was declared. It counted the bound from the
+/// moment at which it read the record, and requests began on the older version for up
+/// to two seconds after the bound.
+#[test]
+fn record_read_after_the_process_was_stopped_is_not_dated_by_its_arrival() {
+    let mut freshness = ConfigFreshness::new(secs(5));
+    let last_read = read(start(), start() + ms(870));
+    freshness.record_read(start() + ms(905), &last_read, true);
+    let resumed = start() + ms(2500);
+
+    let returned_at_once = read(resumed, start() + ms(870));
+    let stopped_while_pending = read(start() + ms(930), start() + ms(1400));
+    let at_once = freshness.earliest_write(resumed + ms(5), &returned_at_once);
+    let pending = freshness.earliest_write(start() + ms(2400), &stopped_while_pending);
+
+    assert_eq!(at_once.at, start() + ms(900));
+    assert_eq!(pending.at, start() + ms(1400));
+}
+
+#[test]
+fn record_returned_at_once_is_as_old_as_the_read_before_at_most() {
+    let mut freshness = ConfigFreshness::new(secs(5));
+    freshness.record_read(start() + ms(905), &read(start(), start() + ms(870)), true);
+    let sent = start() + ms(935);
+
+    let written = freshness.earliest_write(sent + ms(4), &read(sent, start() + ms(900)));
+
+    assert_eq!(written.at, start() + ms(900));
+}
+
+/// An entry was stopped while an empty response arrived and handled it late. A version
+/// declared after the store had answered was dated by the time of handling.
+#[test]
+fn empty_read_that_returns_late_is_complete_only_up_to_its_wait() {
+    let mut freshness = ConfigFreshness::new(secs(5));
+    freshness.record_read(start() + ms(2900), &read(start(), start() + ms(2840)), true);
+    let sent = start() + ms(2930);
+
+    let written = freshness.earliest_write(sent + ms(4), &read(sent, start() + ms(2840)));
+
+    assert_eq!(written.at, start() + ms(900));
+}
+
+#[test]
+fn record_of_a_late_response_was_written_within_the_wait() {
+    let freshness = ConfigFreshness::new(secs(5));
+    let timing = read(start(), start() + ms(1470));
+
+    let written = freshness.earliest_write(start() + ms(1500), &timing);
+
+    assert_eq!(written.at, start() + ms(900));
+}
+
+/// After a stop, several beats can come before the read that was pending gets its turn.
+#[test]
+fn read_sent_before_a_stop_is_not_settled_by_beats_after_it() {
+    let mut pulse = Pulse::default();
+    for at in [0, 30, 60, 2000, 2040, 2080] {
+        pulse.beat(start() + ms(at));
+    }
+
+    let before = pulse.settled(start() + ms(40));
+    let after = pulse.settled(start() + ms(2010));
+
+    assert_eq!((before, after), (start() + ms(30), start() + ms(2040)));
+}
+
+#[test]
+fn input_counts_as_handled_up_to_the_beat_before_last() {
+    let mut pulse = Pulse::default();
+    pulse.beat(start());
+    pulse.beat(start() + ms(30));
+
+    assert_eq!(pulse.settled(start()), start());
+}
+
+#[test]
+fn input_that_arrived_while_the_process_was_stopped_is_not_yet_handled_when_it_resumes() {
+    let mut pulse = Pulse::default();
+    pulse.beat(start());
+    pulse.beat(start() + ms(30));
+    pulse.beat(start() + ms(2000));
+    let resumed = pulse.settled(start());
+    pulse.beat(start() + ms(2030));
+
+    assert_eq!(resumed, start());
+    assert_eq!(pulse.settled(start() + ms(2000)), start() + ms(2000));
+}
--- a/components/feed/src/feed.rs
+++ b/components/feed/src/feed.rs
@@ -3,9 +3,12 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use dispatch::{ConfigFreshness, ConfigStatus, FleetView, Mirror, ViewChange};
+use dispatch::{
+    ConfigFreshness, ConfigStatus, FleetView, Mirror, Pulse, ViewChange, WriteBasis, WriteTime,
+};
 use domain::{
-    Moment, NodeSettings, Platform, Record, RecordBatch, RecordStore, StoreError, VmId, now,
+    ModelId, Moment, NodeSettings, Platform, Record, RecordBatch, RecordStore, StoreError, VmId,
+    WeightVersion, millis, now,
 };
 use event_listener::{Event, EventListener};
 use serde_json::json;
@@ -21,6 +24,7 @@
     pub(crate) mirrors: [Mirror; 3],
     pub(crate) view: FleetView,
     pub(crate) freshness: ConfigFreshness,
+    pub(crate) pulse: Pulse,
     pub(crate) members: HashMap<VmId, Member>,
     /// Whether the last read of each topic succeeded, by [`Topic::index`].
     pub(crate) reachable: [bool; 3],
@@ -52,6 +56,7 @@
                 mirrors: Default::default(),
                 view: FleetView::default(),
                 freshness: ConfigFreshness::new(node.bounds.revocation),
+                pulse: Pulse::default(),
                 members: HashMap::new(),
                 reachable: [true; 3],
             }),
@@ -132,20 +137,20 @@
         store.put(topic, &self.node.vm, value.as_deref()).await
     }
 
-    /// Applies records that were written at `earliest_write` or later.
+    /// Applies records that were written at `written` or later.
     pub(crate) fn apply(
         &self,
         topic: Topic,
         batch: RecordBatch,
         merge: fn(&mut Mirror, RecordBatch) -> Vec<Record>,
-        earliest_write: Moment,
+        written: WriteTime,
     ) {
         let mut changes = Vec::new();
         {
             let mut state = self.state();
             let state = &mut *state;
             for record in merge(&mut state.mirrors[topic.index()], batch) {
-                changes.extend(self.apply_record(state, topic, &record, earliest_write));
+                changes.extend(self.apply_record(state, topic, &record, written));
             }
         }
         self.publish(changes);
@@ -156,7 +161,7 @@
         state: &mut State,
         topic: Topic,
         record: &Record,
-        earliest_write: Moment,
+        written: WriteTime,
     ) -> Option<ViewChange> {
         let now = now();
         let (key, value) = (record.key.as_str(), record.value.as_ref());
@@ -164,7 +169,11 @@
             Topic::Fleet => {
                 let record = value.map(|v| self.platform.fleet_record(key, v));
                 let record = skip_invalid(record.transpose())?;
-                state.view.apply_fleet_record(earliest_write, key, record)
+                let change = state.view.apply_fleet_record(written.at, key, record);
+                if let Some(ViewChange::Weights(model, version)) = &change {
+                    log_bound(&state.view, model, *version, written.at, written.basis);
+                }
+                change
             }
             Topic::Upstreams => {
                 let upstream = value.map(|v| self.platform.upstream(key, v));
@@ -214,8 +223,7 @@
         let mut state = self.state();
         let reachable = error.is_none();
         if topic == Topic::Upstreams {
-            let bound = self.node.bounds.weight_rollout;
-            state.view.set_store_reachable(now(), reachable, bound);
+            state.view.set_store_reachable(now(), reachable);
         }
         let was_reachable = std::mem::replace(&mut state.reachable[topic.index()], reachable);
         drop(state);
@@ -232,6 +240,34 @@
         decision("store", what, Outcome::Change, fields);
     }
 
+    /// Pauses the bounds of versions while neither this process nor a peer that it asks
+    /// can read the operators' records, and restarts them afterwards. A single read
+    /// that fails says nothing about the store. Agents count as their entries do.
+    pub(crate) fn update_bounds(&self) {
+        if self.role == Role::Agent {
+            return;
+        }
+        let now = now();
+        let mut state = self.state();
+        let state = &mut *state;
+        if state.freshness.is_outage(now, state.pulse.resumed(now)) {
+            if state
+                .view
+                .pause_bounds(now, self.node.bounds.weight_rollout)
+            {
+                let age = state
+                    .freshness
+                    .confirmed_at()
+                    .map(|at| now.saturating_sub(at));
+                let fields = json!({ "confirmed_ms_ago": age.map(millis) });
+                decision("feed", "bounds paused", Outcome::Change, fields);
+            }
+        } else if let Some(pause) = state.view.restart_bounds(now) {
+            let fields = json!({ "paused_ms": millis(pause) });
+            decision("feed", "bounds restarted", Outcome::Change, fields);
+        }
+    }
+
     pub(crate) fn topic_name(&self, topic: Topic) -> &'static str {
         match topic {
             Topic::Fleet => self.platform.fleet_topic(),
@@ -261,6 +297,25 @@
     }
 }
 
+/// Logs from when the bound of a declared version is counted.
+pub(crate) fn log_bound(
+    view: &FleetView,
+    model: &ModelId,
+    version: WeightVersion,
+    at: Moment,
+    basis: WriteBasis,
+) {
+    let age = |at: Moment| millis(now().saturating_sub(at));
+    let fields = json!({
+        "model": model,
+        "version": version,
+        "declared_ms_ago": (!at.is_zero()).then(|| age(at)),
+        "counted_ms_ago": (!at.is_zero()).then(|| age(view.bound_start(at))),
+        "basis": basis.name(),
+    });
+    decision("feed", "version bound", Outcome::Change, fields);
+}
+
 fn log_change(change: &ViewChange) {
     if let ViewChange::Config(version) = change {
         metrics::gauge!("turmerichold_plan_version").set(*version as f64);
--- a/components/feed/src/peers.rs
+++ b/components/feed/src/peers.rs
@@ -3,13 +3,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use dispatch::Mirror;
+use dispatch::{Mirror, WriteBasis};
 use domain::{ModelId, Moment, Platform, millis, now};
 use http::Method;
 use smol::Timer;
 use transport::fetch;
 
 use crate::Feed;
+use crate::feed::log_bound;
 use crate::peer_messages::{RECORDS_PATH, RecordsRequest, RecordsResponse};
 use crate::topic::{Role, Topic};
 
@@ -89,13 +90,15 @@
         let records: RecordsResponse = rmp_serde::from_slice(&response.body)?;
         for (topic, batch) in Topic::ALL.into_iter().zip(records.topics) {
             let Some(batch) = batch else { continue };
-            let earliest_write = self.state().freshness.confirmed_at().unwrap_or_default();
-            self.apply(topic, batch.into(), Mirror::extend, earliest_write);
+            let written = self.state().freshness.since_last_read(WriteBasis::Peer);
+            self.apply(topic, batch.into(), Mirror::extend, written);
         }
         self.merge_declared(sent_at, &records.declared);
         if let Some(age) = records.age {
             if Duration::from_millis(age) < PEER_FRESH {
                 self.state().view.record_peer_access(sent_at);
+            } else {
+                self.state().freshness.record_stale_peer(sent_at);
             }
             // The peer computed the age after the request was sent, so counting back
             // from `sent_at` gives the earliest time of the confirmation.
@@ -113,7 +116,9 @@
             let declared_at =
                 |(v, age): &(u64, u64)| (*v, sent_at.saturating_sub(Duration::from_millis(*age)));
             let versions: Vec<_> = versions.iter().map(declared_at).collect();
-            state.view.merge_declared(model, &versions);
+            for (version, at) in state.view.merge_declared(model, &versions) {
+                log_bound(&state.view, model, version, at, WriteBasis::Peer);
+            }
         }
     }
 
@@ -139,14 +144,13 @@
             let from = request.from[t.index()]?;
             state.mirrors[t.index()].since(from).map(Into::into)
         });
-        let age = state
-            .freshness
-            .confirmed_at()
-            .map(|at: Moment| now().saturating_sub(at));
+        let now = now();
+        let resumed = state.pulse.resumed(now);
+        let age = state.freshness.age_for_peers(now, resumed);
         let ages = |versions: &[(u64, Moment)]| {
             let known = versions.iter().filter(|(_, at)| !at.is_zero());
             known
-                .map(|(v, at)| (*v, millis(now().saturating_sub(*at))))
+                .map(|(v, at)| (*v, millis(now.saturating_sub(*at))))
                 .collect()
         };
         let declared = state.view.all_declared();
