A close of a listener before it accepts is no longer lost

Cause: `Listener::accept` and each connection wait for an event, which wakes only those that listen already; `accept` begins to listen at its first poll.

Fix: `CloseSignal` keeps that it was set. A wait listens first and then checks, so that it ends in either order. The other waits in the workspace were read: they listen before they check their condition, or wait for a closed channel (`wire::Server`), which stays closed.

Test: `close_before_accept_is_lost` failed before with "accepts after close", deterministically.

--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -5,6 +5,7 @@
 //! long request body is sent. hyper handles all three.
 
 mod bounded_stream;
+mod close_signal;
 mod connection;
 mod error;
 mod exchange;
--- a/components/transport/src/listener.rs
+++ b/components/transport/src/listener.rs
@@ -4,7 +4,6 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use event_listener::Event;
 use futures_lite::FutureExt;
 use http::{Request, Response};
 use http_body::Body;
@@ -15,6 +14,7 @@
 use smol::net::{TcpListener, TcpStream};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
+use crate::close_signal::CloseSignal;
 use crate::connection::set_socket_options;
 use crate::spawn;
 
@@ -53,7 +53,7 @@
     handler: Arc<H>,
     limits: ListenerLimits,
     open_connections: Arc<AtomicUsize>,
-    closing: Arc<Event>,
+    closing: Arc<CloseSignal>,
 }
 
 impl<H: Handler> Listener<H> {
@@ -70,8 +70,7 @@
     /// Accepts connections until the listener is closed. The socket is then closed
     /// too, so that no client waits in its backlog for a process that is stopping.
     pub async fn accept(&self, socket: TcpListener) {
-        let closing = self.closing.listen();
-        let mut closing = std::pin::pin!(closing);
+        let mut closing = std::pin::pin!(self.closing.wait());
         loop {
             let next = async { Some(socket.accept().await) }.or(async {
                 closing.as_mut().await;
@@ -91,7 +90,7 @@
     /// Starts a graceful shutdown: stops accepting, closes idle connections, and
     /// closes each other connection after its current response.
     pub fn close(&self) {
-        self.closing.notify(usize::MAX);
+        self.closing.set();
     }
 
     /// Number of open connections.
@@ -121,7 +120,7 @@
             self.open_connections.clone(),
             self.limits,
         );
-        let closing = self.closing.listen();
+        let closing = self.closing.clone();
         spawn(async move {
             let service = service_fn(move |request| {
                 let handler = handler.clone();
@@ -135,7 +134,7 @@
             let mut connection = std::pin::pin!(connection);
             let finished = async { Some(connection.as_mut().await) }
                 .or(async {
-                    closing.await;
+                    closing.wait().await;
                     None
                 })
                 .await;
--- a/components/transport/tests/listener.rs
+++ b/components/transport/tests/listener.rs
@@ -12,7 +12,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use smol::net::{TcpListener, TcpStream};
-use transport::{Handler, Listener, ListenerLimits, block_on, spawn};
+use transport::{Handler, Listener, ListenerLimits, block_on, spawn, with_timeout};
 
 /// Responds to each request when `release` is notified.
 #[derive(Default)]
@@ -33,14 +33,18 @@
     }
 }
 
-async fn listener() -> (Arc<Listener<HeldHandler>>, Arc<HeldHandler>, SocketAddr) {
-    let handler = Arc::new(HeldHandler::default());
+fn new_listener(handler: Arc<HeldHandler>) -> Arc<Listener<HeldHandler>> {
     let limits = ListenerLimits {
         connections: 8,
         head_bytes: 8192,
         idle_timeout: Duration::from_secs(10),
     };
-    let listener = Arc::new(Listener::new(handler.clone(), limits));
+    Arc::new(Listener::new(handler, limits))
+}
+
+async fn listener() -> (Arc<Listener<HeldHandler>>, Arc<HeldHandler>, SocketAddr) {
+    let handler = Arc::new(HeldHandler::default());
+    let listener = new_listener(handler.clone());
     let socket = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let addr = socket.local_addr().unwrap();
     let accepting = listener.clone();
@@ -96,6 +100,21 @@
 /// If the socket stayed open during a shutdown, callers could still connect, and
 /// their requests would be aborted when the entry exits, for example while all
 /// entries are restarted one after another.
+/// A close before the first poll of `accept` was lost, and it accepted for ever.
+#[test]
+fn close_before_accept_is_lost() {
+    block_on(async {
+        let listener = new_listener(Arc::default());
+        let socket = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        listener.close();
+
+        let accepting = listener.accept(socket);
+
+        let returned = with_timeout(Duration::from_secs(2), accepting).await;
+        assert!(returned.is_some(), "accepts after close");
+    });
+}
+
 #[test]
 fn connect_fails_after_close() {
     block_on(async {
