A caller that pauses keeps its stream

What callers would see: after a pause of more than 1.5 s, during which the entry could pass nothing on, a stream was resumed at another upstream or cut, and its sound upstream counted as failed.

Cause: since the timeout runs from the last event, and it ran on while the relay waited to pass that event on. The next read had no time left, and ended at once unless it completed an event.

Fix: the time for the next event starts when the last one was passed on.

Test: `caller_that_pauses_loses_its_stream`, events in two chunks each and a caller that reads nothing for 2 s. Before: the upstream's connection was closed after 2.001 s; after it, at the deadline of 6 s, after one attempt.

--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -64,6 +64,8 @@
                     if chunks.send(Ok(bytes)).await.is_err() {
                         return false;
                     }
+                    // The wait for a slow caller does not count.
+                    self.event_due = now() + STREAM_TIMEOUT;
                 }
                 ReadOutcome::Incomplete => {}
                 ReadOutcome::End => return true,
@@ -99,7 +101,6 @@
             Ok(Some(bytes)) => match self.events.push(&bytes) {
                 Some(events) => {
                     self.lease.event_received();
-                    self.event_due = now() + STREAM_TIMEOUT;
                     ReadOutcome::Events(events)
                 }
                 None => ReadOutcome::Incomplete,
