An upstream is not paused because the entry has no memory left

What callers would see: after several long responses at once, requests to sound upstreams were refused with "no upstream has room in time" for seconds.

Cause: since a body that does not fit into the memory for all bodies ended like a broken exchange: the upstream was paused, and the request was suspected of having crashed it.

Fix: a body that is refused by `BodyBuffers` is recorded as the entry's own decision. The caller's answer is the same: the request may have run. A body over 8 MiB still counts as the upstream's failure.

--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -241,10 +241,7 @@
             "why": why,
         });
         decision("dispatch", "outcome unknown", Outcome::Failure, fields);
-        match request.route.kind.is_retryable() {
-            true => AttemptOutcome::Retry(Refusal::Broken),
-            false => AttemptOutcome::Refuse(Refusal::Broken),
-        }
+        after_unknown(request)
     }
 
     /// Reads the complete response before it is passed on, so that a truncated one is
@@ -262,9 +259,22 @@
         } = response;
         let Exchange { head, mut body } = exchange;
         let mut memory = self.body_buffers.reserve();
-        let accept = |len| len <= MAX_RESPONSE && memory.grow_to(len);
+        let mut fits = true;
+        let accept = |len| {
+            fits = memory.grow_to(len);
+            fits && len <= MAX_RESPONSE
+        };
         let bytes = match body.collect_while(accept).await {
             Ok(bytes) => bytes,
+            Err(e) if !fits => {
+                let fields = json!({
+                    "request": request.head.attempt,
+                    "upstream": lease.target.id,
+                    "why": e.to_string(),
+                });
+                decision("dispatch", "no memory", Outcome::Failure, fields);
+                return after_unknown(request);
+            }
             Err(e) => {
                 self.scheduler.exchange_broken(&lease, request.fingerprint);
                 return self.handle_unknown(request, &lease, &e.to_string());
@@ -433,6 +443,14 @@
     }
 }
 
+/// What follows an attempt that may have run.
+fn after_unknown(request: &CallerRequest) -> AttemptOutcome {
+    match request.route.kind.is_retryable() {
+        true => AttemptOutcome::Retry(Refusal::Broken),
+        false => AttemptOutcome::Refuse(Refusal::Broken),
+    }
+}
+
 fn assemble(
     head: &http::response::Parts,
     headers: http::HeaderMap,
