--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -248,10 +248,7 @@
             "why": failed.why,
         });
         decision("dispatch", "outcome unknown", Outcome::Failure, fields);
-        match request.route.kind.is_retryable() {
-            true => AttemptOutcome::Retry(Refusal::Broken),
-            false => AttemptOutcome::Refuse(Refusal::Broken),
-        }
+        after_unknown(request)
     }
 
     /// Connections to the leased upstream, for decision lines.
@@ -276,9 +273,22 @@
         } = response;
         let Exchange { head, mut body } = exchange;
         let mut memory = self.body_buffers.reserve();
-        let accept = |len| len <= MAX_RESPONSE && memory.grow_to(len);
+        let mut fits = true;
+        let accept = |len| {
+            fits = memory.grow_to(len);
+            fits && len <= MAX_RESPONSE
+        };
         let bytes = match body.collect_while(accept).await {
             Ok(bytes) => bytes,
+            Err(e) if !fits => {
+                let fields = json!({
+                    "request": request.head.attempt,
+                    "upstream": lease.target.id,
+                    "why": e.to_string(),
+                });
+                decision("dispatch", "no memory", Outcome::Failure, fields);
+                return after_unknown(request);
+            }
             Err(e) => {
                 self.scheduler.exchange_broken(&lease, request.fingerprint);
                 let failed = FailedExchange::new(&e, reused);
@@ -450,6 +460,14 @@
     }
 }
 
+/// What follows an attempt that may have run.
+fn after_unknown(request: &CallerRequest) -> AttemptOutcome {
+    match request.route.kind.is_retryable() {
+        true => AttemptOutcome::Retry(Refusal::Broken),
+        false => AttemptOutcome::Refuse(Refusal::Broken),
+    }
+}
+
 fn assemble(
     head: &http::response::Parts,
     headers: http::HeaderMap,
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod abort_cause;
 mod bounded_stream;
+mod close_signal;
 mod connection;
 mod error;
 mod exchange;
