Count the repeated report of a crash once

Entries tell each other in every notice which requests they charged with a crash, and pass on what they heard. Whether a report is new was decided by the last 16 that the entry itself reports. Once later ones had displaced a fingerprint, the next notice of any peer that still had it counted as another crash, and the request was refused for 10 minutes. With more than 16 fingerprints among the entries every request charged once went that way, also one that was only in flight at an upstream that crashed.

Charges are now remembered as long as they count, independently of what is sent.

--- a/components/dispatch/src/crash_watch.rs
+++ b/components/dispatch/src/crash_watch.rs
@@ -23,6 +23,11 @@
 
 /// Time after a response in which a fingerprint is not charged with a crash.
 const CLEARED_TIME: Duration = Duration::from_secs(20);
+/// Time for which a charge is remembered, so that peers that repeat it do not count as
+/// another crash.
+const CHARGE_MEMORY: Duration = Duration::from_secs(600);
+/// Most charges remembered; the oldest are forgotten first.
+const MAX_CHARGES: usize = 4096;
 /// Number of fingerprints with a response from which old ones are removed.
 const MAX_RESPONSES: usize = 8192;
 
@@ -45,6 +50,8 @@
     upstreams: HashMap<u64, Breaks>,
     /// When a fingerprint last got a response.
     last_response: HashMap<u64, Moment>,
+    /// When a fingerprint was charged, by this entry or first by a peer.
+    charges: HashMap<u64, Moment>,
     quarantine: Quarantine,
 }
 
@@ -84,9 +91,25 @@
         self.last_response.insert(fingerprint, now);
     }
 
-    /// Records a fingerprint that a peer has charged with a crash.
-    pub fn record_peer_charge(&mut self, now: Moment, fingerprint: u64) {
+    /// Records a fingerprint that a peer has charged with a crash. Peers repeat their
+    /// charges and those of others; returns false for one that is known.
+    pub fn record_peer_charge(&mut self, now: Moment, fingerprint: u64) -> bool {
+        let charged_at = self.charges.get(&fingerprint);
+        if charged_at.is_some_and(|at| now.saturating_sub(*at) < CHARGE_MEMORY) {
+            return false;
+        }
+        self.remember_charge(now, fingerprint);
         self.quarantine.record_crash(now, fingerprint);
+        true
+    }
+
+    fn remember_charge(&mut self, now: Moment, fingerprint: u64) {
+        if self.charges.len() >= MAX_CHARGES {
+            let oldest = self.charges.iter().min_by_key(|(_, at)| **at);
+            let oldest = oldest.map(|(fingerprint, _)| *fingerprint);
+            oldest.map(|fingerprint| self.charges.remove(&fingerprint));
+        }
+        self.charges.insert(fingerprint, now);
     }
 
     /// Whether a request may be sent.
@@ -117,6 +140,7 @@
         charged.retain(|f| !breaks.charged.contains(f) && !cleared(f));
         breaks.charged.extend(&charged);
         for fingerprint in &charged {
+            self.remember_charge(now, *fingerprint);
             self.quarantine.record_crash(now, *fingerprint);
         }
         charged
--- a/components/gateway/src/scheduler/notices.rs
+++ b/components/gateway/src/scheduler/notices.rs
@@ -108,8 +108,7 @@
             state.owners_stale = true;
         }
         for fingerprint in notice.crashes {
-            if !state.reported_crashes.contains(&fingerprint) {
-                state.crashes.record_peer_charge(now, fingerprint);
+            if state.crashes.record_peer_charge(now, fingerprint) {
                 state.keep_crash(fingerprint);
             }
         }
