Give each peer one vote on the digests of a version

A list of digests is trusted when two responses agree. A process asks its peers again in every round, and a peer repeats the list that it has, so one peer could give both votes, also for a wrong list that it had read from the origin and not agreed on. No piece matched that list, nothing withdraws trust, and the engine never loaded the version: after the bound entries sent it no requests for the model.

A peer now counts once for a list. Responses of the origin count each, since each is sent anew.

--- a/components/pieces/src/peers.rs
+++ b/components/pieces/src/peers.rs
@@ -201,7 +201,7 @@
                 Ok(list) => {
                     self.cache
                         .store_origin_digests(&target.model, target.version, list.clone());
-                    if let Some(agreed) = quorum.vote(list, count) {
+                    if let Some(agreed) = quorum.vote_of_origin(list, count) {
                         return Some(agreed);
                     }
                 }
@@ -216,7 +216,7 @@
         let path = format!("/piece/{}/{}", target.model, target.version);
         for peer in peers.iter().take(PEERS_PER_ROUND) {
             let list = fetch_digests(&self.pool, peer.addr, &path).await;
-            let agreed = list.and_then(|l| quorum.vote(l, count));
+            let agreed = list.and_then(|l| quorum.vote_of_peer(peer.addr, l, count));
             if agreed.is_some() {
                 return agreed;
             }
