--- a/stand-ins/src/bin/mutants.rs
+++ b/stand-ins/src/bin/mutants.rs
@@ -80,9 +80,10 @@
 fn is_detected(dir: &Path, mutant: &Mutant) -> anyhow::Result<bool> {
     let path = dir.join(&mutant.file);
     let original = std::fs::read_to_string(&path)?;
+    let matches = original.matches(&mutant.old).count();
     ensure!(
-        original.contains(&mutant.old),
-        "{} does not contain {:?}",
+        matches == 1,
+        "{} contains {:?} {matches} times, not once",
         mutant.file,
         mutant.old
     );
