Don't count refusals as attempts when a stream is resumed

A stream may be sent to as many upstreams as its route allows. When it broke, the upstreams that had refused it before its start counted as well, although they did not run it. After one refusal a stream with two attempts was cut off at the first break while other upstreams were free, and the caller got an incomplete response.

Resuming now counts the upstreams that may have run the request, as the attempts before the start of the stream do. The number of sends stays bounded.

--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -160,7 +160,9 @@
                 let success = response.exchange.head.status.is_success();
                 if request.route.kind.is_stream() && success {
                     let tried = std::mem::take(&mut progress.tried);
-                    return AttemptOutcome::Respond(self.stream(request, response, lease, tried));
+                    let runs = progress.runs;
+                    let response = self.stream(request, response, lease, tried, runs);
+                    return AttemptOutcome::Respond(response);
                 }
                 self.buffer(request, *response, lease, progress).await
             }
@@ -292,6 +294,7 @@
         response: Box<UnreadResponse>,
         lease: Lease<P>,
         tried: Vec<UpstreamId>,
+        runs: u32,
     ) -> Response<ResponseBody> {
         let head = response.exchange.head.clone();
         let mut headers = self.platform.dialect().caller_headers(&head);
@@ -303,6 +306,7 @@
             response,
             lease,
             tried,
+            runs,
             events: EventSplitter::default(),
         };
         let body = ResponseBody::Streamed {
@@ -313,16 +317,17 @@
     }
 
     /// Resumes a broken stream after the event `last_id` at another upstream; `None`
-    /// if no upstream takes it over.
+    /// if no upstream takes it over. `runs` counts the upstreams that may have run the
+    /// request.
     pub async fn resume(
         self: &Arc<Self>,
         request: &CallerRequest,
         tried: &mut Vec<UpstreamId>,
+        runs: &mut u32,
         last_id: Option<&str>,
     ) -> Option<(Box<UnreadResponse>, Lease<P>)> {
-        let attempts = usize::try_from(request.route.max_attempts).unwrap_or(usize::MAX);
         for _ in 0..MAX_ATTEMPTS {
-            if tried.len() >= attempts || self.must_not_resume(request) {
+            if *runs >= request.route.max_attempts || self.must_not_resume(request) {
                 return None;
             }
             let AcquireOutcome::Leased(lease) = self.scheduler.acquire(request, tried).await else {
@@ -333,6 +338,7 @@
             }
             match send(&self.platform, &self.connections, request, &lease, last_id).await {
                 SendOutcome::Response(response) if response.exchange.head.status.is_success() => {
+                    *runs += 1;
                     tried.push(lease.target.id.clone());
                     return Some((response, lease));
                 }
@@ -346,6 +352,7 @@
                         .with_upstream(&lease, |u| u.record_full(now()));
                 }
                 outcome => {
+                    *runs += 1;
                     tried.push(lease.target.id.clone());
                     self.scheduler
                         .with_upstream(&lease, |u| u.record_failure(now()));
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -21,6 +21,8 @@
     pub(crate) response: Box<UnreadResponse>,
     pub(crate) lease: Lease<P>,
     pub(crate) tried: Vec<domain::UpstreamId>,
+    /// Number of upstreams that may have run the request.
+    pub(crate) runs: u32,
     pub(crate) events: EventSplitter,
 }
 
@@ -121,7 +123,12 @@
             last_id.or_else(|| self.request.head.last_event.as_deref().map(str::to_owned));
         let next = self
             .dispatcher
-            .resume(&self.request, &mut self.tried, last_id.as_deref())
+            .resume(
+                &self.request,
+                &mut self.tried,
+                &mut self.runs,
+                last_id.as_deref(),
+            )
             .await;
         let Some((response, lease)) = next else {
             return false;
