A pause of bounds that a peer refutes does not restart them

Reads of one entry that hang, while the peers that it asks first are restarting, pause the bounds of versions; the next peer's answer restarted them, although that peer had read the store all the while. Older weights were then used up to eight seconds longer.

A confirmation from before the pause now ends it without a restart.

pause_that_an_earlier_confirmation_refutes_does_not_restart_bounds failed before (a restart after 300 ms).

--- a/components/dispatch/src/fleet_view.rs
+++ b/components/dispatch/src/fleet_view.rs
@@ -152,10 +152,14 @@
         true
     }
 
-    /// Ends the pause of the bounds of versions, if they are paused, and returns how
-    /// long it lasted. All bounds are counted from `now` on.
-    pub fn restart_bounds(&mut self, now: Moment) -> Option<Duration> {
+    /// Ends the pause of the bounds of versions and returns how long it lasted. All
+    /// bounds are counted from `now` on, unless the store was read shortly before the
+    /// pause, at `confirmed_at`: then there was no outage.
+    pub fn restart_bounds(&mut self, now: Moment, confirmed_at: Moment) -> Option<Duration> {
         let since = self.bounds_paused.take()?;
+        if confirmed_at <= since {
+            return None;
+        }
         self.bounds_restarted = Some(now);
         Some(now.saturating_sub(since))
     }
--- a/components/dispatch/tests/records.rs
+++ b/components/dispatch/tests/records.rs
@@ -175,7 +175,7 @@
     let during = view.in_force(start() + secs(20), "m", secs(8));
     let begin_by = view.expires_at("m", 2, secs(8));
     let back = start() + secs(20);
-    let pause = view.restart_bounds(back);
+    let pause = view.restart_bounds(back, back);
 
     let soon = view.in_force(back + secs(7), "m", secs(8));
     let later = view.in_force(back + secs(8), "m", secs(8));
@@ -282,6 +282,22 @@
     );
 }
 
+/// Reads of one entry hung and the peers that it asked were restarting. The next peer
+/// had read the store all the while, but the bounds were counted anew.
+#[test]
+fn pause_that_an_earlier_confirmation_refutes_does_not_restart_bounds() {
+    let mut view = FleetView::default();
+    let weights = |v| Some(FleetRecord::Weights("m".into(), v));
+    view.apply_fleet_record(start(), "w", weights(2));
+    let paused = start() + secs(3);
+    view.pause_bounds(paused, secs(8));
+
+    let restarted = view.restart_bounds(paused + ms(300), paused - ms(500));
+
+    assert_eq!(restarted, None);
+    assert_eq!(view.in_force(start() + secs(8), "m", secs(8)), Some(2));
+}
+
 #[test]
 fn older_version_is_ignored() {
     let mut view = FleetView::default();
--- a/components/feed/src/feed.rs
+++ b/components/feed/src/feed.rs
@@ -242,7 +242,9 @@
                 let fields = json!({ "confirmed_ms_ago": age.map(millis) });
                 decision("feed", "bounds paused", Outcome::Change, fields);
             }
-        } else if let Some(pause) = state.view.restart_bounds(now) {
+        } else if let Some(confirmed_at) = state.freshness.confirmed_at()
+            && let Some(pause) = state.view.restart_bounds(now, confirmed_at)
+        {
             let fields = json!({ "paused_ms": millis(pause) });
             decision("feed", "bounds restarted", Outcome::Change, fields);
         }
