Pools close surplus and expired connections when one is released

Only the dispatcher's pool was swept at all: in those of feed, pieces, store and engines, connections to peers that are not called any more outlived their 8 s until the peer closed them. A release now trims the peer's connections to its share, including zero, and closes expired ones of all peers; it walked all lists already.

release_below_a_share_of_one_closes_the_surplus and release_closes_connections_to_other_peers_that_were_idle_for_too_long failed before (connections still open after 5 s) and pass now. A pool that is not used any more still keeps its connections until the peers close them.

--- a/components/transport/src/pool.rs
+++ b/components/transport/src/pool.rs
@@ -36,13 +36,14 @@
     /// Adds a connection for reuse. Closes the connections that were idle for longest
     /// when there are more than `max_idle` to the peer or too many in total.
     pub fn put(&self, connection: Connection, max_idle: usize) {
-        if max_idle == 0 || !is_usable(&connection) {
-            return;
-        }
+        let addr = connection.addr;
         let mut idle = self.lock();
-        let list = idle.entry(connection.addr).or_default();
-        list.push(connection);
-        trim(list, max_idle);
+        idle.entry(addr).or_default().push(connection);
+        idle.retain(|peer, list| {
+            let max_idle = if *peer == addr { max_idle } else { usize::MAX };
+            trim(list, max_idle);
+            !list.is_empty()
+        });
         if idle.values().map(Vec::len).sum::<usize>() > MAX_IDLE_TOTAL {
             close_oldest(&mut idle);
         }
--- a/components/transport/tests/pool.rs
+++ b/components/transport/tests/pool.rs
@@ -62,6 +62,16 @@
 
 /// Sends a request on a new connection and releases the connection to `pool`.
 async fn exchange(pool: &Pool, addr: SocketAddr, max_idle: usize) {
+    exchange_with(pool, addr, max_idle, None).await;
+}
+
+/// The same, where the server announces how long it keeps idle connections.
+async fn exchange_with(
+    pool: &Pool,
+    addr: SocketAddr,
+    max_idle: usize,
+    keep_alive: Option<Duration>,
+) {
     let limit = Duration::from_secs(5);
     let connection = Connection::open(addr, limit).await.unwrap();
     let request = Request::builder().uri("/").header("host", "h");
@@ -74,7 +84,7 @@
         .await
         .unwrap();
     exchange.body.collect(1 << 10).await.unwrap();
-    exchange.body.release(pool, None, max_idle);
+    exchange.body.release(pool, keep_alive, max_idle);
 }
 
 #[test]
@@ -140,3 +150,36 @@
         assert_eq!(pool.idle_count(servers[11].addr), 24);
     });
 }
+
+/// The surplus of a share that had shrunk to nothing stayed open until the next sweep.
+#[test]
+fn release_below_a_share_of_one_closes_the_surplus() {
+    block_on(async {
+        let (server, pool) = (Server::start().await, Pool::default());
+        for _ in 0..3 {
+            exchange(&pool, server.addr, 3).await;
+        }
+
+        exchange(&pool, server.addr, 0).await;
+
+        server.until_open(0).await;
+    });
+}
+
+/// Only the pool of the dispatcher was swept; in the others, connections to peers that
+/// are not called any more stayed open until the peer closed them.
+#[test]
+fn release_closes_connections_to_other_peers_that_were_idle_for_too_long() {
+    block_on(async {
+        let (left, used) = (Server::start().await, Server::start().await);
+        let pool = Pool::default();
+        let keep_alive = Some(Duration::from_millis(900));
+        exchange_with(&pool, left.addr, 3, keep_alive).await;
+        smol::Timer::after(Duration::from_millis(300)).await;
+
+        exchange(&pool, used.addr, 3).await;
+
+        left.until_open(0).await;
+        assert_eq!(pool.idle_count(used.addr), 1);
+    });
+}
