Requests that were not written are reported as not run

A request on a connection that ended before any byte of it was written got 502, outcome unknown, although it provably did not run: hyper returns it. It is now sent to another upstream or refused as not run. The reset of one connection does not pause the upstream like a failure, nor count as a refused connection in the search for requests that crash upstreams.

request_on_a_connection_that_was_reset_before_is_unsent failed before and passes now. Through a complete entry no test shows it: on loopback the reset arrives before the connection is open, which was "not run" already.

--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -206,6 +206,11 @@
                 // The upstream received nothing, so it does not count as an attempt.
                 progress.attempts -= 1;
             }
+            // A reset of one connection does not show that the upstream is down.
+            NotRun::Unsent => {
+                self.scheduler.with_upstream(lease, |u| u.record_full(now));
+                progress.attempts -= 1;
+            }
             NotRun::Refused => {
                 self.scheduler.with_upstream(lease, |u| u.record_full(now));
             }
--- a/components/gateway/src/send.rs
+++ b/components/gateway/src/send.rs
@@ -50,6 +50,8 @@
 pub enum NotRun {
     /// No connection could be established.
     Unreachable,
+    /// The connection ended before any byte of the request was written.
+    Unsent,
     /// The upstream refused the request.
     Refused,
     /// Another upstream has the address, or the upstream has other weights.
@@ -121,6 +123,10 @@
         Err(e @ TransportError::Timeout { .. }) => {
             SendOutcome::Silent(FailedExchange::new(&e, reused))
         }
+        Err(e) if e.is_unsent() => {
+            log::debug!("gateway: {e}");
+            SendOutcome::NotRun(NotRun::Unsent)
+        }
         Err(e) => SendOutcome::Unknown(FailedExchange::new(&e, reused)),
     }
 }
--- a/components/transport/src/error.rs
+++ b/components/transport/src/error.rs
@@ -57,6 +57,13 @@
 
     /// Whether no byte of the request can have reached the peer.
     pub fn is_unsent(&self) -> bool {
-        matches!(self, TransportError::Connect { .. })
+        matches!(
+            self,
+            TransportError::Connect { .. }
+                | TransportError::Aborted {
+                    cause: AbortCause::Unsent,
+                    ..
+                }
+        )
     }
 }
--- a/components/transport/tests/pool.rs
+++ b/components/transport/tests/pool.rs
@@ -183,3 +183,25 @@
         assert_eq!(pool.idle_count(used.addr), 1);
     });
 }
+
+/// A request that was not written at all was reported as possibly run.
+#[test]
+fn request_on_a_connection_that_was_reset_before_is_unsent() {
+    block_on(async {
+        let socket = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let limit = Duration::from_secs(5);
+        let connection = Connection::open(socket.local_addr().unwrap(), limit);
+        let connection = connection.await.unwrap();
+        drop(socket.accept().await.unwrap());
+        smol::Timer::after(Duration::from_millis(50)).await;
+
+        let request = Request::builder().uri("/").body(Full::default()).unwrap();
+        let timeouts = ExchangeTimeouts {
+            head: limit,
+            read_timeout: limit,
+        };
+        let failed = Exchange::begin(connection, request, timeouts).await;
+
+        assert!(failed.is_err_and(|e| e.is_unsent()));
+    });
+}
