Owner's reservation counts the connections that requests may use

Where the limit of an upstream is below about 1.5 times its slots, the number of requests was bounded by two thirds of the limit though nothing is kept idle there, and the slots reserved for the owner were counted of the slots, so that other entries could take all of the connections. Requests are now bounded by what the idle connections really leave, and the owner's fraction is of that. An address that is listed twice keeps the larger share. No configuration that we know has such a limit.

owner_may_use_all_requests_that_the_connection_limit_allows (limit 12, 16 slots) failed before, written with the old setter: "assertion failed: choose(Ownership::Own, 11)". The property of the budget checks requests for each number of slots now, upstream_gets_no_more_requests_than_its_connection_limit_ allows sets a budget of 4 in place of the number 4.

--- a/components/dispatch/src/connection_budget.rs
+++ b/components/dispatch/src/connection_budget.rs
@@ -38,20 +38,26 @@
         let Some(entries) = self.entries else {
             return 0;
         };
-        let slots = usize::try_from(slots).unwrap_or(usize::MAX);
-        // As many connections may be closing as were in use, and lost entries may have
-        // left as many idle ones as are kept.
-        let unused = self.limit.saturating_sub(slots.saturating_mul(2));
-        let kept = (self.limit / IDLE_DIVISOR).min(unused / 2);
+        let kept = self.kept(slots);
         match ownership {
             Ownership::Own => kept / entries + kept % entries,
             Ownership::Shared | Ownership::Foreign => kept / entries,
         }
     }
 
-    /// Requests that all entries together may have in flight, each on a connection of
-    /// its own.
-    pub fn requests(self) -> usize {
-        self.limit - self.limit / IDLE_DIVISOR
+    /// Requests that an upstream with `slots` slots may have in flight from all entries
+    /// together, each on a connection of its own.
+    pub fn requests(self, slots: u32) -> u32 {
+        let connections = self.limit - self.kept(slots);
+        slots.min(u32::try_from(connections).unwrap_or(u32::MAX))
+    }
+
+    /// Connections to an upstream with `slots` slots that all entries together keep idle.
+    fn kept(self, slots: u32) -> usize {
+        let slots = usize::try_from(slots).unwrap_or(usize::MAX);
+        // As many connections may be closing as were in use, and lost entries may have
+        // left as many idle ones as are kept.
+        let unused = self.limit.saturating_sub(slots.saturating_mul(2));
+        (self.limit / IDLE_DIVISOR).min(unused / 2)
     }
 }
--- a/components/dispatch/src/pooled_upstream.rs
+++ b/components/dispatch/src/pooled_upstream.rs
@@ -153,9 +153,9 @@
             .is_some_and(|at| now.saturating_sub(at) > AGENT_SILENCE)
     }
 
-    /// Requests in flight from all entries up to which this entry may send another.
-    pub fn capacity(&self) -> u32 {
-        let slots = self.upstream.slots;
+    /// Requests in flight from all entries up to which this entry may send another, of
+    /// the `slots` that may be in use.
+    pub fn capacity(&self, slots: u32) -> u32 {
         match self.ownership {
             Ownership::Own | Ownership::Shared => slots,
             Ownership::Foreign => slots - (f64::from(slots) * OWNER_FRACTION).ceil() as u32,
--- a/components/dispatch/src/upstream_pool.rs
+++ b/components/dispatch/src/upstream_pool.rs
@@ -5,7 +5,9 @@
     FailureDomainId, ModelId, Moment, RegionId, ServiceId, Upstream, UpstreamId, WeightVersion,
 };
 
-use crate::{LatencyModel, Ownership, PooledUpstream, UpstreamLoad, UpstreamOwners};
+use crate::{
+    ConnectionBudget, LatencyModel, Ownership, PooledUpstream, UpstreamLoad, UpstreamOwners,
+};
 
 /// Penalty of an upstream in another region, as a fraction of its slots. Links
 /// between regions are narrow, so a near upstream may be this much busier.
@@ -78,7 +80,7 @@
     domain: FailureDomainId,
     region: RegionId,
     cold_rate: Option<f64>,
-    max_requests: Option<u32>,
+    connections: Option<ConnectionBudget>,
     latency_model: LatencyModel,
     entries: u32,
 }
@@ -93,7 +95,7 @@
             domain,
             region,
             cold_rate: None,
-            max_requests: None,
+            connections: None,
             latency_model: LatencyModel::new(None),
             entries: 1,
         }
@@ -109,10 +111,9 @@
         self.cold_rate = rate;
     }
 
-    /// Sets the requests that an upstream may have in flight from all entries, besides
-    /// the bound by its slots.
-    pub fn set_max_requests(&mut self, max: Option<u32>) {
-        self.max_requests = max;
+    /// Sets the budget for the connections to each upstream.
+    pub fn set_connection_budget(&mut self, budget: Option<ConnectionBudget>) {
+        self.connections = budget;
     }
 
     /// Sets the number of entries that send to these upstreams, this one included.
@@ -266,9 +267,9 @@
             && self
                 .cold_rate
                 .is_some_and(|r| !pooled.allows_cold_send(now, r));
-        let capacity = pooled.capacity();
-        let capacity = self.max_requests.map_or(capacity, |max| capacity.min(max));
-        pooled.is_open(now) && !cold && load.requests < capacity
+        let slots = pooled.upstream.slots;
+        let slots = self.connections.map_or(slots, |b| b.requests(slots));
+        pooled.is_open(now) && !cold && load.requests < pooled.capacity(slots)
     }
 
     fn score(
--- a/components/dispatch/tests/connection_budget.rs
+++ b/components/dispatch/tests/connection_budget.rs
@@ -23,8 +23,9 @@
         for owned in [false, true] {
             let idle = idle_of_all(budget, slots, entries, owned);
 
-            assert!(idle + budget.requests() <= limit);
-            assert!(budget.requests() > 0);
+            let requests = budget.requests(slots) as usize;
+            assert!(idle + requests <= limit);
+            assert!(requests > 0 || slots == 0);
         }
         Ok(())
     });
--- a/components/dispatch/tests/upstream_pool.rs
+++ b/components/dispatch/tests/upstream_pool.rs
@@ -2,7 +2,7 @@
 
 mod fixture;
 
-use dispatch::{Choice, Requirements, UpstreamLoad};
+use dispatch::{Choice, ConnectionBudget, Ownership, Requirements, UpstreamLoad};
 use domain::{HeldModel, Moment, UpstreamState};
 use fixture::{ms, needs, pool, secs, start, upstream};
 
@@ -232,7 +232,7 @@
 #[test]
 fn upstream_gets_no_more_requests_than_its_connection_limit_allows() {
     let mut pool = pool(&[upstream("u", "a", Some(1))]);
-    pool.set_max_requests(Some(4));
+    pool.set_connection_budget(ConnectionBudget::new(4, Some(1)));
     pool.get_mut("u").unwrap().others = UpstreamLoad {
         requests: 3,
         prefill_tokens: 0,
@@ -293,3 +293,22 @@
     assert_eq!(closed, Choice::Full);
     assert_eq!(chosen(silent).as_deref(), Some("u"));
 }
+
+/// A limit near the slots took a third of the throughput, and the owner's reservation
+/// was counted of the slots, so that others could take all connections.
+#[test]
+fn owner_may_use_all_requests_that_the_connection_limit_allows() {
+    let mut pool = pool(&[upstream("u", "a", Some(1))]);
+    pool.set_connection_budget(ConnectionBudget::new(12, Some(3)));
+    let mut choose = |ownership, requests| {
+        let upstream = pool.get_mut("u").unwrap();
+        upstream.ownership = ownership;
+        upstream.others.requests = requests;
+        chosen(pool.choose(start(), &needs(start()), no_evacuation)).is_some()
+    };
+
+    assert!(choose(Ownership::Own, 11));
+    assert!(!choose(Ownership::Own, 12));
+    assert!(choose(Ownership::Foreign, 8));
+    assert!(!choose(Ownership::Foreign, 9));
+}
--- a/components/gateway/src/scheduler/mod.rs
+++ b/components/gateway/src/scheduler/mod.rs
@@ -96,12 +96,11 @@
             spec.engine.clone()
         });
         let budget = self.connection_budget(&upstream.service);
-        let max_requests = budget.and_then(|b| u32::try_from(b.requests()).ok());
         let region = self.node.region_of(&upstream.failure_domain).to_owned();
         let mut state = self.lock();
         let service = state.service(&upstream.service, &self.node);
         service.scheduler.upstreams.set_cold_rate(rate);
-        service.scheduler.upstreams.set_max_requests(max_requests);
+        service.scheduler.upstreams.set_connection_budget(budget);
         service
             .scheduler
             .upstreams
@@ -176,7 +175,9 @@
                     };
                     b.idle(ownership, u.upstream.slots).min(MAX_IDLE)
                 });
-                shares.insert(u.upstream.addr, share);
+                // The address of an upstream that has ended may be listed twice.
+                let known = shares.entry(u.upstream.addr).or_insert(share);
+                *known = share.max(*known);
             }
         }
         shares
