A peer that loaded its records later does not hide removals

An entry asks its peers for records after its start and when the store fails. The peer sends the records from the receiver's offset on, with its own end. A peer that loaded the state of the topic after a removal never knew the removed key, so the batch lacked the removal, and the receiver skipped it for good. The same after a peer dropped old tombstones.

A mirror now knows from which offset on it has all removals. Below it, it sends no batch, and the receiver asks for the whole state and compares. An entry that got no operators' records from a peer no longer takes over the age of the peer's. The messages are as before.

Two tests failed before: peer_that_loaded_after_a_removal_does_not_hide_it ("left: Some(RecordBatch { records: [], end: 7 }), right: None") and removals_that_were_dropped_are_not_left_out_of_a_batch.

--- a/components/dispatch/src/mirror.rs
+++ b/components/dispatch/src/mirror.rs
@@ -19,6 +19,8 @@
 pub struct Mirror {
     latest: HashMap<CompactString, Latest>,
     end: Option<u64>,
+    /// Offset from which on all removals are known.
+    complete_from: u64,
     tombstones: usize,
 }
 
@@ -54,6 +56,8 @@
             changed.extend(self.set(change));
         }
         self.end = Some(batch.end);
+        // Keys that were removed before are missing from the state.
+        self.complete_from = batch.end;
         changed
     }
 
@@ -67,10 +71,14 @@
         changed
     }
 
-    /// The records from offset `from` on, for a peer that has all earlier ones; `None`
-    /// before the first load.
+    /// The records from offset `from` on, for a peer that has all earlier ones; with 0,
+    /// the state of the topic. `None` before the first load, and if removals since `from`
+    /// may be missing.
     pub fn since(&self, from: u64) -> Option<RecordBatch> {
         let end = self.end?;
+        if from > 0 && from < self.complete_from {
+            return None;
+        }
         let mut changes: Vec<Record> = self
             .latest
             .iter()
@@ -104,6 +112,7 @@
             },
         );
         if self.tombstones > MAX_TOMBSTONES {
+            self.complete_from = self.complete_from.max(change.offset + 1);
             self.latest.retain(|_, l| l.value.is_some());
             self.tombstones = 0;
         }
--- a/components/dispatch/tests/records.rs
+++ b/components/dispatch/tests/records.rs
@@ -74,6 +74,41 @@
     );
 }
 
+/// A peer that had loaded the topic after a removal sent what it had, and the receiver
+/// took it for everything since: it kept using an upstream that had left.
+#[test]
+fn peer_that_loaded_after_a_removal_does_not_hide_it() {
+    let mut receiver = Mirror::default();
+    receiver.reset(batch(
+        5,
+        vec![change("a", 1, Some("1")), change("b", 4, Some("2"))],
+    ));
+    let mut peer = Mirror::default();
+    peer.reset(batch(7, vec![change("b", 4, Some("2"))]));
+
+    let missed = peer.since(5);
+    let state = peer.since(0).unwrap();
+    let changed = receiver.reset(state);
+
+    assert_eq!(missed, None);
+    assert_eq!(changed, [change("a", 6, None)]);
+}
+
+#[test]
+fn removals_that_were_dropped_are_not_left_out_of_a_batch() {
+    let mut mirror = Mirror::default();
+    for offset in 0..2000 {
+        let record = change("k", offset, None);
+        let key = format!("k{offset}").into();
+        mirror.extend(batch(offset + 1, vec![Record { key, ..record }]));
+    }
+
+    let missed = mirror.since(1);
+
+    assert!(missed.is_none());
+    assert!(mirror.since(2000).is_some());
+}
+
 #[test]
 fn upstream_is_removed_at_once_without_an_outage() {
     let mut view = FleetView::default();
--- a/components/feed/src/peers.rs
+++ b/components/feed/src/peers.rs
@@ -11,7 +11,7 @@
 
 use crate::Feed;
 use crate::feed::log_bound;
-use crate::peer_messages::{RECORDS_PATH, RecordsRequest, RecordsResponse};
+use crate::peer_messages::{RECORDS_PATH, RawBatch, RecordsRequest, RecordsResponse};
 use crate::topic::{Role, Topic};
 
 /// Longest wait for a response from a peer.
@@ -74,6 +74,41 @@
             let end = |t: Topic| state.mirrors[t.index()].end().unwrap_or(0);
             Topic::ALL.map(|t| Some(t).filter(is_requested).map(end))
         };
+        let records = self.request_records(addr, from).await?;
+        // A peer that does not know all removals since then can send the state.
+        let state_of = |t: Topic| {
+            let missing = records.topics[t.index()].is_none();
+            (missing && from[t.index()] > Some(0)).then_some(0)
+        };
+        let states = Topic::ALL.map(state_of);
+        let mut has_fleet = self.apply_batches(from, records.topics);
+        if states.iter().any(Option::is_some) {
+            let topics = self.request_records(addr, states).await?.topics;
+            has_fleet |= self.apply_batches(states, topics);
+        }
+        self.merge_declared(sent_at, &records.declared);
+        // Without the operators' records, the age of the peer's says nothing here.
+        let is_current = has_fleet || self.role == Role::Agent;
+        if let Some(age) = records.age.filter(|_| is_current) {
+            if Duration::from_millis(age) < PEER_FRESH {
+                self.state().view.record_peer_access(sent_at);
+            } else {
+                self.state().freshness.record_stale_peer(sent_at);
+            }
+            // The peer computed the age after the request was sent, so counting back
+            // from `sent_at` gives the earliest time of the confirmation.
+            let confirmed_at = sent_at.saturating_sub(Duration::from_millis(age));
+            self.state().freshness.confirm(confirmed_at);
+        }
+        Ok(())
+    }
+
+    /// Requests the records of each topic from an offset on.
+    async fn request_records(
+        &self,
+        addr: SocketAddr,
+        from: [Option<u64>; 3],
+    ) -> anyhow::Result<RecordsResponse> {
         let body = Bytes::from(rmp_serde::to_vec(&RecordsRequest { from })?);
         let (method, limit) = (Method::POST, PEER_LIMIT);
         let response = fetch(
@@ -87,25 +122,24 @@
         )
         .await?;
         anyhow::ensure!(response.status == 200, "status {}", response.status);
-        let records: RecordsResponse = rmp_serde::from_slice(&response.body)?;
-        for (topic, batch) in Topic::ALL.into_iter().zip(records.topics) {
+        Ok(rmp_serde::from_slice(&response.body)?)
+    }
+
+    /// Applies the batches that a peer sent for a request of records `from` these offsets;
+    /// returns whether the operators' records are among them.
+    fn apply_batches(&self, from: [Option<u64>; 3], topics: [Option<RawBatch>; 3]) -> bool {
+        let mut has_fleet = false;
+        for (topic, batch) in Topic::ALL.into_iter().zip(topics) {
             let Some(batch) = batch else { continue };
             let written = self.state().freshness.since_last_read(WriteBasis::Peer);
-            self.apply(topic, batch.into(), Mirror::extend, written);
+            let merge = match from[topic.index()] {
+                Some(0) => Mirror::reset,
+                _ => Mirror::extend,
+            };
+            self.apply(topic, batch.into(), merge, written);
+            has_fleet |= topic == Topic::Fleet;
         }
-        self.merge_declared(sent_at, &records.declared);
-        if let Some(age) = records.age {
-            if Duration::from_millis(age) < PEER_FRESH {
-                self.state().view.record_peer_access(sent_at);
-            } else {
-                self.state().freshness.record_stale_peer(sent_at);
-            }
-            // The peer computed the age after the request was sent, so counting back
-            // from `sent_at` gives the earliest time of the confirmation.
-            let confirmed_at = sent_at.saturating_sub(Duration::from_millis(age));
-            self.state().freshness.confirm(confirmed_at);
-        }
-        Ok(())
+        has_fleet
     }
 
     /// Merges the declared versions in a peer's response. They come with their ages in
