Idle connections of entries fit the connections that an agent accepts

An entry kept 32 for each agent; an agent accepts 4,096 connections from all entries and closes any beyond them at once, so that a run that was just sent has an unknown outcome. 128 entries reach the limit, the target size is 390.

An entry now keeps 8 for each agent: 390 x 8 = 3,120. Worked out and not played: no fleet of that size was run.

idle_connections_of_all_entries_fit_the_limit_of_an_agent failed before with 32 idle connections.

--- a/components/wire/src/pool.rs
+++ b/components/wire/src/pool.rs
@@ -7,8 +7,9 @@
 use smol::Task;
 use smol::net::TcpStream;
 
-/// Most idle connections kept for each address.
-const MAX_IDLE_PER_ADDR: usize = 32;
+/// Most idle connections kept for each address. Those of 390 entries fit the limit of one
+/// agent's server.
+const MAX_IDLE_PER_ADDR: usize = 8;
 /// Longest time that an idle connection is kept. Shorter than the idle timeout of
 /// servers, so that a request is not sent as the server closes the connection.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(20);
--- a/components/wire/tests/exchange.rs
+++ b/components/wire/tests/exchange.rs
@@ -314,3 +314,27 @@
     assert_eq!(refused().followed_by(failed()).outcome, Outcome::Unknown);
     assert_eq!(refused().followed_by(refused()).outcome, Outcome::NotRun);
 }
+
+/// Entries of the target size, before each agent.
+const ENTRIES: usize = 390;
+
+/// Each run that must not be repeated opens a connection that only others reuse; idle
+/// ones of all entries exceeded the connections that an agent accepts.
+#[test]
+fn idle_connections_of_all_entries_fit_the_limit_of_an_agent() {
+    let (addr, _close, _task) = body_length_server();
+    let client = Client::default();
+
+    smol::block_on(async {
+        for _ in 0..40 {
+            let call = Call::new(Method::Post, addr, "/").unwrap().new_connection();
+            client.send(call).await.unwrap().bytes(100).await.unwrap();
+        }
+    });
+
+    let idle = client.idle_connections(addr);
+    assert!(
+        idle * ENTRIES <= ServerLimits::default().connections,
+        "{idle}"
+    );
+}
