--- a/components/gateway/src/caller_request.rs
+++ b/components/gateway/src/caller_request.rs
@@ -38,6 +38,12 @@
         self.deadline.saturating_sub(now)
     }
 
+    /// Ids of the parts of the prompt in hexadecimal, for the log.
+    pub fn part_ids(&self) -> Vec<String> {
+        let parts = self.head.prompt_parts.iter();
+        parts.map(|p| format!("{:x}", p.id)).collect()
+    }
+
     /// Regions that may serve the request; empty for all, `None` when the route
     /// and the account have no region in common.
     pub fn home_regions(&self) -> Option<Vec<domain::RegionId>> {
--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -248,6 +248,7 @@
         let fields = json!({
             "request": request.head.attempt,
             "upstream": lease.target.id,
+            "parts": request.part_ids(),
             "age_ms": millis(now().saturating_sub(request.arrived)),
             "cause": failed.cause,
             "reused": failed.reused,
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -176,6 +176,7 @@
         let fields = json!({
             "request": self.request.head.attempt,
             "upstream": self.lease.target.id,
+            "parts": self.request.part_ids(),
             "last_event": self.events.last_id(),
             "age_ms": millis(now().saturating_sub(self.request.arrived)),
             "why": why,
--- a/components/gateway/src/scheduler/notices.rs
+++ b/components/gateway/src/scheduler/notices.rs
@@ -37,7 +37,7 @@
         let fingerprints = state
             .crashes
             .record_break(now(), crash_key(lease), fingerprint);
-        state.report_crashes(fingerprints);
+        state.report_crashes(&lease.target.id, fingerprints);
     }
 
     /// Records that an upstream refused a connection.
@@ -46,7 +46,7 @@
         let fingerprints = state
             .crashes
             .record_connection_refused(now(), crash_key(lease));
-        state.report_crashes(fingerprints);
+        state.report_crashes(&lease.target.id, fingerprints);
     }
 
     /// Records that a request got a complete response.
--- a/components/gateway/src/scheduler/state.rs
+++ b/components/gateway/src/scheduler/state.rs
@@ -163,9 +163,10 @@
 
     /// Logs requests that were found to crash an upstream and keeps them for the
     /// notices.
-    pub(super) fn report_crashes(&mut self, fingerprints: Vec<u64>) {
+    pub(super) fn report_crashes(&mut self, upstream: &str, fingerprints: Vec<u64>) {
         for fingerprint in fingerprints {
-            let fields = json!({ "fingerprint": format!("{fingerprint:016x}") });
+            let fingerprint_hex = format!("{fingerprint:016x}");
+            let fields = json!({ "fingerprint": fingerprint_hex, "upstream": upstream });
             decision("desk", "crash charged", Outcome::Change, fields);
             self.keep_crash(fingerprint);
         }
