Crash reports carry the time from a request to the crash unchanged

A report was converted to a moment at each entry, and the latest moment was kept. Each exchange of reports moved it by the latency of a notice, so requests that were in flight at several crashes came to look as if sent after the one before. Found by printing the reports of the test that entries do not return expired crashes to each other, which now checks each moment, with reports that take a second; without the limit on the age of reported crashes it fails.

--- a/components/dispatch/src/crash_evidence.rs
+++ b/components/dispatch/src/crash_evidence.rs
@@ -32,9 +32,9 @@
 #[derive(Debug)]
 struct Crash {
     at: Moment,
-    /// Features of the requests in flight, with the moment at which the latest of these
-    /// requests was sent.
-    features: HashMap<Feature, Moment>,
+    /// Features of the requests in flight, with the time from the latest of these requests
+    /// to the crash.
+    features: HashMap<Feature, Duration>,
 }
 
 /// Crashes of upstreams with the requests that were in flight, and what they imply.
@@ -53,13 +53,13 @@
 }
 
 impl CrashEvidence {
-    /// Adds a crash, or features to a known one. Each feature comes with the moment at
-    /// which its request was sent. Returns whether anything is new.
+    /// Adds a crash, or features to a known one. Each feature comes with the time from its
+    /// request to the crash. Returns whether anything is new.
     pub fn record_crash(
         &mut self,
         at: Moment,
         id: StartId,
-        features: impl IntoIterator<Item = (Feature, Moment)>,
+        features: impl IntoIterator<Item = (Feature, Duration)>,
     ) -> bool {
         let changed = self.add_crash(at, id, features);
         if changed {
@@ -72,7 +72,7 @@
         &mut self,
         at: Moment,
         id: StartId,
-        features: impl IntoIterator<Item = (Feature, Moment)>,
+        features: impl IntoIterator<Item = (Feature, Duration)>,
     ) -> bool {
         let mut changed = false;
         if !self.crashes.contains_key(&id) {
@@ -84,14 +84,13 @@
             features: HashMap::new(),
         });
         crash.at = crash.at.min(at);
-        for (feature, sent) in features {
+        for (feature, lead) in features {
             let full = crash.features.len() >= MAX_FEATURES;
             match crash.features.get_mut(&feature) {
-                // Reported times are off by the latency of a notice.
-                Some(known) => *known = sent.max(*known),
+                Some(known) => *known = lead.min(*known),
                 None if full => {}
                 None => {
-                    crash.features.insert(feature, sent);
+                    crash.features.insert(feature, lead);
                     changed = true;
                 }
             }
@@ -146,7 +145,7 @@
                 .features
                 .iter()
                 .filter(|(f, _)| !explained || self.culprits.contains(f));
-            let features = reported.map(|(f, sent)| (*f, millis_between(*sent, crash.at)));
+            let features = reported.map(|(f, lead)| (*f, domain::millis(*lead)));
             Some(CrashReport {
                 id: *id,
                 age_ms: domain::millis(age),
@@ -182,10 +181,8 @@
         });
         for crash in crashes {
             let at = now - Duration::from_millis(crash.age_ms);
-            let features = crash.features.into_iter().map(|(f, before_ms)| {
-                let sent = at.saturating_sub(Duration::from_millis(before_ms));
-                (f, sent)
-            });
+            let features = crash.features.into_iter();
+            let features = features.map(|(f, lead_ms)| (f, Duration::from_millis(lead_ms)));
             changed |= self.add_crash(at, crash.id, features);
         }
         let crashes = &self.crashes;
@@ -239,10 +236,11 @@
         let mut counted = Vec::new();
         let mut last: Option<Moment> = None;
         for (id, crash) in crashes {
-            let Some(sent) = crash.features.get(&feature) else {
+            let Some(lead) = crash.features.get(&feature) else {
                 continue;
             };
-            if last.is_none_or(|last| last < *sent + SEQUENCE_TOLERANCE)
+            let sent = crash.at.saturating_sub(*lead);
+            if last.is_none_or(|last| last < sent + SEQUENCE_TOLERANCE)
                 && self.counts(feature, crash)
             {
                 counted.push(**id);
--- a/components/dispatch/src/crash_watch.rs
+++ b/components/dispatch/src/crash_watch.rs
@@ -191,7 +191,7 @@
         let at = ended.first().map_or(last, |e| e.at);
         let features = ended
             .iter()
-            .flat_map(|e| e.features.iter().map(|f| (*f, e.sent)));
+            .flat_map(|e| e.features.iter().map(|f| (*f, e.at.saturating_sub(e.sent))));
         self.evidence.record_crash(at, start, features)
     }
 
--- a/components/dispatch/tests/crash_watch.rs
+++ b/components/dispatch/tests/crash_watch.rs
@@ -2,6 +2,7 @@
 
 mod fixture;
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use dispatch::{ConnectionEnd, CrashWatch, EvidenceReport, Feature, NextCheck, Verdict};
@@ -9,7 +10,7 @@
 use fixture::{ms, secs, start};
 
 /// Part that belongs to all requests.
-const POPULAR: Feature = Feature::Part(1);
+const POPULAR: Feature = Feature::Part(9);
 /// Part on which upstreams crash.
 const CRASHING: Feature = Feature::Part(2);
 const LATENCY: Duration = Duration::from_millis(50);
@@ -243,6 +244,7 @@
 
     for watch in &mut watches {
         assert_eq!(verdict(watch, CRASHING), Verdict::Refuse);
+        assert_eq!(verdict(watch, POPULAR), Verdict::Run);
         assert_eq!(verdict(watch, request(0)), Verdict::Run);
     }
 }
@@ -271,17 +273,25 @@
 #[test]
 fn entries_do_not_return_expired_crashes_to_each_other() {
     let mut watches = [CrashWatch::default(), CrashWatch::default()];
-    crashes(&mut watches[0], 5, |i| vec![CRASHING, request(i)]);
+    for i in 0..3 {
+        let sent = start() + ms(60 * i);
+        crash(&mut watches[0], sent, i, &[CRASHING, request(i)]);
+    }
 
-    for step in 0..7000 {
+    // Each report arrives a second after it was made.
+    let mut delayed = VecDeque::new();
+    for step in 10..7000 {
         let now = start() + ms(step * 100);
-        let reports = watches.each_mut().map(|w| w.report(now));
-        for (watch, report) in watches.iter_mut().zip(reports.iter().rev()) {
-            watch.merge(now + ms(80), report.clone());
+        delayed.push_back(watches.each_mut().map(|w| w.report(now)));
+        if delayed.len() > 10 {
+            let reports = delayed.pop_front().unwrap();
+            for (watch, report) in watches.iter_mut().zip(reports.into_iter().rev()) {
+                watch.merge(now, report);
+            }
+        }
+        let verdicts = watches.each_mut().map(|w| w.check(now, &[CRASHING]));
+        if now > start() + secs(605) {
+            assert_eq!(verdicts, [Verdict::Run; 2], "{now:?}");
         }
     }
-
-    let now = start() + secs(700);
-    let verdicts = watches.each_mut().map(|w| w.check(now, &[CRASHING]));
-    assert_eq!(verdicts, [Verdict::Run; 2]);
 }
