Limits that upstreams name are kept by all entries together

What callers saw: nothing at first. An upstream in need that asked for 1.6 to 1.9 requests a second got as many as before, 21 and 22 in 4 s.

Cause: the header was not read, and what entries know of each other's requests (loads in flight) holds no rate.

Now an entry that reads a limit tells the others with each notice. The rate is shared out among the entries that send notices: between one more entry than it has requests a second, ranked by a hash of the upstream, as each may have one request saved up and all may send it at once; entries that hear less than half of the announced ones take an equal share of those announced. Requests beyond the share go to other upstreams, first attempts, retries and resumed streams alike, since all pass the same choice. If nothing was heard of a limit for 2 s and the mean time between two requests, one entry after another may send a request to learn whether it holds, at a random moment after it first has one. The limit ends with a response without it to a request that was sent after it was last named; the rate then doubles every 0.5 s and is unlimited after 4 s.

--- a/components/dispatch/src/pooled_upstream.rs
+++ b/components/dispatch/src/pooled_upstream.rs
@@ -3,7 +3,7 @@
 
 use domain::{HeldModel, Moment, Upstream, UpstreamState};
 
-use crate::Ownership;
+use crate::{LimitStatement, Ownership, RateLimit};
 
 /// Pause after a first failed exchange.
 const FIRST_PAUSE: Duration = Duration::from_millis(400);
@@ -58,6 +58,8 @@
     pub closes_at: Option<Moment>,
     /// Moving average of the failure rate, 0 to 1.
     pub failure_rate: f64,
+    /// Limit on the requests of all entries that it names, if any.
+    pub rate_limit: Option<RateLimit>,
     /// When its agent last sent a notice.
     noticed_at: Option<Moment>,
     paused_until: Moment,
@@ -81,6 +83,7 @@
             switching: false,
             closes_at: None,
             failure_rate: 0.0,
+            rate_limit: None,
             noticed_at: None,
             paused_until: Duration::ZERO,
             failure_pause: FIRST_PAUSE,
@@ -177,8 +180,29 @@
         f64::from(u32::try_from(recent).unwrap_or(u32::MAX)) + 1.0 <= rate
     }
 
+    /// Applies what it stated about its limit, to this entry if `is_own`.
+    pub fn update_rate_limit(&mut self, now: Moment, statement: LimitStatement, is_own: bool) {
+        match &mut self.rate_limit {
+            Some(limit) => limit.update(now, statement, is_own),
+            None => {
+                let new = |rate| RateLimit::new(now, rate, statement.at, is_own);
+                self.rate_limit = statement.rate.map(new);
+            }
+        }
+    }
+
+    /// Whether another request stays within the limit that it names.
+    pub fn allows_limited_send(&self, now: Moment) -> bool {
+        let in_flight = self.own.requests + self.others.requests;
+        let limit = self.rate_limit.as_ref();
+        limit.is_none_or(|l| l.allows(now, in_flight))
+    }
+
     /// Records a request with `prompt` prompt tokens that is about to be sent.
     pub fn record_send(&mut self, now: Moment, prompt: u32) {
+        if let Some(limit) = &mut self.rate_limit {
+            limit.record_send(now);
+        }
         self.own.requests += 1;
         self.own.prefill_tokens += u64::from(prompt);
         while self
--- a/components/dispatch/src/upstream_pool.rs
+++ b/components/dispatch/src/upstream_pool.rs
@@ -280,7 +280,8 @@
                 .is_some_and(|r| !pooled.allows_cold_send(now, r));
         let slots = pooled.upstream.slots;
         let slots = self.connections.map_or(slots, |b| b.requests(slots));
-        pooled.is_open(now) && !cold && load.requests < pooled.capacity(slots)
+        let limited = !pooled.allows_limited_send(now);
+        pooled.is_open(now) && !cold && !limited && load.requests < pooled.capacity(slots)
     }
 
     fn score(
--- a/components/domain/src/lib.rs
+++ b/components/domain/src/lib.rs
@@ -15,7 +15,7 @@
 pub use clock::{Moment, millis, now};
 pub use fleet_config::{Account, CallerLimits, FleetConfig};
 pub use ids::*;
-pub use message_head::{PromptPart, RequestHead, ResponseHead, TokenCount};
+pub use message_head::{PromptPart, RequestHead, ResponseHead, StatedLimit, TokenCount};
 pub use model_source::ModelSource;
 pub use platform::{
     BadRecord, Dialect, EngineApi, EngineError, FleetRecord, ForwardParams, Platform, RequestError,
--- a/components/domain/src/message_head.rs
+++ b/components/domain/src/message_head.rs
@@ -47,6 +47,18 @@
     pub last_event: Option<CompactString>,
 }
 
+/// What a response states about the limit on requests to its upstream.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub enum StatedLimit {
+    /// There is no limit.
+    #[default]
+    Absent,
+    /// Requests a second, 0 or more.
+    Rate(f64),
+    /// The statement cannot be read.
+    Malformed,
+}
+
 /// The head of an upstream's response.
 #[derive(Debug, Clone, Default)]
 pub struct ResponseHead {
@@ -64,6 +76,8 @@
     pub closing: bool,
     /// Idle time after which the upstream closes the connection, if it announces one.
     pub keep_alive: Option<Duration>,
+    /// Requests a second that the upstream accepts from all entries together.
+    pub rate_limit: StatedLimit,
     /// The body has a content encoding, although callers request none.
     pub encoded: bool,
 }
--- a/components/feed/src/notice.rs
+++ b/components/feed/src/notice.rs
@@ -1,5 +1,5 @@
 use compact_str::CompactString;
-use dispatch::EvidenceReport;
+use dispatch::{EvidenceReport, StartId};
 use serde::{Deserialize, Serialize};
 
 /// A short message between processes, sent repeatedly as a datagram.
@@ -9,6 +9,8 @@
     Entry(EntryNotice),
     /// From an entry to the other entries: crashes of upstreams.
     Crashes(EvidenceReport),
+    /// From an entry to the other entries: limits that upstreams stated to it.
+    Limits(Vec<LimitNotice>),
     /// From an agent to the entries: the state of its engine.
     Engine(EngineNotice),
     /// From an agent to its peers: the pieces that it holds.
@@ -34,6 +36,17 @@
     pub loads: Vec<(u32, u16, u32)>,
 }
 
+/// What an upstream last stated to an entry about the limit on its requests.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LimitNotice {
+    /// Start of the upstream.
+    pub upstream: StartId,
+    /// Requests a second from all entries together; `None` if it states no limit any more.
+    pub rate: Option<f64>,
+    /// Time since the statement in milliseconds.
+    pub age_ms: u64,
+}
+
 /// State of an engine, sent by its agent.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct EngineNotice {
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -234,6 +234,10 @@
         let to: Vec<SocketAddr> = feed.members().iter().map(|m| m.addr).collect();
         let notice = Notice::Entry(scheduler.load_notice(start));
         notice_socket.send(&notice, &to).await;
+        let limits = scheduler.stated_limits();
+        if !limits.is_empty() {
+            notice_socket.send(&Notice::Limits(limits), &to).await;
+        }
         if let Some(report) = scheduler.crash_report() {
             notice_socket.send(&Notice::Crashes(report), &to).await;
         }
@@ -250,6 +254,7 @@
         match notice_socket.receive().await {
             Notice::Entry(notice) => scheduler.apply_entry_notice(notice),
             Notice::Crashes(report) => scheduler.apply_crash_report(report),
+            Notice::Limits(limits) => scheduler.apply_limits(limits),
             Notice::Engine(notice) => scheduler.apply_engine_notice(notice),
             Notice::Pieces(notice) => piece_peers.record_notice(notice),
         }
--- a/components/gateway/src/scheduler/crashes.rs
+++ b/components/gateway/src/scheduler/crashes.rs
@@ -87,6 +87,11 @@
 
 /// Identifies the start of the leased upstream at all entries.
 pub fn start_id<P: Platform>(lease: &Lease<P>) -> StartId {
+    upstream_start(lease.tag, lease.started_ms)
+}
+
+/// Identifies a start of the upstream with this tag at all entries.
+pub(super) fn upstream_start(tag: u32, started_ms: u64) -> StartId {
     // The multiplier spreads the tag over all bits.
-    u64::from(lease.tag).wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ lease.started_ms
+    u64::from(tag).wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ started_ms
 }
--- a/components/gateway/src/scheduler/mod.rs
+++ b/components/gateway/src/scheduler/mod.rs
@@ -1,4 +1,5 @@
 mod crashes;
+mod limits;
 mod notices;
 mod state;
 
@@ -63,6 +64,7 @@
                 demand: Demand::default(),
                 owners_demand: 0,
                 owners_stale: true,
+                shares_stale: false,
             }),
         }
     }
@@ -370,6 +372,7 @@
         {
             let mut state = self.lock();
             state.log_culprits();
+            self.share_limits(&mut state, now);
             state.expire_peers(now);
             self.feed
                 .view(|v| state.update_owners(now, &self.node, |d| v.is_evacuated(d)));
--- a/components/gateway/src/scheduler/notices.rs
+++ b/components/gateway/src/scheduler/notices.rs
@@ -75,6 +75,7 @@
             );
             state.owners_stale = true;
             state.crashes_changed = now;
+            state.shares_stale = true;
         }
         let load = |(tag, requests, prefill_tokens): (u32, u16, u32)| {
             let (requests, prefill_tokens) = (u32::from(requests), u64::from(prefill_tokens));
@@ -92,6 +93,7 @@
             state.owners_stale = true;
         }
         let peer = Peer {
+            hash: fleet::id_hash(&notice.vm),
             region: notice.region,
             demand: notice.demand,
             start: notice.start,
--- a/components/gateway/src/scheduler/state.rs
+++ b/components/gateway/src/scheduler/state.rs
@@ -19,6 +19,8 @@
 
 /// Another entry, as of its latest notice.
 pub struct Peer {
+    /// Hash of its VM.
+    pub(super) hash: u64,
     pub(super) region: RegionId,
     pub(super) demand: u16,
     pub(super) start: u64,
@@ -52,6 +54,8 @@
     pub(super) owners_demand: u16,
     /// Entries or upstreams have changed since then.
     pub(super) owners_stale: bool,
+    /// Entries or limits have changed since limits were last shared out.
+    pub(super) shares_stale: bool,
 }
 
 impl<P: Platform> SchedulerState<P> {
@@ -103,6 +107,7 @@
         });
         if before != self.peers.len() {
             self.owners_stale = true;
+            self.shares_stale = true;
             self.update_peer_loads();
         }
     }
--- a/components/gateway/src/send.rs
+++ b/components/gateway/src/send.rs
@@ -117,7 +117,7 @@
         },
     };
     match Exchange::begin(connection, outbound, timeouts).await {
-        Ok(exchange) => classify(platform, request, exchange, reused)
+        Ok(exchange) => classify(platform, request, lease, exchange, reused)
             .unwrap_or_else(|why| SendOutcome::Unknown(FailedExchange::invalid(reused, why))),
         Err(TransportError::Timeout { .. }) if request.remaining(now()) < MIN_REMAINING => {
             SendOutcome::TimedOut
@@ -185,6 +185,7 @@
 fn classify<P: Platform>(
     platform: &P,
     request: &CallerRequest,
+    lease: &Lease<P>,
     exchange: Exchange,
     reused: bool,
 ) -> Result<SendOutcome, String> {
@@ -197,6 +198,11 @@
     if !same_attempt {
         return Err("the response belongs to another attempt".to_owned());
     }
+    // A 421 may come from another upstream at the same address.
+    if (response_head.sealed || response_head.not_run) && status != 421 {
+        let scheduler = &lease.scheduler;
+        scheduler.record_stated_limit(lease, response_head.rate_limit);
+    }
     if response_head.not_run {
         return Ok(SendOutcome::NotRun(match status.as_u16() {
             421 => NotRun::Misdirected,
