Cold upstreams get no more requests than the bound from any number of entries

With more entries than the bound allows (53 requests a second before 390 entries) each still sent one. The share was also computed only when the record of an upstream changed, so entries that joined later came on top; an entry that had not read the announcements took everything.

Shares now sum up to the bound: what cannot be divided evenly goes to the entries that rank first for the upstream, they follow the announcements, and an entry that does not know the others sends nothing to a cold upstream.

--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -27,6 +27,7 @@
 mod switch_plan;
 mod upstream_owners;
 mod upstream_pool;
+mod window_budget;
 mod write_time;
 
 pub use config_freshness::{ConfigFreshness, ConfigStatus, ReadTiming};
@@ -55,4 +56,5 @@
 pub use switch_plan::{SwitchPlan, SwitchStep, VersionCandidate};
 pub use upstream_owners::{EntryDemand, Ownership, UpstreamOwners};
 pub use upstream_pool::{Choice, Requirements, UpstreamPool};
+pub use window_budget::WindowBudget;
 pub use write_time::{WriteBasis, WriteTime};
--- a/components/dispatch/src/pooled_upstream.rs
+++ b/components/dispatch/src/pooled_upstream.rs
@@ -170,14 +170,15 @@
         now < self.cold_until
     }
 
-    /// Whether another request stays within `rate` requests a second for a cold upstream.
-    pub fn allows_cold_send(&self, now: Moment, rate: f64) -> bool {
+    /// Whether another request stays within `share` requests in a second, which is what this
+    /// entry may send to a cold upstream.
+    pub fn allows_cold_send(&self, now: Moment, share: u32) -> bool {
         let recent = self
             .sent
             .iter()
             .filter(|(at, _)| now.saturating_sub(*at) < COLD_WINDOW)
             .count();
-        f64::from(u32::try_from(recent).unwrap_or(u32::MAX)) + 1.0 <= rate
+        u32::try_from(recent).is_ok_and(|recent| recent < share)
     }
 
     /// Applies what it stated about its limit, to this entry if `is_own`.
--- a/components/dispatch/src/upstream_pool.rs
+++ b/components/dispatch/src/upstream_pool.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     ConnectionBudget, LatencyModel, Ownership, PooledUpstream, UpstreamLoad, UpstreamOwners,
+    WindowBudget,
 };
 
 /// Penalty of an upstream in another region, as a fraction of its slots. Links
@@ -90,7 +91,7 @@
     indices: HashMap<UpstreamId, usize>,
     domain: FailureDomainId,
     region: RegionId,
-    cold_rate: Option<f64>,
+    cold_budget: Option<WindowBudget>,
     connections: Option<ConnectionBudget>,
     latency_model: LatencyModel,
     entries: u32,
@@ -105,7 +106,7 @@
             indices: HashMap::new(),
             domain,
             region,
-            cold_rate: None,
+            cold_budget: None,
             connections: None,
             latency_model: LatencyModel::new(None),
             entries: 1,
@@ -117,9 +118,10 @@
         &self.service
     }
 
-    /// Sets the requests a second that this entry may send to a cold upstream.
-    pub fn set_cold_rate(&mut self, rate: Option<f64>) {
-        self.cold_rate = rate;
+    /// Sets the budget for the requests of a second to each cold upstream; `None` if they
+    /// are not limited.
+    pub fn set_cold_budget(&mut self, budget: Option<WindowBudget>) {
+        self.cold_budget = budget;
     }
 
     /// Sets the budget for the connections to each upstream.
@@ -275,9 +277,10 @@
 
     fn has_capacity(&self, now: Moment, pooled: &PooledUpstream, load: UpstreamLoad) -> bool {
         let cold = pooled.is_cold(now)
-            && self
-                .cold_rate
-                .is_some_and(|r| !pooled.allows_cold_send(now, r));
+            && self.cold_budget.as_ref().is_some_and(|budget| {
+                let share = budget.share(u64::from(pooled.tag));
+                !pooled.allows_cold_send(now, share)
+            });
         let slots = pooled.upstream.slots;
         let slots = self.connections.map_or(slots, |b| b.requests(slots));
         let limited = !pooled.allows_limited_send(now);
--- a/components/dispatch/tests/upstream_pool.rs
+++ b/components/dispatch/tests/upstream_pool.rs
@@ -2,7 +2,7 @@
 
 mod fixture;
 
-use dispatch::{Choice, ConnectionBudget, Ownership, Requirements, UpstreamLoad};
+use dispatch::{Choice, ConnectionBudget, Ownership, Requirements, UpstreamLoad, WindowBudget};
 use domain::{HeldModel, Moment, UpstreamState};
 use fixture::{ms, needs, pool, secs, start, upstream};
 
@@ -115,7 +115,7 @@
     let mut cold = upstream("cold", "a", Some(1));
     cold.cold_remaining = secs(3);
     let mut pool = pool(&[cold]);
-    pool.set_cold_rate(Some(5.0));
+    pool.set_cold_budget(Some(WindowBudget::new(5.0, 1, vec![1], Some(1))));
     let mut sent = 0;
 
     for step in 0..1000_u64 {
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -231,7 +231,9 @@
 ) {
     let start = domain::millis(domain::now());
     loop {
-        let to: Vec<SocketAddr> = feed.members().iter().map(|m| m.addr).collect();
+        let members = feed.members();
+        scheduler.update_announced(&members);
+        let to: Vec<SocketAddr> = members.iter().map(|m| m.addr).collect();
         let notice = Notice::Entry(scheduler.load_notice(start));
         notice_socket.send(&notice, &to).await;
         let limits = scheduler.stated_limits();
--- a/components/gateway/src/scheduler/mod.rs
+++ b/components/gateway/src/scheduler/mod.rs
@@ -12,9 +12,10 @@
 use dispatch::{
     Assignment, ConnectionBudget, CrashWatch, Demand, FirstAttemptEstimator, FleetView,
     IncomingRequest, LatencyModel, NO_MATCH_RETRY, Ownership, Placement, Requirements, ViewChange,
+    WindowBudget,
 };
 use domain::{Moment, NodeSettings, Platform, ServiceId, Target, UpstreamId, WeightVersion, now};
-use feed::Feed;
+use feed::{Feed, Member};
 use transport::{MAX_IDLE, Pool};
 
 use crate::caller_request::CallerRequest;
@@ -64,6 +65,8 @@
                 demand: Demand::default(),
                 owners_demand: 0,
                 owners_stale: true,
+                announced: Vec::new(),
+                entry_count: None,
                 shares_stale: false,
             }),
         }
@@ -96,7 +99,7 @@
         let Some(upstream) = self.feed.view(|v| v.upstream(id).cloned()) else {
             return;
         };
-        let rate = self.cold_rate(&upstream.service);
+        let cold_budget = self.cold_budget(&upstream.service);
         let engine = self.feed.view(|v| {
             let spec = v.config()?.services.get(&upstream.service)?;
             spec.engine.clone()
@@ -105,7 +108,7 @@
         let region = self.node.region_of(&upstream.failure_domain).to_owned();
         let mut state = self.lock();
         let service = state.service(&upstream.service, &self.node);
-        service.scheduler.upstreams.set_cold_rate(rate);
+        service.scheduler.upstreams.set_cold_budget(cold_budget);
         service.scheduler.upstreams.set_connection_budget(budget);
         service
             .scheduler
@@ -118,17 +121,44 @@
         state.update_peer_loads();
     }
 
-    /// Requests per second that this entry may send to a cold upstream: an equal
-    /// share of the bound for each announced entry, running or not.
-    fn cold_rate(&self, service: &str) -> Option<f64> {
+    /// Budget for the requests of a second to a cold upstream, for all announced entries,
+    /// running or not.
+    fn cold_budget(&self, service: &str) -> Option<WindowBudget> {
         let rate = self.feed.view(|v| {
             let config = v.config()?;
             config.services.get(service).map(|s| s.cold_rate)
         })?;
         let bounds = &self.node.bounds;
-        let entries = f64::from(u32::try_from(self.entry_count()).unwrap_or(u32::MAX));
         let all = rate * bounds.cold_factor + bounds.cold_slack;
-        (rate > 0.0).then_some((all / entries).floor().max(1.0))
+        let own = fleet::id_hash(&self.node.vm);
+        let (mut known, count) = {
+            let state = self.lock();
+            (state.announced.clone(), state.entry_count)
+        };
+        known.push(own);
+        (rate > 0.0).then(|| WindowBudget::new(all, own, known, count))
+    }
+
+    /// Updates what depends on the other entries that have announced themselves.
+    pub fn update_announced(&self, members: &[Member]) {
+        let mut announced: Vec<u64> = members.iter().map(|m| fleet::id_hash(&m.vm)).collect();
+        announced.sort_unstable();
+        let count = self.feed.entry_count();
+        let names: Vec<ServiceId> = {
+            let mut state = self.lock();
+            if state.announced == announced && state.entry_count == count {
+                return;
+            }
+            state.announced = announced;
+            state.entry_count = count;
+            state.services.keys().cloned().collect()
+        };
+        for name in names {
+            let budget = self.cold_budget(&name);
+            if let Some(service) = self.lock().services.get_mut(&name) {
+                service.scheduler.upstreams.set_cold_budget(budget);
+            }
+        }
     }
 
     /// Budget for the connections to each upstream of a service; `None` if the
--- a/components/gateway/src/scheduler/state.rs
+++ b/components/gateway/src/scheduler/state.rs
@@ -42,6 +42,10 @@
 pub struct SchedulerState<P: Platform> {
     pub(super) services: HashMap<ServiceId, ServiceState<P>>,
     pub(super) peers: HashMap<VmId, Peer>,
+    /// Hashes of the other entries that have announced themselves, in order.
+    pub(super) announced: Vec<u64>,
+    /// Number of entries that may be running; `None` until it is known.
+    pub(super) entry_count: Option<usize>,
     pub(super) first_attempts: FirstAttemptEstimator,
     pub(super) crashes: CrashWatch,
     /// When crashes or entries were last added; the others have to learn of them.
