An entry that does not know the others has no share in the slack of the retry budget

It now retries within the ratio of its own requests; known entries include the seeds, as for connections.

--- a/components/feed/src/feed.rs
+++ b/components/feed/src/feed.rs
@@ -109,16 +109,6 @@
         others.cloned().collect()
     }
 
-    /// Number of entries that have announced themselves, except the one on this VM.
-    pub fn member_count(&self) -> usize {
-        let state = self.state();
-        state
-            .members
-            .values()
-            .filter(|m| m.vm != self.node.vm)
-            .count()
-    }
-
     /// Number of entries, this one included: the announced ones, or the seeds if they
     /// are more. `None` until the announcements were read.
     pub fn entry_count(&self) -> Option<usize> {
--- a/components/gateway/src/scheduler/mod.rs
+++ b/components/gateway/src/scheduler/mod.rs
@@ -219,11 +219,6 @@
         shares
     }
 
-    /// Announced entries including this one; each of them may be sending.
-    fn entry_count(&self) -> usize {
-        self.feed.member_count() + 1
-    }
-
     /// Estimates when the caller sent the first attempt of a request: a retry
     /// states a shorter timeout than the first attempt did.
     pub fn first_attempt(&self, route: &str, arrived: Moment, timeout: Duration) -> Moment {
@@ -528,7 +523,8 @@
 
     /// Takes one retry from the budget of a service; false when it is used up.
     pub fn take_retry(&self, service: &ServiceId) -> bool {
-        let entries = self.entry_count();
+        // While the others are not known, this entry has no share in the slack.
+        let entries = self.feed.entry_count().unwrap_or(usize::MAX);
         let mut state = self.lock();
         let budget = &mut state.service(service, &self.node).budget;
         let allowed = budget.try_withdraw(now(), entries);
