Crash reports are bounded and repeat only what shows a cause

Found by review: a report held the features of all requests that any entry had seen in flight, for each of the last crashes, oldest first. In a storm that is more than the 16 KiB of a datagram, so that none arrive; with hundreds of entries each would pass on what all others had seen, 16 times a second.

An entry now reports the requests that it had in flight itself, latest crashes first, at most 360 features, and its completed requests with features of open crashes. Only crashes that show a cause are passed on from entry to entry, with the cause alone.

--- a/components/dispatch/src/crash_evidence.rs
+++ b/components/dispatch/src/crash_evidence.rs
@@ -13,7 +13,7 @@
 /// Crashes older than this are not taken over from other entries. The margin keeps
 /// entries from returning each other's expired crashes.
 const MAX_REPORTED_AGE: Duration = Duration::from_secs(590);
-/// Time for which a crash without a known cause is reported with all its features.
+/// Time for which a crash without a known cause is reported.
 const REPORT_TIME: Duration = Duration::from_secs(60);
 /// A request that was sent this long before a crash still counts as sent after it, since
 /// entries learn of a crash at slightly different moments.
@@ -22,8 +22,8 @@
 const REPORTED_SURPLUS: usize = 2;
 /// Most crashes kept; the oldest ones without a known cause are dropped first.
 const MAX_CRASHES: usize = 128;
-/// Most crashes in a report.
-const MAX_REPORTED: usize = 24;
+/// Most features in a report, so that it fits into a datagram.
+const MAX_REPORTED: usize = 360;
 /// Most features of a crash that are kept.
 const MAX_FEATURES: usize = 48;
 /// Number of features with a completed request from which old ones are dropped.
@@ -32,9 +32,16 @@
 #[derive(Debug)]
 struct Crash {
     at: Moment,
-    /// Features of the requests in flight, with the time from the latest of these requests
-    /// to the crash.
-    features: HashMap<Feature, Duration>,
+    features: HashMap<Feature, InFlight>,
+}
+
+/// Requests with a feature that were in flight at a crash.
+#[derive(Debug)]
+struct InFlight {
+    /// Time from the latest of them to the crash.
+    lead: Duration,
+    /// One of them was sent by this entry.
+    is_own: bool,
 }
 
 /// Crashes of upstreams with the requests that were in flight, and what they imply.
@@ -53,15 +60,15 @@
 }
 
 impl CrashEvidence {
-    /// Adds a crash, or features to a known one. Each feature comes with the time from its
-    /// request to the crash. Returns whether anything is new.
+    /// Adds a crash that this entry noticed, or features to a known one. Each feature comes
+    /// with the time from its request to the crash. Returns whether anything is new.
     pub fn record_crash(
         &mut self,
         at: Moment,
         id: StartId,
         features: impl IntoIterator<Item = (Feature, Duration)>,
     ) -> bool {
-        let changed = self.add_crash(at, id, features);
+        let changed = self.add_crash(at, id, features, true);
         if changed {
             self.evaluate();
         }
@@ -73,6 +80,7 @@
         at: Moment,
         id: StartId,
         features: impl IntoIterator<Item = (Feature, Duration)>,
+        is_own: bool,
     ) -> bool {
         let mut changed = false;
         if !self.crashes.contains_key(&id) {
@@ -87,10 +95,14 @@
         for (feature, lead) in features {
             let full = crash.features.len() >= MAX_FEATURES;
             match crash.features.get_mut(&feature) {
-                Some(known) => *known = lead.min(*known),
+                Some(known) => {
+                    known.lead = lead.min(known.lead);
+                    changed |= is_own && !known.is_own;
+                    known.is_own |= is_own;
+                }
                 None if full => {}
                 None => {
-                    crash.features.insert(feature, lead);
+                    crash.features.insert(feature, InFlight { lead, is_own });
                     changed = true;
                 }
             }
@@ -128,48 +140,65 @@
         &self.culprits
     }
 
-    /// What this entry tells the others; empty if there were no crashes.
+    /// What this entry tells the others; empty if there were no crashes. It repeats what
+    /// others reported only of the crashes that show a cause, from which new entries learn.
     pub fn report(&self, now: Moment) -> EvidenceReport {
-        let mut crashes: Vec<(&StartId, &Crash)> = self.crashes.iter().collect();
-        let rank = |(id, c): &(&StartId, &Crash)| (!self.is_explained(c), c.at, **id);
-        crashes.sort_by_key(rank);
         let explaining = self.explaining_crashes();
-        let reports = crashes.into_iter().filter_map(|(id, crash)| {
+        let mut crashes: Vec<(&StartId, &Crash)> = self.crashes.iter().collect();
+        // Causes first, then the latest crashes.
+        crashes.sort_by_key(|(id, c)| (!self.is_explained(c), Reverse((c.at, **id))));
+        let mut room = MAX_REPORTED;
+        let mut reports = Vec::new();
+        for (id, crash) in crashes {
             let age = now.saturating_sub(crash.at);
             let explained = self.is_explained(crash);
             if explained && !explaining.contains(id) || !explained && age > REPORT_TIME {
-                return None;
+                continue;
             }
-            // Other features of an explained crash no longer matter.
             let reported = crash
                 .features
                 .iter()
-                .filter(|(f, _)| !explained || self.culprits.contains(f));
-            let features = reported.map(|(f, lead)| (*f, domain::millis(*lead)));
-            Some(CrashReport {
+                .filter(|(f, in_flight)| match explained {
+                    true => self.culprits.contains(f),
+                    false => in_flight.is_own,
+                });
+            let features: Vec<(Feature, u64)> = reported
+                .map(|(f, in_flight)| (*f, domain::millis(in_flight.lead)))
+                .take(room)
+                .collect();
+            if features.is_empty() {
+                continue;
+            }
+            room -= features.len();
+            reports.push(CrashReport {
                 id: *id,
                 age_ms: domain::millis(age),
-                features: features.collect(),
-            })
-        });
-        let crashes: Vec<CrashReport> = reports.take(MAX_REPORTED).collect();
-        let reported: HashSet<Feature> = crashes
-            .iter()
-            .flat_map(|c| c.features.iter().map(|(f, _)| *f))
-            .collect();
-        let completions = reported.into_iter().filter_map(|f| {
-            let at = self.completions.get(&f)?;
-            Some((f, millis_between(*at, now)))
-        });
+                features,
+            });
+        }
         EvidenceReport {
-            completions: completions.collect(),
-            crashes,
+            completions: self.open_completions(now),
+            crashes: reports,
         }
     }
 
-    /// Adds what another entry reported; returns whether any of it is new.
+    /// Completed requests of this entry with features of crashes whose cause is open, also
+    /// of crashes that only others noticed.
+    fn open_completions(&self, now: Moment) -> Vec<(Feature, u64)> {
+        let open = self
+            .crashes
+            .values()
+            .filter(|c| !self.is_explained(c) && now.saturating_sub(c.at) <= REPORT_TIME);
+        let features: HashSet<Feature> = open.flat_map(|c| c.features.keys().copied()).collect();
+        let completions = features.into_iter().filter_map(|f| {
+            let at = self.completions.get(&f)?;
+            Some((f, domain::millis(now.saturating_sub(*at))))
+        });
+        completions.take(MAX_REPORTED).collect()
+    }
+
+    /// Adds what another entry reported; returns whether it changes the culprits.
     pub fn merge(&mut self, now: Moment, report: EvidenceReport) -> bool {
-        let mut changed = false;
         for (feature, age_ms) in report.completions {
             let at = now.saturating_sub(Duration::from_millis(age_ms));
             let known = self.peer_completions.entry(feature).or_insert(at);
@@ -183,13 +212,14 @@
             let at = now - Duration::from_millis(crash.age_ms);
             let features = crash.features.into_iter();
             let features = features.map(|(f, lead_ms)| (f, Duration::from_millis(lead_ms)));
-            changed |= self.add_crash(at, crash.id, features);
+            self.add_crash(at, crash.id, features, false);
         }
         let crashes = &self.crashes;
         self.peer_completions
             .retain(|f, _| crashes.values().any(|c| c.features.contains_key(f)));
+        let before = self.culprits.clone();
         self.evaluate();
-        changed
+        self.culprits != before
     }
 
     /// Determines the features that cause crashes. Parts go first, since they explain the
@@ -236,10 +266,10 @@
         let mut counted = Vec::new();
         let mut last: Option<Moment> = None;
         for (id, crash) in crashes {
-            let Some(lead) = crash.features.get(&feature) else {
+            let Some(in_flight) = crash.features.get(&feature) else {
                 continue;
             };
-            let sent = crash.at.saturating_sub(*lead);
+            let sent = crash.at.saturating_sub(in_flight.lead);
             if last.is_none_or(|last| last < sent + SEQUENCE_TOLERANCE)
                 && self.counts(feature, crash)
             {
@@ -296,8 +326,3 @@
         oldest.map(|id| self.crashes.remove(&id));
     }
 }
-
-/// Milliseconds from one moment to a later one.
-fn millis_between(from: Moment, to: Moment) -> u64 {
-    domain::millis(to.saturating_sub(from))
-}
--- a/components/dispatch/src/crash_watch.rs
+++ b/components/dispatch/src/crash_watch.rs
@@ -143,7 +143,7 @@
         self.evidence.record_completion(now, features);
     }
 
-    /// Adds what another entry reported; returns whether any of it is new.
+    /// Adds what another entry reported; returns whether it changes the culprits.
     pub fn merge(&mut self, now: Moment, report: EvidenceReport) -> bool {
         self.evidence.merge(now, report)
     }
--- a/components/dispatch/tests/crash_watch.rs
+++ b/components/dispatch/tests/crash_watch.rs
@@ -249,6 +249,42 @@
     }
 }
 
+/// The features of all requests in flight at many crashes did not fit into a datagram, and
+/// none of them arrived.
+#[test]
+fn report_of_many_crashes_has_the_latest_and_is_short() {
+    let mut watch = CrashWatch::default();
+    for i in 0..40 {
+        let features = (0..48).map(|f| request(100 * i + f)).collect();
+        let end = ConnectionEnd::Broken;
+        watch.record_end(start() + ms(i), i, end, start(), features);
+        watch.record_connection_refused(i);
+    }
+
+    let report = watch.report(start() + secs(1));
+
+    let features = report.crashes.iter().map(|c| c.features.len());
+    assert_eq!(report.crashes[0].id, 39);
+    assert!(features.sum::<usize>() <= 400);
+}
+
+/// Each entry passed on what all others had seen in flight.
+#[test]
+fn entry_reports_only_its_own_requests_of_a_crash_without_cause() {
+    let mut watches = [CrashWatch::default(), CrashWatch::default()];
+    crash(&mut watches[0], start(), 1, &[CRASHING, request(1)]);
+    crash(&mut watches[1], start(), 1, &[POPULAR]);
+    watches[1].record_response(start() + ms(500), 30, &[CRASHING]);
+    let now = start() + secs(1);
+    let first = watches[0].report(now);
+
+    watches[1].merge(now, first);
+    let second = watches[1].report(now);
+
+    assert_eq!(second.crashes[0].features, [(POPULAR, 50)]);
+    assert_eq!(second.completions, [(CRASHING, 500)]);
+}
+
 /// An entry that started after the crashes learnt only of new ones.
 #[test]
 fn late_entry_learns_the_cause_from_any_other_and_passes_it_on() {
--- a/components/gateway/src/scheduler/crashes.rs
+++ b/components/gateway/src/scheduler/crashes.rs
@@ -71,7 +71,8 @@
         }
         state.crashes_reported = now;
         let report = state.crashes.report(now);
-        (!report.crashes.is_empty()).then_some(report)
+        let is_empty = report.crashes.is_empty() && report.completions.is_empty();
+        (!is_empty).then_some(report)
     }
 
     /// Adds what another entry reports about crashes.
