Log the age of the verification and the start of the engine with each order

The log of an order did not tell how old the verification of its pieces was and which start of the engine it was meant for, and calls that ended without a response left no line.

--- a/components/loader/src/local_pieces.rs
+++ b/components/loader/src/local_pieces.rs
@@ -2,7 +2,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use bytes::Bytes;
-use domain::{EngineApi, EngineError, ModelId, WeightVersion};
+use domain::{EngineApi, EngineError, ModelId, WeightVersion, millis, now};
 use feed::{PieceLookup, PieceProvider};
 use pieces::{Digests, PieceCache};
 
@@ -49,8 +49,14 @@
     pub async fn stage(&self, model: &str, version: WeightVersion) -> Result<(), EngineError> {
         self.clear_staged();
         for (number, bytes) in self.cache.pieces(model, version) {
+            let called_at = now();
             let staging = self.engines.stage_piece(self.engine, model, number, bytes);
-            staging.await?;
+            staging.await.inspect_err(|e| {
+                log::warn!(
+                    "loader: piece {number} of version {version} not staged after {} ms: {e}",
+                    millis(now().saturating_sub(called_at))
+                );
+            })?;
         }
         self.mark_staged(model, version);
         Ok(())
--- a/components/loader/src/switching.rs
+++ b/components/loader/src/switching.rs
@@ -4,7 +4,7 @@
 
 use anyhow::{Context, ensure};
 use dispatch::{SwitchPlan, SwitchStep, VersionCandidate};
-use domain::{EngineApi, Moment, Platform, WeightVersion, now};
+use domain::{EngineApi, Moment, Platform, WeightVersion, millis, now};
 use pieces::{Downloader, TargetVersion};
 use serde_json::json;
 use smol::{Task, Timer};
@@ -176,17 +176,19 @@
         if !self.local.is_staged(&target.model, target.version) {
             self.local.stage(&target.model, target.version).await?;
         }
-        self.verify_staged(target).await?;
+        let verified_at = self.verify_staged(target).await?;
         self.set_switching(true).await;
         Timer::after(CLOSE_DELAY).await;
-        let result = self.order(target).await;
+        let result = self.order(target, verified_at).await;
         self.set_switching(false).await;
         result
     }
 
-    /// Verifies all staged pieces of a version. Wrong ones are an error, and the
-    /// version is staged again in the next step.
-    async fn verify_staged(&self, target: &TargetVersion) -> anyhow::Result<()> {
+    /// Verifies all staged pieces of a version and returns the moment of the oldest
+    /// check. Wrong pieces are an error, and the version is staged again in the next
+    /// step.
+    async fn verify_staged(&self, target: &TargetVersion) -> anyhow::Result<Moment> {
+        let verified_at = now();
         let mut wrong = 0;
         for number in 0..target.pieces.count {
             let read = self
@@ -202,11 +204,12 @@
                 "{wrong} staged pieces have a wrong digest; the version will be staged again"
             );
         }
-        Ok(())
+        Ok(verified_at)
     }
 
-    /// Orders the engine to load a version and waits until it reports the version.
-    async fn order(&self, target: &TargetVersion) -> anyhow::Result<()> {
+    /// Orders the engine to load a version whose pieces were verified at `verified_at`
+    /// or later, and waits until it reports the version.
+    async fn order(&self, target: &TargetVersion, verified_at: Moment) -> anyhow::Result<()> {
         self.read_report().await;
         let report = self.report().context("the engine does not answer")?;
         // The report may show a restart, in which verified pieces were lost.
@@ -216,16 +219,20 @@
         );
         let fields = json!({
             "model": target.model, "version": target.version, "sequence": report.sequence,
+            "born": report.started_ms,
+            "verified_ms_ago": millis(now().saturating_sub(verified_at)),
         });
         decision("loader", "order", Outcome::Change, fields);
+        let called_at = now();
         let engines = self.platform.engines();
         let (engine, sequence) = (self.settings.engine, report.sequence);
         let ordered = engines.load(engine, &target.model, target.version, sequence);
         if let Err(e) = ordered.await {
             // The engine may have accepted the order nevertheless, which its report shows.
             log::warn!(
-                "loader: order to load version {} failed: {e}",
-                target.version
+                "loader: order to load version {} failed after {} ms: {e}",
+                target.version,
+                millis(now().saturating_sub(called_at))
             );
         }
         let ordered_at = now();
