Bind orders and staged pieces to one start of the engine

Callers got tokens made with pieces that were not there: an engine that lost its disk in a restart after the last report took the order meant for its start before, because both starts had accepted no order and the order went out on a new connection.

Pieces and orders now go through a session: a connection on which the engine has reported its start, opened again only if the report still shows that start. A restart ends the connection, so the next start cannot read the call. The order also names the engine by the id recorded for this address and start.

--- a/components/domain/src/lib.rs
+++ b/components/domain/src/lib.rs
@@ -18,8 +18,8 @@
 pub use message_head::{PromptPart, RequestHead, ResponseHead, StatedLimit, TokenCount};
 pub use model_source::ModelSource;
 pub use platform::{
-    BadRecord, Dialect, EngineApi, EngineError, FleetRecord, ForwardParams, Platform, RequestError,
-    Target,
+    BadRecord, Dialect, EngineApi, EngineError, EngineSession, FleetRecord, ForwardParams,
+    LoadOrder, Platform, RequestError, Target,
 };
 pub use record_store::{ReadOutcome, Record, RecordBatch, RecordStore, StoreError};
 pub use route::{RequestKind, Route};
--- a/components/domain/src/platform.rs
+++ b/components/domain/src/platform.rs
@@ -103,7 +103,15 @@
         /// HTTP status.
         status: u16,
     },
-    /// No usable response; a load order may have taken effect.
+    /// The call was not sent and has no effect.
+    #[display("{call} was not sent: {reason}; read the engine's report again")]
+    NotSent {
+        /// The call.
+        call: &'static str,
+        /// What went wrong.
+        reason: String,
+    },
+    /// No usable response; the call may have taken effect, or may do so later.
     #[display("no usable response to {call}: {reason}; retry on a new connection")]
     NoResponse {
         /// The call.
@@ -113,8 +121,45 @@
     },
 }
 
+/// An order to load staged pieces.
+#[derive(Debug, Clone)]
+pub struct LoadOrder<'a> {
+    /// Id that the engine must have to accept it, if the id is known.
+    pub id: Option<&'a str>,
+    /// Model.
+    pub model: &'a str,
+    /// Version of the weights.
+    pub version: WeightVersion,
+    /// Number of orders that the engine must have accepted so far.
+    pub sequence: u64,
+}
+
+/// Calls that change what an engine holds. They reach the start of the engine that the
+/// session was opened with, or none.
+pub trait EngineSession: Send + 'static {
+    /// Status that the engine reported when the session was opened.
+    fn status(&self) -> &EngineStatus;
+
+    /// Stages a piece at the engine.
+    fn stage_piece(
+        &mut self,
+        model: &str,
+        number: u32,
+        piece: Bytes,
+    ) -> impl Future<Output = Result<(), EngineError>> + Send;
+
+    /// Orders the engine to load the staged pieces.
+    fn load(
+        &mut self,
+        order: LoadOrder<'_>,
+    ) -> impl Future<Output = Result<(), EngineError>> + Send;
+}
+
 /// Client of model engines and of the origin of weights.
 pub trait EngineApi: Clone + Send + Sync + 'static {
+    /// Calls to one start of an engine.
+    type Session: EngineSession;
+
     /// Reads the engine's status.
     fn status(
         &self,
@@ -136,24 +181,11 @@
         number: u32,
     ) -> impl Future<Output = Result<Option<Bytes>, EngineError>> + Send;
 
-    /// Stages a piece at the engine.
-    fn stage_piece(
+    /// Opens a session with the present start of the engine.
+    fn connect(
         &self,
         engine: SocketAddr,
-        model: &str,
-        number: u32,
-        piece: Bytes,
-    ) -> impl Future<Output = Result<(), EngineError>> + Send;
-
-    /// Orders the engine to load the staged pieces. The engine refuses unless it
-    /// has accepted exactly `sequence` orders so far.
-    fn load(
-        &self,
-        engine: SocketAddr,
-        model: &str,
-        version: WeightVersion,
-        sequence: u64,
-    ) -> impl Future<Output = Result<(), EngineError>> + Send;
+    ) -> impl Future<Output = Result<Self::Session, EngineError>> + Send;
 
     /// Reads the digests of a version's pieces from an origin.
     fn digests(
--- a/components/loader/src/agent.rs
+++ b/components/loader/src/agent.rs
@@ -2,7 +2,10 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use domain::{AgentSettings, EngineApi, EngineStatus, Moment, Platform, WeightVersion, now};
+use domain::{
+    AgentSettings, EngineApi, EngineError, EngineStatus, Moment, Platform, Upstream, UpstreamId,
+    WeightVersion, now,
+};
 use feed::{EngineNotice, Feed, Notice, NoticeSocket};
 use pieces::Peers;
 use serde_json::json;
@@ -86,6 +89,11 @@
     /// Reads the engine's report.
     pub async fn read_report(&self) {
         let report = self.platform.engines().status(self.settings.engine).await;
+        self.record_report(report);
+    }
+
+    /// Records the engine's report, or that it did not respond.
+    pub(crate) fn record_report(&self, report: Result<EngineStatus, EngineError>) {
         let mut status = self.status();
         match report {
             Ok(report) => {
@@ -112,6 +120,15 @@
         self.status().report.clone()
     }
 
+    /// Id under which this start of the engine is recorded in the store; none while it
+    /// is not.
+    pub(crate) fn engine_id(&self, started_ms: u64) -> Option<UpstreamId> {
+        let is_engine =
+            |u: &&Upstream| u.addr == self.settings.engine && u.started_ms == started_ms;
+        self.feed
+            .view(|v| v.upstreams().find(is_engine).map(|u| u.id.clone()))
+    }
+
     /// Newest version of a model that the engine holds.
     pub fn held(&self, model: &str) -> Option<WeightVersion> {
         let status = self.status();
--- a/components/loader/src/local_pieces.rs
+++ b/components/loader/src/local_pieces.rs
@@ -2,7 +2,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use bytes::Bytes;
-use domain::{EngineApi, EngineError, ModelId, WeightVersion, millis, now};
+use domain::{EngineApi, EngineError, EngineSession, ModelId, WeightVersion, millis, now};
 use feed::{PieceLookup, PieceProvider};
 use pieces::{Digests, PieceCache};
 
@@ -48,9 +48,10 @@
     /// Stages the pieces of a version that are in memory.
     pub async fn stage(&self, model: &str, version: WeightVersion) -> Result<(), EngineError> {
         self.clear_staged();
+        let mut session = self.engines.connect(self.engine).await?;
         for (number, bytes) in self.cache.pieces(model, version) {
             let called_at = now();
-            let staging = self.engines.stage_piece(self.engine, model, number, bytes);
+            let staging = session.stage_piece(model, number, bytes);
             staging.await.inspect_err(|e| {
                 log::warn!(
                     "loader: piece {number} of version {version} not staged after {} ms: {e}",
--- a/components/loader/src/switching.rs
+++ b/components/loader/src/switching.rs
@@ -2,9 +2,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anyhow::{Context, ensure};
+use anyhow::ensure;
 use dispatch::{SwitchPlan, SwitchStep, VersionCandidate};
-use domain::{EngineApi, Moment, Platform, WeightVersion, millis, now};
+use domain::{
+    EngineApi, EngineError, EngineSession, LoadOrder, Moment, Platform, WeightVersion, millis, now,
+};
 use pieces::{Downloader, TargetVersion};
 use serde_json::json;
 use smol::{Task, Timer};
@@ -210,8 +212,10 @@
     /// Orders the engine to load a version whose pieces were verified at `verified_at`
     /// or later, and waits until it reports the version.
     async fn order(&self, target: &TargetVersion, verified_at: Moment) -> anyhow::Result<()> {
-        self.read_report().await;
-        let report = self.report().context("the engine does not answer")?;
+        let engines = self.platform.engines();
+        let mut session = engines.connect(self.settings.engine).await?;
+        let report = session.status().clone();
+        self.record_report(Ok(report.clone()));
         // The report may show a restart, in which verified pieces were lost.
         ensure!(
             self.local.is_staged(&target.model, target.version),
@@ -224,10 +228,18 @@
         });
         decision("loader", "order", Outcome::Change, fields);
         let called_at = now();
-        let engines = self.platform.engines();
-        let (engine, sequence) = (self.settings.engine, report.sequence);
-        let ordered = engines.load(engine, &target.model, target.version, sequence);
-        if let Err(e) = ordered.await {
+        let id = self.engine_id(report.started_ms);
+        let ordered = session.load(LoadOrder {
+            id: id.as_deref(),
+            model: &target.model,
+            version: target.version,
+            sequence: report.sequence,
+        });
+        let ordered = ordered.await;
+        if let Err(e @ EngineError::NotSent { .. }) = ordered {
+            return Err(e.into());
+        }
+        if let Err(e) = ordered {
             // The engine may have accepted the order nevertheless, which its report shows.
             log::warn!(
                 "loader: order to load version {} failed after {} ms: {e}",
--- a/components/transport/src/connection.rs
+++ b/components/transport/src/connection.rs
@@ -65,6 +65,11 @@
         })
     }
 
+    /// Waits until a request can be sent; false if the connection has ended.
+    pub async fn ready(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+
     /// Address of the peer.
     pub fn addr(&self) -> SocketAddr {
         self.addr
--- a/components/transport/src/exchange.rs
+++ b/components/transport/src/exchange.rs
@@ -133,10 +133,15 @@
     /// is the idle time that the peer allows, if it announces one. The pool keeps at
     /// most `max_idle` connections to the peer.
     pub fn release(self, pool: &Pool, keep_alive: Option<Duration>, max_idle: usize) {
+        pool.put(self.into_connection(keep_alive), max_idle);
+    }
+
+    /// The connection, for reuse after the end of the body.
+    pub(crate) fn into_connection(self, keep_alive: Option<Duration>) -> Connection {
         let mut connection = self.connection;
         connection.idle_since = Instant::now();
         connection.keep_alive = keep_alive;
-        pool.put(connection, max_idle);
+        connection
     }
 }
 
--- a/components/transport/src/fetch.rs
+++ b/components/transport/src/fetch.rs
@@ -39,7 +39,7 @@
         .uri(path)
         .header(header::HOST, addr.to_string())
         .header(header::CONTENT_TYPE, "application/json")
-        .body(Full::new(body))
+        .body(body)
         .map_err(|e| TransportError::Aborted {
             addr,
             cause: AbortCause::Malformed,
@@ -50,25 +50,46 @@
             Some(c) => c,
             None => Connection::open(addr, limit).await?,
         };
+        let (response, connection) = fetch_on(connection, request, limit, max_bytes).await?;
+        if let (Some(pool), Some(connection)) = (pool, connection) {
+            pool.put(connection, MAX_IDLE);
+        }
+        Ok(response)
+    };
+    with_timeout(limit, response)
+        .await
+        .ok_or(TransportError::Timeout { addr, limit })?
+}
+
+/// Sends a request on an open connection and reads the complete response within `limit`;
+/// fails if the body is longer than `max_bytes`. Returns the connection too, unless the
+/// peer closes it.
+pub async fn fetch_on(
+    connection: Connection,
+    request: Request<Bytes>,
+    limit: Duration,
+    max_bytes: usize,
+) -> Result<(FetchedResponse, Option<Connection>), TransportError> {
+    let addr = connection.addr;
+    let response = async {
         let timeouts = ExchangeTimeouts {
             head: limit,
             read_timeout: limit,
         };
-        let mut exchange = Exchange::begin(connection, request, timeouts).await?;
+        let mut exchange = Exchange::begin(connection, request.map(Full::new), timeouts).await?;
         let body = exchange.body.collect(max_bytes).await?;
         let closing = exchange
             .head
             .headers
             .get(header::CONNECTION)
             .is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
-        if let Some(pool) = pool.filter(|_| !closing) {
-            exchange.body.release(pool, None, MAX_IDLE);
-        }
-        Ok(FetchedResponse {
+        let response = FetchedResponse {
             status: exchange.head.status.as_u16(),
             headers: exchange.head.headers,
             body,
-        })
+        };
+        let connection = (!closing).then(|| exchange.body.into_connection(None));
+        Ok((response, connection))
     };
     with_timeout(limit, response)
         .await
