Limit the age of the verification of staged pieces when they are ordered

An engine took a piece that had turned bad more than 3 s before, because nothing bounded the time from the first read of the verification to the order: 64 reads one after another, a pause, a notice, a report and the call.

Later, or after a longer verification, the pieces are verified again.

--- a/components/domain/src/platform.rs
+++ b/components/domain/src/platform.rs
@@ -8,8 +8,8 @@
 use http::{HeaderMap, request, response};
 
 use crate::{
-    EngineStatus, FailureDomainId, FleetConfig, ModelId, RecordStore, RequestHead, ResponseHead,
-    Upstream, UpstreamId, WeightVersion,
+    EngineStatus, FailureDomainId, FleetConfig, ModelId, Moment, RecordStore, RequestHead,
+    ResponseHead, Upstream, UpstreamId, WeightVersion,
 };
 
 /// A record does not decode.
@@ -132,6 +132,8 @@
     pub version: WeightVersion,
     /// Number of orders that the engine must have accepted so far.
     pub sequence: u64,
+    /// Moment after which it must not be sent.
+    pub send_by: Moment,
 }
 
 /// Calls that change what an engine holds. They reach the start of the engine that the
--- a/components/loader/src/switching.rs
+++ b/components/loader/src/switching.rs
@@ -19,6 +19,9 @@
 const STEP_INTERVAL: Duration = Duration::from_millis(100);
 /// Time that the notice of a switch takes to reach the entries.
 const CLOSE_DELAY: Duration = Duration::from_millis(60);
+/// Longest age of the oldest check of a staged piece when an order is sent. A piece
+/// that turns bad is excused for 3 s; the rest is left for the engine to accept.
+const MAX_CHECK_AGE: Duration = Duration::from_millis(2000);
 /// Longest time from an order until the engine reports the version.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time from an order after which an engine that is not loading has not accepted it.
@@ -179,6 +182,10 @@
             self.local.stage(&target.model, target.version).await?;
         }
         let verified_at = self.verify_staged(target).await?;
+        ensure!(
+            now() < verified_at + MAX_CHECK_AGE,
+            "the verification took too long; the pieces will be verified again"
+        );
         self.set_switching(true).await;
         Timer::after(CLOSE_DELAY).await;
         let result = self.order(target, verified_at).await;
@@ -234,6 +241,7 @@
             model: &target.model,
             version: target.version,
             sequence: report.sequence,
+            send_by: verified_at + MAX_CHECK_AGE,
         });
         let ordered = ordered.await;
         if let Err(e @ EngineError::NotSent { .. }) = ordered {
