--- a/components/loader/src/switching.rs
+++ b/components/loader/src/switching.rs
@@ -2,9 +2,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anyhow::{Context, ensure};
+use anyhow::ensure;
 use dispatch::{SwitchPlan, SwitchStep, VersionCandidate};
-use domain::{EngineApi, Moment, Platform, WeightVersion, now};
+use domain::{
+    EngineApi, EngineError, EngineSession, LoadOrder, Moment, Platform, WeightVersion, millis, now,
+};
 use pieces::{Downloader, TargetVersion};
 use serde_json::json;
 use smol::{Task, Timer};
@@ -17,6 +19,9 @@
 const STEP_INTERVAL: Duration = Duration::from_millis(100);
 /// Time that the notice of a switch takes to reach the entries.
 const CLOSE_DELAY: Duration = Duration::from_millis(60);
+/// Longest age of the oldest check of a staged piece when an order is sent. A piece
+/// that turns bad is excused for 3 s; the rest is left for the engine to accept.
+const MAX_CHECK_AGE: Duration = Duration::from_millis(2000);
 /// Longest time from an order until the engine reports the version.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time from an order after which an engine that is not loading has not accepted it.
@@ -176,17 +181,23 @@
         if !self.local.is_staged(&target.model, target.version) {
             self.local.stage(&target.model, target.version).await?;
         }
-        self.verify_staged(target).await?;
+        let verified_at = self.verify_staged(target).await?;
+        ensure!(
+            now() < verified_at + MAX_CHECK_AGE,
+            "the verification took too long; the pieces will be verified again"
+        );
         self.set_switching(true).await;
         Timer::after(CLOSE_DELAY).await;
-        let result = self.order(target).await;
+        let result = self.order(target, verified_at).await;
         self.set_switching(false).await;
         result
     }
 
-    /// Verifies all staged pieces of a version. Wrong ones are an error, and the
-    /// version is staged again in the next step.
-    async fn verify_staged(&self, target: &TargetVersion) -> anyhow::Result<()> {
+    /// Verifies all staged pieces of a version and returns the moment of the oldest
+    /// check. Wrong pieces are an error, and the version is staged again in the next
+    /// step.
+    async fn verify_staged(&self, target: &TargetVersion) -> anyhow::Result<Moment> {
+        let verified_at = now();
         let mut wrong = 0;
         for number in 0..target.pieces.count {
             let read = self
@@ -202,13 +213,16 @@
                 "{wrong} staged pieces have a wrong digest; the version will be staged again"
             );
         }
-        Ok(())
+        Ok(verified_at)
     }
 
-    /// Orders the engine to load a version and waits until it reports the version.
-    async fn order(&self, target: &TargetVersion) -> anyhow::Result<()> {
-        self.read_report().await;
-        let report = self.report().context("the engine does not answer")?;
+    /// Orders the engine to load a version whose pieces were verified at `verified_at`
+    /// or later, and waits until it reports the version.
+    async fn order(&self, target: &TargetVersion, verified_at: Moment) -> anyhow::Result<()> {
+        let engines = self.platform.engines();
+        let mut session = engines.connect(self.settings.engine).await?;
+        let report = session.status().clone();
+        self.record_report(Ok(report.clone()));
         // The report may show a restart, in which verified pieces were lost.
         ensure!(
             self.local.is_staged(&target.model, target.version),
@@ -216,16 +230,29 @@
         );
         let fields = json!({
             "model": target.model, "version": target.version, "sequence": report.sequence,
+            "born": report.started_ms,
+            "verified_ms_ago": millis(now().saturating_sub(verified_at)),
         });
         decision("loader", "order", Outcome::Change, fields);
-        let engines = self.platform.engines();
-        let (engine, sequence) = (self.settings.engine, report.sequence);
-        let ordered = engines.load(engine, &target.model, target.version, sequence);
-        if let Err(e) = ordered.await {
+        let called_at = now();
+        let id = self.engine_id(report.started_ms);
+        let ordered = session.load(LoadOrder {
+            id: id.as_deref(),
+            model: &target.model,
+            version: target.version,
+            sequence: report.sequence,
+            send_by: verified_at + MAX_CHECK_AGE,
+        });
+        let ordered = ordered.await;
+        if let Err(e @ EngineError::NotSent { .. }) = ordered {
+            return Err(e.into());
+        }
+        if let Err(e) = ordered {
             // The engine may have accepted the order nevertheless, which its report shows.
             log::warn!(
-                "loader: order to load version {} failed: {e}",
-                target.version
+                "loader: order to load version {} failed after {} ms: {e}",
+                target.version,
+                millis(now().saturating_sub(called_at))
             );
         }
         let ordered_at = now();
