Store-Era is read, and each batch of records is logged with its era

The era is decoded from every answer of the store and kept for all clones of the client; batches of records and acknowledgements carry it. One line tells what a batch changed and where the topic ended before, also if it was dropped as older, so that the hypotheses of the incident can be told apart. Nothing decides by the era yet.

--- a/components/dispatch/src/mirror.rs
+++ b/components/dispatch/src/mirror.rs
@@ -93,6 +93,7 @@
         Some(RecordBatch {
             records: changes,
             end,
+            era: 0,
         })
     }
 
--- a/components/dispatch/tests/records.rs
+++ b/components/dispatch/tests/records.rs
@@ -19,6 +19,7 @@
     RecordBatch {
         records: changes,
         end,
+        era: 0,
     }
 }
 
--- a/components/domain/src/ids.rs
+++ b/components/domain/src/ids.rs
@@ -19,5 +19,8 @@
 pub type ModelId = CompactString;
 /// Id that a caller assigns to one attempt.
 pub type AttemptId = CompactString;
+/// Era of the platform's store. It rises when the store comes back from an older copy;
+/// offsets of different eras have nothing to do with each other.
+pub type Era = u64;
 /// Number of a weight version.
 pub type WeightVersion = u64;
--- a/components/domain/src/record_store.rs
+++ b/components/domain/src/record_store.rs
@@ -5,6 +5,8 @@
 use compact_str::CompactString;
 use derive_more::{Display, Error};
 
+use crate::Era;
+
 /// A record with a key; a newer record of the same key replaces it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Record {
@@ -23,6 +25,8 @@
     pub records: Vec<Record>,
     /// Offset of the next record that will be written.
     pub end: u64,
+    /// Era of the offsets.
+    pub era: Era,
 }
 
 /// Result of reading from an offset.
@@ -30,8 +34,8 @@
 pub enum ReadOutcome {
     /// Records from the requested offset.
     Records(RecordBatch),
-    /// The records at the requested offset are deleted; read the newest record of
-    /// each key instead.
+    /// The records at the requested offset are deleted, or the store does not have it in
+    /// its present era; read the newest record of each key instead.
     Gap,
 }
 
@@ -69,11 +73,21 @@
         wait: Duration,
     ) -> impl Future<Output = Result<ReadOutcome, StoreError>> + Send;
 
-    /// Appends a record of a key; `None` deletes the key.
+    /// Appends a record of a key; `None` deletes the key. Returns the era in which it was
+    /// acknowledged; the record may be gone in a later one.
     fn put(
         &self,
         topic: &str,
         key: &str,
         value: Option<&[u8]>,
-    ) -> impl Future<Output = Result<(), StoreError>> + Send;
+    ) -> impl Future<Output = Result<Era, StoreError>> + Send;
+
+    /// Newest era that this client has seen in any response.
+    fn era(&self) -> Era;
+
+    /// Waits until a newer era than `era` has been seen.
+    fn until_newer_era(&self, era: Era) -> impl Future<Output = ()> + Send;
+
+    /// Takes over an era that a peer has seen.
+    fn learn_era(&self, era: Era);
 }
--- a/components/feed/src/feed.rs
+++ b/components/feed/src/feed.rs
@@ -7,8 +7,8 @@
     ConfigFreshness, ConfigStatus, FleetView, Mirror, Pulse, ViewChange, WriteBasis, WriteTime,
 };
 use domain::{
-    ModelId, Moment, NodeSettings, Platform, Record, RecordBatch, RecordStore, StoreError, VmId,
-    WeightVersion, millis, now,
+    Era, ModelId, Moment, NodeSettings, Platform, Record, RecordBatch, RecordStore, StoreError,
+    VmId, WeightVersion, millis, now,
 };
 use event_listener::{Event, EventListener};
 use serde_json::json;
@@ -120,7 +120,7 @@
     }
 
     /// Announces this process as an entry; `None` withdraws the announcement.
-    pub async fn announce(&self, member: Option<&Member>) -> Result<(), StoreError> {
+    pub async fn announce(&self, member: Option<&Member>) -> Result<Era, StoreError> {
         let value = member.and_then(|m| rmp_serde::to_vec(m).ok());
         let topic = self.platform.member_topic();
         let store = self.platform.store();
@@ -139,13 +139,31 @@
         {
             let mut state = self.state();
             let state = &mut *state;
-            for record in merge(&mut state.mirrors[topic.index()], batch) {
+            let mirror = &mut state.mirrors[topic.index()];
+            let (era, end, known_end) = (batch.era, batch.end, mirror.end());
+            let changed = merge(mirror, batch);
+            if !changed.is_empty() || Some(end) < known_end {
+                self.log_batch(topic, era, end, known_end, changed.len());
+            }
+            for record in changed {
                 changes.extend(self.apply_record(state, topic, &record, written));
             }
         }
         self.publish(changes);
     }
 
+    /// Logs what a batch of records changed, and where the topic ended before.
+    fn log_batch(&self, topic: Topic, era: Era, end: u64, known_end: Option<u64>, changed: usize) {
+        let fields = json!({
+            "topic": self.topic_name(topic),
+            "era": era,
+            "end": end,
+            "known_end": known_end,
+            "changed": changed,
+        });
+        decision("feed", "records", Outcome::Change, fields);
+    }
+
     fn apply_record(
         &self,
         state: &mut State,
--- a/components/feed/src/peer_messages.rs
+++ b/components/feed/src/peer_messages.rs
@@ -1,5 +1,5 @@
 use compact_str::CompactString;
-use domain::{Record, RecordBatch};
+use domain::{Era, Record, RecordBatch};
 use serde::{Deserialize, Serialize};
 
 /// Path of a request for records.
@@ -33,6 +33,9 @@
     pub records: Vec<(CompactString, u64, Option<Vec<u8>>)>,
     /// Offset of the next record.
     pub end: u64,
+    /// Era of the offsets.
+    #[serde(default)]
+    pub era: Era,
 }
 
 impl From<RecordBatch> for RawBatch {
@@ -41,6 +44,7 @@
         RawBatch {
             records: batch.records.into_iter().map(raw).collect(),
             end: batch.end,
+            era: batch.era,
         }
     }
 }
@@ -55,6 +59,7 @@
         RecordBatch {
             records: raw.records.into_iter().map(record).collect(),
             end: raw.end,
+            era: raw.era,
         }
     }
 }
