Wait for the end of calls to the engine, and remember those without one

Callers got tokens made with a piece of another version: the call that staged it had ended for the agent after 2 s, or with its process, and the engine accepted it after the next version had been verified. An order that had timed out in the same way took the pieces of the next version.

As long as such a call may bring pieces of another version, no version is staged or ordered.

--- a/components/loader/src/lib.rs
+++ b/components/loader/src/lib.rs
@@ -2,6 +2,7 @@
 //! weights and loads them into the engine on the same VM.
 
 mod agent;
+mod doubts;
 mod loader;
 mod local_pieces;
 mod switching;
--- a/components/loader/src/loader.rs
+++ b/components/loader/src/loader.rs
@@ -76,6 +76,7 @@
             spawn(feed.follow()),
             spawn(agent.clone().watch()),
             spawn(agent.clone().receive_notices()),
+            spawn(agent.clone().download_versions()),
             spawn(agent.load_versions()),
         ];
         stop.await;
--- a/components/loader/src/local_pieces.rs
+++ b/components/loader/src/local_pieces.rs
@@ -1,11 +1,14 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use anyhow::bail;
 use bytes::Bytes;
 use domain::{EngineApi, EngineError, EngineSession, ModelId, WeightVersion, millis, now};
 use feed::{PieceLookup, PieceProvider};
 use pieces::{Digests, PieceCache};
 
+use crate::doubts::{DoubtfulCall, Doubts};
+
 /// The pieces on this VM: in memory while a version is downloaded, staged at the
 /// engine once it is complete.
 pub struct LocalPieces<E> {
@@ -13,6 +16,8 @@
     pub cache: Arc<PieceCache>,
     engines: E,
     engine: SocketAddr,
+    /// Calls that may still change what is staged.
+    pub doubts: Doubts,
     /// Version whose pieces are known to be staged.
     staged: Mutex<Option<(ModelId, WeightVersion)>>,
 }
@@ -25,6 +30,7 @@
             cache: Arc::new(PieceCache::new(bandwidth)),
             engines,
             engine,
+            doubts: Doubts::default(),
             staged: Mutex::default(),
         }
     }
@@ -45,19 +51,33 @@
         *self.staged() == Some((model.into(), version))
     }
 
+    /// Fails if a call may still change what is staged from the pieces of a version to
+    /// others.
+    pub fn ensure_undisturbed(&self, model: &str, version: WeightVersion) -> anyhow::Result<()> {
+        match self.doubts.endangering(model, version) {
+            None => Ok(()),
+            Some(call) => bail!("{call} may still be accepted; version {version} has to wait"),
+        }
+    }
+
     /// Stages the pieces of a version that are in memory.
-    pub async fn stage(&self, model: &str, version: WeightVersion) -> Result<(), EngineError> {
+    pub async fn stage(&self, model: &str, version: WeightVersion) -> anyhow::Result<()> {
+        self.ensure_undisturbed(model, version)?;
         self.clear_staged();
         let mut session = self.engines.connect(self.engine).await?;
         for (number, bytes) in self.cache.pieces(model, version) {
             let called_at = now();
-            let staging = session.stage_piece(model, number, bytes);
-            staging.await.inspect_err(|e| {
+            if let Err(e) = session.stage_piece(model, number, bytes).await {
                 log::warn!(
                     "loader: piece {number} of version {version} not staged after {} ms: {e}",
                     millis(now().saturating_sub(called_at))
                 );
-            })?;
+                if let EngineError::NoResponse { .. } = e {
+                    let call = DoubtfulCall::Piece(model.into(), version);
+                    self.doubts.add(call, session.status().started_ms);
+                }
+                return Err(e.into());
+            }
         }
         self.mark_staged(model, version);
         Ok(())
--- a/components/loader/src/switching.rs
+++ b/components/loader/src/switching.rs
@@ -35,13 +35,21 @@
 const POSITION_STEP: f64 = 0.618_033_988_75;
 
 impl<P: Platform> Agent<P> {
-    /// Downloads declared versions and loads them into the engine.
-    pub async fn load_versions(self: Arc<Self>) {
+    /// Downloads declared versions, also while a call to the engine is pending.
+    pub async fn download_versions(self: Arc<Self>) {
         let mut downloads: HashMap<WeightVersion, Task<()>> = HashMap::new();
+        loop {
+            let changed = self.feed.listen();
+            self.update_downloads(&self.targets(), &mut downloads);
+            with_timeout(STEP_INTERVAL, changed).await;
+        }
+    }
+
+    /// Loads downloaded versions into the engine.
+    pub async fn load_versions(self: Arc<Self>) {
         loop {
             let changed = self.feed.listen();
             let targets = self.targets();
-            self.update_downloads(&targets, &mut downloads);
             if let Err(e) = self.step(&targets).await {
                 let fields = json!({ "error": format!("{e:#}") });
                 decision("loader", "not loaded", Outcome::Failure, fields);
@@ -228,6 +236,8 @@
             self.local.is_staged(&target.model, target.version),
             "the engine restarted; the version will be staged again"
         );
+        self.local
+            .ensure_undisturbed(&target.model, target.version)?;
         let fields = json!({
             "model": target.model, "version": target.version, "sequence": report.sequence,
             "born": report.started_ms,
