A change after the store came back from an older copy is in force

Cause: a reader went on from an offset of before the drill. The copy does not have it (410) until it is given out again; the state that was read then was dropped, since its end or the offset of its records lay below the known ones.

Offsets are compared within one era only. A batch of an older era is dropped. In a newer one a waiting read is given up at once, also if another topic or a peer showed the era, and the state is read and merged by value: configurations and weight versions by their version, upstreams by start and number of the write, so that an older copy undoes neither draining nor leaving. A record that the copy holds and that was known as removed is not taken, and what it lacks is kept, until it had time to be written again (upstreams 2.2 s, as after an outage; the rest 10 s). The configuration counts as confirmed only once the store holds the one in force, since a newer one may be lost too. Peers send the era beside offsets, and the state to one whose offsets are older.

--- a/components/dispatch/src/fleet_view.rs
+++ b/components/dispatch/src/fleet_view.rs
@@ -19,6 +19,8 @@
 const PEER_ACCESS_AGE: Duration = Duration::from_millis(2500);
 /// Most declared versions kept for a model; older ones have long been in force.
 const MAX_VERSIONS: usize = 16;
+/// Most upstreams that are remembered after they left.
+const MAX_DEPARTED: usize = 1024;
 
 /// A change of the fleet.
 #[derive(Debug, Clone, PartialEq)]
@@ -51,6 +53,8 @@
     upstreams: HashMap<UpstreamId, Upstream>,
     /// Upstreams whose records lapsed, and the moment until which they are used.
     lapsed: HashMap<UpstreamId, Moment>,
+    /// Last record of upstreams that left, by [`revision`].
+    departed: HashMap<UpstreamId, (u64, u64)>,
     store_down: bool,
     /// When a peer could last read the store.
     peer_access: Option<Moment>,
@@ -258,7 +262,16 @@
     ) -> Option<ViewChange> {
         if let Some(upstream) = upstream {
             self.lapsed.remove(id);
-            let changed = self.upstreams.get(id) != Some(&upstream);
+            self.departed.remove(id);
+            let known = self.upstreams.get(id);
+            // A write of the same content is no change.
+            let changed = known.is_none_or(|k| {
+                let sequence = upstream.sequence;
+                Upstream {
+                    sequence,
+                    ..k.clone()
+                } != upstream
+            });
             self.upstreams.insert(id.into(), upstream);
             return changed.then(|| ViewChange::Listed(id.into()));
         }
@@ -269,10 +282,53 @@
             self.lapsed.insert(id.into(), until);
             return Some(ViewChange::Lapsed(id.into()));
         }
-        self.upstreams.remove(id);
+        self.remove_upstream(id);
         Some(ViewChange::Removed(id.into()))
     }
 
+    /// Applies the record of an upstream from an older copy of the store. It may be older
+    /// than the one known, and its upstream may have left since then.
+    pub fn apply_restored_upstream(
+        &mut self,
+        now: Moment,
+        upstream: Upstream,
+    ) -> Option<ViewChange> {
+        let id = upstream.id.clone();
+        let listed = self.upstreams.get(&id).map(revision);
+        let known = listed.max(self.departed.get(&id).copied());
+        if known < Some(revision(&upstream)) {
+            return self.apply_upstream_record(now, &id, Some(upstream));
+        }
+        self.lapsed.remove(&id);
+        None
+    }
+
+    /// Lets an upstream lapse whose record is missing in an older copy of the store: it is
+    /// written again soon unless the upstream has left.
+    pub fn lapse_lost_upstream(&mut self, now: Moment, id: &str) -> Option<ViewChange> {
+        if !self.upstreams.contains_key(id) {
+            return None;
+        }
+        let relist_by = now + RELIST_TIME;
+        let until = self.lapsed.entry(id.into()).or_insert(relist_by);
+        *until = relist_by.min(*until);
+        Some(ViewChange::Lapsed(id.into()))
+    }
+
+    /// Forgets which upstreams left: from now on a record of the store counts again.
+    pub fn forget_departed(&mut self) {
+        self.departed.clear();
+    }
+
+    fn remove_upstream(&mut self, id: &str) {
+        if self.departed.len() >= MAX_DEPARTED {
+            self.departed.clear();
+        }
+        if let Some(upstream) = self.upstreams.remove(id) {
+            self.departed.insert(id.into(), revision(&upstream));
+        }
+    }
+
     /// Removes lapsed upstreams that were not listed again in time; returns their ids.
     pub fn expire(&mut self, now: Moment) -> Vec<UpstreamId> {
         let is_expired = |_: &UpstreamId, until: &mut Moment| *until <= now;
@@ -282,7 +338,7 @@
             .map(|(id, _)| id)
             .collect();
         for id in &expired {
-            self.upstreams.remove(id);
+            self.remove_upstream(id);
         }
         expired
     }
@@ -334,3 +390,8 @@
         declared.map(|(m, v)| (m, v.as_slice()))
     }
 }
+
+/// Order of the records of an upstream: its start and the number of the write.
+fn revision(upstream: &Upstream) -> (u64, u64) {
+    (upstream.started_ms, upstream.sequence)
+}
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -41,7 +41,7 @@
 pub use fleet_view::{FleetView, ViewChange};
 pub use latency_model::LatencyModel;
 pub use limit_statement::LimitStatement;
-pub use mirror::Mirror;
+pub use mirror::{Mirror, RestoredState};
 pub use piece_set::PieceSet;
 pub use pooled_upstream::{PooledUpstream, UpstreamLoad};
 pub use pulse::Pulse;
--- a/components/dispatch/src/mirror.rs
+++ b/components/dispatch/src/mirror.rs
@@ -1,8 +1,8 @@
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use bytes::Bytes;
 use compact_str::CompactString;
-use domain::{Record, RecordBatch};
+use domain::{Era, Record, RecordBatch};
 
 /// Most removed keys that are kept for peers, which lag by seconds.
 const MAX_TOMBSTONES: usize = 1024;
@@ -13,15 +13,31 @@
     value: Option<Bytes>,
 }
 
+/// What the copy holds from which the store came back.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct RestoredState {
+    /// Its records, without those that are known to have been removed since. They may be
+    /// older than the ones known before.
+    pub records: Vec<Record>,
+    /// Keys whose records were known and are missing.
+    pub lost: Vec<CompactString>,
+}
+
 /// The newest record of each key of a topic, updated with records from the store or
 /// from a peer.
 #[derive(Debug, Default)]
 pub struct Mirror {
     latest: HashMap<CompactString, Latest>,
     end: Option<u64>,
+    /// Era of all offsets.
+    era: Era,
     /// Offset from which on all removals are known.
     complete_from: u64,
     tombstones: usize,
+    /// Last record of removed keys: in a copy it is not a new one.
+    removed: HashMap<CompactString, Record>,
+    /// Keys whose records are missing in the copy and were not written again so far.
+    lost: HashSet<CompactString>,
 }
 
 impl Mirror {
@@ -30,18 +46,24 @@
         self.end
     }
 
-    /// Replaces the contents with the newest state of the topic; returns what changed.
+    /// Era of the offsets.
+    pub fn era(&self) -> Era {
+        self.era
+    }
+
+    /// Replaces the contents with the newest state of the topic in the same era; returns
+    /// what changed.
     pub fn reset(&mut self, batch: RecordBatch) -> Vec<Record> {
         if self.end.is_some_and(|end| batch.end < end) {
             // A state older than the mirror would undo changes.
             return Vec::new();
         }
         let mut changed = Vec::new();
-        let kept: HashMap<&str, ()> = batch.records.iter().map(|c| (c.key.as_str(), ())).collect();
+        let kept: HashSet<&str> = batch.records.iter().map(|c| c.key.as_str()).collect();
         let removed: Vec<CompactString> = self
             .latest
             .iter()
-            .filter(|(k, l)| l.value.is_some() && !kept.contains_key(k.as_str()))
+            .filter(|(k, l)| l.value.is_some() && !kept.contains(k.as_str()))
             .map(|(k, _)| k.clone())
             .collect();
         drop(kept);
@@ -56,12 +78,14 @@
             changed.extend(self.set(change));
         }
         self.end = Some(batch.end);
+        self.era = batch.era;
         // Keys that were removed before are missing from the state.
         self.complete_from = batch.end;
         changed
     }
 
-    /// Applies records that follow the ones already known; returns what changed.
+    /// Applies records that follow the ones already known, in the same era; returns what
+    /// changed.
     pub fn extend(&mut self, batch: RecordBatch) -> Vec<Record> {
         let mut changed = Vec::new();
         for change in batch.records {
@@ -71,6 +95,51 @@
         changed
     }
 
+    /// Replaces the contents with the state of a newer era. The offsets of the old one
+    /// say nothing about it.
+    pub fn restore(&mut self, batch: RecordBatch) -> RestoredState {
+        let known = std::mem::take(&mut self.latest);
+        let known = known.into_iter().filter(|(_, l)| l.value.is_some());
+        self.lost.extend(known.map(|(key, _)| key));
+        for record in &batch.records {
+            self.lost.remove(&record.key);
+        }
+        let entry = |r: &Record| {
+            let (offset, value) = (r.offset, r.value.clone());
+            (r.key.clone(), Latest { offset, value })
+        };
+        self.latest = batch.records.iter().map(entry).collect();
+        self.tombstones = 0;
+        self.end = Some(batch.end);
+        self.era = batch.era;
+        self.complete_from = batch.end;
+        let is_current = |r: &Record| self.removed.get(&r.key) != Some(r);
+        RestoredState {
+            records: batch.records.into_iter().filter(is_current).collect(),
+            lost: self.lost.iter().cloned().collect(),
+        }
+    }
+
+    /// Ends the time in which lost records may be written again: returns the records that
+    /// the store holds, and a removal for each key that is still missing.
+    pub fn settle(&mut self) -> Vec<Record> {
+        self.removed.clear();
+        let offset = self.end.unwrap_or_default().saturating_sub(1);
+        let removal = |key| Record {
+            key,
+            offset,
+            value: None,
+        };
+        let mut records: Vec<Record> = self.lost.drain().map(removal).collect();
+        let held = self.latest.iter().filter(|(_, l)| l.value.is_some());
+        records.extend(held.map(|(key, l)| Record {
+            key: key.clone(),
+            offset: l.offset,
+            value: l.value.clone(),
+        }));
+        records
+    }
+
     /// The records from offset `from` on, for a peer that has all earlier ones; with 0,
     /// the state of the topic. `None` before the first load, and if removals since `from`
     /// may be missing.
@@ -93,7 +162,7 @@
         Some(RecordBatch {
             records: changes,
             end,
-            era: 0,
+            era: self.era,
         })
     }
 
@@ -105,16 +174,29 @@
             self.tombstones -= usize::from(known.value.is_none());
         }
         self.tombstones += usize::from(change.value.is_none());
-        self.latest.insert(
+        self.lost.remove(&change.key);
+        let known = self.latest.insert(
             change.key.clone(),
             Latest {
                 offset: change.offset,
                 value: change.value.clone(),
             },
         );
+        match known.filter(|l| l.value.is_some() && change.value.is_none()) {
+            Some(Latest { offset, value }) => {
+                let key = change.key.clone();
+                let record = Record { key, offset, value };
+                self.removed.insert(change.key.clone(), record);
+            }
+            None if change.value.is_some() => {
+                self.removed.remove(&change.key);
+            }
+            None => {}
+        }
         if self.tombstones > MAX_TOMBSTONES {
             self.complete_from = self.complete_from.max(change.offset + 1);
             self.latest.retain(|_, l| l.value.is_some());
+            self.removed.clear();
             self.tombstones = 0;
         }
         Some(change)
--- a/components/domain/src/upstream.rs
+++ b/components/domain/src/upstream.rs
@@ -41,6 +41,8 @@
     /// Start of the upstream in milliseconds of Unix time; differs between two
     /// starts under the same id.
     pub started_ms: u64,
+    /// Number of writes of the record since this start.
+    pub sequence: u64,
     /// Model versions that it has loaded; empty if it is not a model engine.
     pub models: Vec<HeldModel>,
 }
--- a/components/emulator/src/production_policy.rs
+++ b/components/emulator/src/production_policy.rs
@@ -57,6 +57,7 @@
             state: UpstreamState::Ready,
             cold_remaining: Duration::ZERO,
             started_ms: 1,
+            sequence: 0,
             models: Vec::new(),
         };
         let tag = u32::try_from(engine).unwrap_or(u32::MAX);
--- a/components/feed/src/feed.rs
+++ b/components/feed/src/feed.rs
@@ -1,3 +1,4 @@
+use std::cmp::Ordering;
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -7,8 +8,8 @@
     ConfigFreshness, ConfigStatus, FleetView, Mirror, Pulse, ViewChange, WriteBasis, WriteTime,
 };
 use domain::{
-    Era, ModelId, Moment, NodeSettings, Platform, Record, RecordBatch, RecordStore, StoreError,
-    VmId, WeightVersion, millis, now,
+    Era, FleetRecord, ModelId, Moment, NodeSettings, Platform, Record, RecordBatch, RecordStore,
+    StoreError, VmId, WeightVersion, millis, now,
 };
 use event_listener::{Event, EventListener};
 use serde_json::json;
@@ -16,8 +17,13 @@
 use transport::Pool;
 
 use crate::Member;
+use crate::batch::{BatchKind, BatchResult};
 use crate::topic::{Role, Topic};
 
+/// Time after a return of the store from an older copy in which operators, upstreams and
+/// entries write again what it lost.
+const REWRITE_TIME: Duration = Duration::from_secs(10);
+
 #[derive(Debug)]
 pub(crate) struct State {
     /// Records of each topic, by [`Topic::index`].
@@ -28,6 +34,20 @@
     pub(crate) members: HashMap<VmId, Member>,
     /// Whether the last read of each topic succeeded, by [`Topic::index`].
     pub(crate) reachable: [bool; 3],
+    /// Until when the records of each topic may be missing or older than those known,
+    /// after a return of the store from a copy, by [`Topic::index`].
+    settle_at: [Option<Moment>; 3],
+    /// Version of the configuration that the store last returned.
+    stored_config: Option<u64>,
+}
+
+impl State {
+    /// Whether the store lost the configuration in force, which is not written again yet:
+    /// a newer one may be lost as well.
+    pub(crate) fn config_is_lost(&self) -> bool {
+        let known = self.view.config().map(|c| c.version);
+        self.settle_at[Topic::Fleet.index()].is_some() && self.stored_config < known
+    }
 }
 
 /// Copy of the platform's records in this process, kept up to date from the store or
@@ -59,6 +79,8 @@
                 pulse: Pulse::default(),
                 members: HashMap::new(),
                 reachable: [true; 3],
+                settle_at: [None; 3],
+                stored_config: None,
             }),
             platform,
             node,
@@ -127,29 +149,151 @@
         store.put(topic, &self.node.vm, value.as_deref()).await
     }
 
-    /// Applies records that were written at `written` or later.
+    /// Waits until a newer era of the store than `era` has been seen.
+    pub async fn until_newer_era(&self, era: Era) {
+        self.platform.store().until_newer_era(era).await;
+    }
+
+    /// Applies records that were written at `written` or later, unless they are of an older
+    /// era than those known.
     pub(crate) fn apply(
         &self,
         topic: Topic,
         batch: RecordBatch,
-        merge: fn(&mut Mirror, RecordBatch) -> Vec<Record>,
+        kind: BatchKind,
         written: WriteTime,
-    ) {
-        let mut changes = Vec::new();
-        {
+    ) -> BatchResult {
+        let (result, changes) = {
             let mut state = self.state();
             let state = &mut *state;
             let mirror = &mut state.mirrors[topic.index()];
-            let (era, end, known_end) = (batch.era, batch.end, mirror.end());
-            let changed = merge(mirror, batch);
-            if !changed.is_empty() || Some(end) < known_end {
-                self.log_batch(topic, era, end, known_end, changed.len());
-            }
-            for record in changed {
-                changes.extend(self.apply_record(state, topic, &record, written));
+            let loaded = mirror.end().is_some();
+            match (batch.era.cmp(&mirror.era()), kind) {
+                (Ordering::Less, _) if loaded => (BatchResult::OlderEra, Vec::new()),
+                (Ordering::Greater, BatchKind::Records) => (BatchResult::NewerEra, Vec::new()),
+                (Ordering::Greater, BatchKind::State) if loaded => {
+                    let changes = self.apply_restored(state, topic, batch, written);
+                    (BatchResult::Applied, changes)
+                }
+                _ => {
+                    let changes = self.apply_current(state, topic, batch, kind, written);
+                    (BatchResult::Applied, changes)
+                }
             }
+        };
+        if result != BatchResult::Applied {
+            let fields = json!({ "topic": self.topic_name(topic), "result": result.name() });
+            decision("feed", "records dropped", Outcome::Change, fields);
         }
         self.publish(changes);
+        result
+    }
+
+    /// Applies records of the era of those known.
+    fn apply_current(
+        &self,
+        state: &mut State,
+        topic: Topic,
+        batch: RecordBatch,
+        kind: BatchKind,
+        written: WriteTime,
+    ) -> Vec<ViewChange> {
+        let mirror = &mut state.mirrors[topic.index()];
+        let (era, end, known_end) = (batch.era, batch.end, mirror.end());
+        let changed = match kind {
+            BatchKind::State => mirror.reset(batch),
+            BatchKind::Records => mirror.extend(batch),
+        };
+        if !changed.is_empty() || Some(end) < known_end {
+            self.log_batch(topic, era, end, known_end, changed.len());
+        }
+        let changed = changed.iter();
+        changed
+            .filter_map(|record| self.apply_record(state, topic, record, written))
+            .collect()
+    }
+
+    /// Applies the state of a newer era. What was known stays in force where the state is
+    /// older; what is missing in it gets time to be written again.
+    fn apply_restored(
+        &self,
+        state: &mut State,
+        topic: Topic,
+        batch: RecordBatch,
+        written: WriteTime,
+    ) -> Vec<ViewChange> {
+        let now = now();
+        let mirror = &mut state.mirrors[topic.index()];
+        let (known_era, known_end) = (mirror.era(), mirror.end());
+        let (era, end, held) = (batch.era, batch.end, batch.records.len());
+        let restored = mirror.restore(batch);
+        metrics::gauge!("turmerichold_store_era", "topic" => self.topic_name(topic))
+            .set(era as f64);
+        let fields = json!({
+            "topic": self.topic_name(topic),
+            "era": era,
+            "known_era": known_era,
+            "end": end,
+            "known_end": known_end,
+            "held": held,
+            "removed": held - restored.records.len(),
+            "lost": restored.lost,
+        });
+        decision("feed", "store restored", Outcome::Change, fields);
+        state.settle_at[topic.index()] = Some(now + REWRITE_TIME);
+        if topic == Topic::Fleet {
+            state.stored_config = None;
+        }
+        let mut changes = self.apply_held(state, topic, &restored.records, written);
+        if topic == Topic::Upstreams {
+            let lost = restored.lost.iter();
+            changes.extend(lost.filter_map(|id| state.view.lapse_lost_upstream(now, id)));
+        }
+        changes
+    }
+
+    /// Applies records that may be older than the ones known.
+    fn apply_held(
+        &self,
+        state: &mut State,
+        topic: Topic,
+        records: &[Record],
+        written: WriteTime,
+    ) -> Vec<ViewChange> {
+        let mut changes = Vec::new();
+        for record in records {
+            let (key, value) = (record.key.as_str(), record.value.as_ref());
+            changes.extend(match (topic, value) {
+                (Topic::Upstreams, Some(value)) => {
+                    let upstream = self.platform.upstream(key, value);
+                    let upstream = skip_invalid(upstream.map(Some)).flatten();
+                    upstream.and_then(|u| state.view.apply_restored_upstream(now(), u))
+                }
+                _ => self.apply_record(state, topic, record, written),
+            });
+        }
+        changes
+    }
+
+    /// Applies what the store holds once what a copy lost should have been written again.
+    pub(crate) fn settle(&self, topic: Topic) {
+        let changes = {
+            let mut state = self.state();
+            let state = &mut *state;
+            let settle_at = &mut state.settle_at[topic.index()];
+            if settle_at.take_if(|at| *at <= now()).is_none() {
+                return;
+            }
+            let records = state.mirrors[topic.index()].settle();
+            if topic == Topic::Upstreams {
+                state.view.forget_departed();
+            }
+            let written = state.freshness.since_last_read(WriteBasis::Newest);
+            self.apply_held(state, topic, &records, written)
+        };
+        let fields = json!({ "topic": self.topic_name(topic), "changed": changes.len() });
+        decision("feed", "store settled", Outcome::Change, fields);
+        self.publish(changes);
     }
 
     /// Logs what a batch of records changed, and where the topic ended before.
@@ -177,6 +321,9 @@
             Topic::Fleet => {
                 let record = value.map(|v| self.platform.fleet_record(key, v));
                 let record = skip_invalid(record.transpose())?;
+                if let Some(FleetRecord::Config(config)) = &record {
+                    state.stored_config = Some(config.version);
+                }
                 let change = state.view.apply_fleet_record(written.at, key, record);
                 if let Some(ViewChange::Weights(model, version)) = &change {
                     log_bound(&state.view, model, *version, written.at, written.basis);
--- a/components/feed/src/lib.rs
+++ b/components/feed/src/lib.rs
@@ -1,6 +1,7 @@
 //! Reads the platform's records, shares them between processes when some of them
 //! cannot reach the store, and sends notices between entries and agents.
 
+mod batch;
 mod feed;
 mod member;
 mod notice;
--- a/components/feed/src/peer_messages.rs
+++ b/components/feed/src/peer_messages.rs
@@ -13,6 +13,9 @@
     /// First missing offset of each topic, in the order of
     /// [`RecordsResponse::topics`]; `None` if the topic is not requested.
     pub from: [Option<u64>; 3],
+    /// Era of each offset.
+    #[serde(default)]
+    pub eras: [Era; 3],
 }
 
 /// Requested records of each topic, as far as the peer has them.
--- a/components/feed/src/peers.rs
+++ b/components/feed/src/peers.rs
@@ -1,15 +1,17 @@
+use std::cmp::Ordering;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use dispatch::{Mirror, WriteBasis};
-use domain::{ModelId, Moment, Platform, millis, now};
+use dispatch::WriteBasis;
+use domain::{Era, ModelId, Moment, Platform, RecordStore, millis, now};
 use http::Method;
 use smol::Timer;
 use transport::fetch;
 
 use crate::Feed;
+use crate::batch::{BatchKind, BatchResult};
 use crate::feed::log_bound;
 use crate::peer_messages::{RECORDS_PATH, RawBatch, RecordsRequest, RecordsResponse};
 use crate::topic::{Role, Topic};
@@ -66,29 +68,34 @@
 
     async fn fetch_records_from(&self, addr: SocketAddr) -> anyhow::Result<()> {
         let sent_at = now();
-        let from = {
+        let (from, eras) = {
             let state = self.state();
             // Agents get the part of the operators' records that they need with the
             // target versions.
             let is_requested = |t: &Topic| self.role == Role::Entry || *t != Topic::Fleet;
             let end = |t: Topic| state.mirrors[t.index()].end().unwrap_or(0);
-            Topic::ALL.map(|t| Some(t).filter(is_requested).map(end))
+            let from = Topic::ALL.map(|t| Some(t).filter(is_requested).map(end));
+            (from, Topic::ALL.map(|t| state.mirrors[t.index()].era()))
         };
-        let records = self.request_records(addr, from).await?;
+        let records = self.request_records(addr, from, eras).await?;
         // A peer that does not know all removals since then can send the state.
         let state_of = |t: Topic| {
             let missing = records.topics[t.index()].is_none();
             (missing && from[t.index()] > Some(0)).then_some(0)
         };
         let states = Topic::ALL.map(state_of);
-        let mut has_fleet = self.apply_batches(from, records.topics);
+        let mut applied = self.apply_batches(from, eras, records.topics);
         if states.iter().any(Option::is_some) {
-            let topics = self.request_records(addr, states).await?.topics;
-            has_fleet |= self.apply_batches(states, topics);
+            let topics = self.request_records(addr, states, eras).await?.topics;
+            let states = self.apply_batches(states, eras, topics);
+            applied = Topic::ALL.map(|t| applied[t.index()] || states[t.index()]);
         }
         self.merge_declared(sent_at, &records.declared);
-        // Without the operators' records, the age of the peer's says nothing here.
-        let is_current = has_fleet || self.role == Role::Agent;
+        // Without the records themselves, the age of the peer's says nothing here.
+        let is_current = match self.role {
+            Role::Entry => applied[Topic::Fleet.index()],
+            Role::Agent => applied[Topic::Upstreams.index()],
+        };
         if let Some(age) = records.age.filter(|_| is_current) {
             if Duration::from_millis(age) < PEER_FRESH {
                 self.state().view.record_peer_access(sent_at);
@@ -98,18 +105,22 @@
             // The peer computed the age after the request was sent, so counting back
             // from `sent_at` gives the earliest time of the confirmation.
             let confirmed_at = sent_at.saturating_sub(Duration::from_millis(age));
-            self.state().freshness.confirm(confirmed_at);
+            let mut state = self.state();
+            if !state.config_is_lost() {
+                state.freshness.confirm(confirmed_at);
+            }
         }
         Ok(())
     }
 
-    /// Requests the records of each topic from an offset on.
+    /// Requests the records of each topic from an offset on, which is of an era.
     async fn request_records(
         &self,
         addr: SocketAddr,
         from: [Option<u64>; 3],
+        eras: [Era; 3],
     ) -> anyhow::Result<RecordsResponse> {
-        let body = Bytes::from(rmp_serde::to_vec(&RecordsRequest { from })?);
+        let body = Bytes::from(rmp_serde::to_vec(&RecordsRequest { from, eras })?);
         let (method, limit) = (Method::POST, PEER_LIMIT);
         let response = fetch(
             &self.pool,
@@ -126,20 +137,27 @@
     }
 
     /// Applies the batches that a peer sent for a request of records `from` these offsets;
-    /// returns whether the operators' records are among them.
-    fn apply_batches(&self, from: [Option<u64>; 3], topics: [Option<RawBatch>; 3]) -> bool {
-        let mut has_fleet = false;
+    /// and eras; returns for which topics they were applied.
+    fn apply_batches(
+        &self,
+        from: [Option<u64>; 3],
+        eras: [Era; 3],
+        topics: [Option<RawBatch>; 3],
+    ) -> [bool; 3] {
+        let mut applied = [false; 3];
         for (topic, batch) in Topic::ALL.into_iter().zip(topics) {
             let Some(batch) = batch else { continue };
             let written = self.state().freshness.since_last_read(WriteBasis::Peer);
-            let merge = match from[topic.index()] {
-                Some(0) => Mirror::reset,
-                _ => Mirror::extend,
+            // In a newer era, a peer sends the state.
+            let kind = match from[topic.index()] {
+                Some(from) if from > 0 && batch.era == eras[topic.index()] => BatchKind::Records,
+                _ => BatchKind::State,
             };
-            self.apply(topic, batch.into(), merge, written);
-            has_fleet |= topic == Topic::Fleet;
+            self.platform.store().learn_era(batch.era);
+            let result = self.apply(topic, batch.into(), kind, written);
+            applied[topic.index()] = result == BatchResult::Applied;
         }
-        has_fleet
+        applied
     }
 
     /// Merges the declared versions in a peer's response. They come with their ages in
@@ -176,7 +194,14 @@
         let state = self.state();
         let topics = Topic::ALL.map(|t| {
             let from = request.from[t.index()]?;
-            state.mirrors[t.index()].since(from).map(Into::into)
+            let mirror = &state.mirrors[t.index()];
+            let from = match request.eras[t.index()].cmp(&mirror.era()) {
+                Ordering::Equal => from,
+                // The offset is of an older era.
+                Ordering::Less => 0,
+                Ordering::Greater => return None,
+            };
+            mirror.since(from).map(Into::into)
         });
         let now = now();
         let resumed = state.pulse.resumed(now);
--- a/components/feed/src/store_reader.rs
+++ b/components/feed/src/store_reader.rs
@@ -1,11 +1,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dispatch::{Mirror, Pulse, ReadTiming, WriteBasis};
+use dispatch::{Pulse, ReadTiming, WriteBasis};
 use domain::{Platform, ReadOutcome, RecordStore, StoreError, now};
-use smol::Timer;
+use smol::{Timer, future};
 
 use crate::Feed;
+use crate::batch::{BatchKind, BatchResult};
 use crate::topic::{Role, Topic};
 
 /// Pause after the first failed call to the store; further failures double it.
@@ -33,6 +34,7 @@
     async fn follow_topic(self: Arc<Self>, topic: Topic) {
         let mut pause = FAILURE_PAUSE;
         loop {
+            self.settle(topic);
             if self.role == Role::Agent && self.read_from_entries(topic).await {
                 Timer::after(topic.pause(self.role)).await;
                 continue;
@@ -79,7 +81,7 @@
         let sent = now();
         let store = self.platform.store();
         let name = self.topic_name(topic);
-        let (from, wait, followed) = {
+        let (from, era, wait, followed) = {
             let state = self.state();
             let followed = state.reachable[topic.index()];
             // The first read after a failure does not wait, so that it returns only
@@ -89,10 +91,19 @@
                 true => topic.wait(self.role),
                 false => Duration::ZERO,
             };
-            (state.mirrors[topic.index()].end(), wait, followed)
+            let mirror = &state.mirrors[topic.index()];
+            // In a newer era, the offsets mean nothing.
+            let from = mirror.end().filter(|_| mirror.era() >= store.era());
+            (from, mirror.era(), wait, followed)
         };
         let read = match from {
-            Some(from) => store.read(name, from, wait).await?,
+            Some(from) => {
+                let newer_era = async {
+                    store.until_newer_era(era).await;
+                    Ok(ReadOutcome::Gap)
+                };
+                future::or(store.read(name, from, wait), newer_era).await?
+            }
             None => ReadOutcome::Gap,
         };
         let timing = ReadTiming {
@@ -103,19 +114,19 @@
         };
         let returned = now();
         let is_empty = matches!(&read, ReadOutcome::Records(batch) if batch.records.is_empty());
-        match read {
-            ReadOutcome::Records(batch) => {
-                let written = self.state().freshness.earliest_write(returned, &timing);
-                self.apply(topic, batch, Mirror::extend, written);
-            }
-            ReadOutcome::Gap => {
-                let batch = store.newest(name).await?;
-                let written = self.state().freshness.since_last_read(WriteBasis::Newest);
-                self.apply(topic, batch, Mirror::reset, written);
-            }
+        let mut result = BatchResult::NewerEra;
+        if let ReadOutcome::Records(batch) = read {
+            let written = self.state().freshness.earliest_write(returned, &timing);
+            result = self.apply(topic, batch, BatchKind::Records, written);
+        }
+        if result == BatchResult::NewerEra {
+            let batch = store.newest(name).await?;
+            let written = self.state().freshness.since_last_read(WriteBasis::Newest);
+            result = self.apply(topic, batch, BatchKind::State, written);
         }
-        if topic == Topic::Fleet {
-            let mut state = self.state();
+        let mut state = self.state();
+        let is_current = result == BatchResult::Applied && !state.config_is_lost();
+        if topic == Topic::Fleet && is_current {
             state.freshness.record_read(returned, &timing, is_empty);
         }
         Ok(())
