An entry announces itself again after the store lost its record

Other entries and agents no longer found an entry that had announced itself in the seconds before the copy: an acknowledgement counted for good. It counts for its era now; the entry writes its record again in each newer one, and withdraws it again while it drains.

entry_announces_itself_again_after_the_store_lost_its_record failed before (no record within 5 s of the return) and passes now.

--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -141,7 +141,6 @@
             )),
             spawn(serve(peer_listener, bind(peer_addr).await?)),
             spawn(feed.clone().follow()),
-            spawn(announce(feed.clone(), peer_addr, node.region.clone())),
             spawn(send_notices(
                 feed.clone(),
                 scheduler.clone(),
@@ -154,6 +153,7 @@
             )),
             spawn(run_periodic(scheduler.clone(), dispatcher.clone())),
         ];
+        let announcing = spawn(announce(feed.clone(), peer_addr, node.region.clone()));
         let prefetching = spawn(prefetcher.run());
         decision(
             "gateway",
@@ -171,6 +171,7 @@
         readiness.start_draining();
         // Ends the notices of pieces, so that peers no longer rely on this entry.
         drop(prefetching);
+        drop(announcing);
         let withdrawal = spawn(withdraw(feed.clone()));
         Timer::after(BALANCER_LAG).await;
         caller_listener.close();
@@ -202,24 +203,36 @@
     listener.accept(socket).await;
 }
 
-/// Announces the entry in the store; retries until it succeeds.
+/// Announces the entry in the store, in each era of it; retries until it succeeds.
 async fn announce<P: Platform>(feed: Arc<Feed<P>>, addr: SocketAddr, region: domain::RegionId) {
     let member = Member {
         vm: feed.vm().clone(),
         addr,
         region,
     };
-    while let Err(e) = feed.announce(Some(&member)).await {
-        log::info!("gateway: cannot announce this entry yet: {e}");
-        Timer::after(ANNOUNCE_PAUSE.mul_f64(0.7 + 0.6 * fastrand::f64())).await;
+    loop {
+        match feed.announce(Some(&member)).await {
+            // A copy from which the store comes back may not have the record.
+            Ok(era) => feed.until_newer_era(era).await,
+            Err(e) => {
+                log::info!("gateway: cannot announce this entry yet: {e}");
+                Timer::after(ANNOUNCE_PAUSE.mul_f64(0.7 + 0.6 * fastrand::f64())).await;
+            }
+        }
     }
 }
 
 /// Withdraws the announcement of the entry.
 async fn withdraw<P: Platform>(feed: Arc<Feed<P>>) {
-    if let Err(e) = feed.announce(None).await {
-        // Peers remove this entry when its notices stop.
-        log::info!("gateway: cannot withdraw the announcement: {e}");
+    loop {
+        match feed.announce(None).await {
+            Ok(era) => feed.until_newer_era(era).await,
+            Err(e) => {
+                // Peers remove this entry when its notices stop.
+                log::info!("gateway: cannot withdraw the announcement: {e}");
+                return;
+            }
+        }
     }
 }
 
