gateway: never write a request after its deadline or its weights' bound

Cause: the deadline was checked before the request was handed to the task that writes it, and the bound of the version not at all after an engine was chosen; a request past that bound still got 20 ms. A connection that took long to open, a process that was stopped or slow, or a full send buffer delayed the bytes without limit.

A connection now holds the latest moment for the current request and checks it before each write to the socket. A request of which nothing was written is reported as not run and goes to another upstream; one that was written in part stays incomplete and never runs.

--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -213,8 +213,9 @@
                 // The upstream received nothing, so it does not count as an attempt.
                 progress.attempts -= 1;
             }
-            // A reset of one connection does not show that the upstream is down.
-            NotRun::Unsent => {
+            // The upstream has received nothing. A reset of one connection, or an entry that
+            // was too slow, does not show that it is down.
+            NotRun::Unsent | NotRun::Outdated => {
                 self.scheduler.with_upstream(lease, |u| u.record_full(now));
                 progress.attempts -= 1;
             }
--- a/components/gateway/src/send.rs
+++ b/components/gateway/src/send.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use domain::{Dialect, ForwardParams, Moment, Platform, ResponseHead, millis, now};
@@ -21,6 +21,9 @@
 const SAFE_TIMEOUT: Duration = Duration::from_millis(450);
 /// Least remaining time with which a request is still sent.
 const MIN_REMAINING: Duration = Duration::from_millis(20);
+/// Least time before `begin_by` with which a request is still sent: it has to arrive, and
+/// upstreams begin requests 100 to 300 ms later.
+const BEGIN_TIME: Duration = Duration::from_millis(250);
 
 /// A valid response whose body is still to be read.
 pub struct UnreadResponse {
@@ -60,6 +63,8 @@
     Misdirected,
     /// The remaining time was too short.
     Late,
+    /// The weights of the upstream would be too old when it begins.
+    Outdated,
 }
 
 /// Sends a request to the leased upstream; `resume` is the id of the event after
@@ -94,10 +99,14 @@
             }
         },
     };
+    let write_by = latest_write(request, lease);
     let remaining = request.remaining(now());
     if remaining < MIN_REMAINING {
         return SendOutcome::NotRun(NotRun::Late);
     }
+    if now() > write_by {
+        return SendOutcome::NotRun(NotRun::Outdated);
+    }
     let outbound = match upstream_request(platform, request, lease, remaining, resume) {
         Ok(outbound) => outbound,
         Err(e) => return SendOutcome::Unknown(FailedExchange::invalid(reused, e.to_string())),
@@ -108,7 +117,7 @@
         _ => remaining,
     };
     let begin_within = lease.begin_by.map(|by| by.saturating_sub(now()));
-    let begin_within = begin_within.unwrap_or(remaining).max(MIN_REMAINING);
+    let begin_within = begin_within.unwrap_or(remaining);
     let timeouts = ExchangeTimeouts {
         head: timeout.min(remaining).min(begin_within),
         read_timeout: match request.route.kind.is_stream() {
@@ -116,7 +125,11 @@
             false => remaining,
         },
     };
-    match Exchange::begin(connection, outbound, timeouts).await {
+    // The clock is read before the remaining time, so that a pause between them only
+    // shortens it.
+    let clock = Instant::now();
+    let latest = clock + write_by.saturating_sub(now());
+    match Exchange::begin_by(connection, outbound, timeouts, latest).await {
         Ok(exchange) => classify(platform, request, lease, exchange, reused)
             .unwrap_or_else(|why| SendOutcome::Unknown(FailedExchange::invalid(reused, why))),
         Err(TransportError::Timeout { .. }) if request.remaining(now()) < MIN_REMAINING => {
@@ -136,6 +149,14 @@
     }
 }
 
+/// Latest moment to write the request: before its deadline, and early enough for the
+/// upstream to begin it before newer weights are in force.
+fn latest_write<P: Platform>(request: &CallerRequest, lease: &Lease<P>) -> Moment {
+    let in_time = request.deadline.saturating_sub(MIN_REMAINING);
+    let begins = lease.begin_by.map(|by| by.saturating_sub(BEGIN_TIME));
+    begins.map_or(in_time, |begins| begins.min(in_time))
+}
+
 /// Logs a request that was cancelled because newer weights came into force before it
 /// began.
 fn log_late_begin<P: Platform>(request: &CallerRequest, lease: &Lease<P>, begin_by: Moment) {
--- a/components/transport/src/bounded_stream.rs
+++ b/components/transport/src/bounded_stream.rs
@@ -7,6 +7,8 @@
 use futures_lite::{AsyncRead, AsyncWrite};
 use smol::net::TcpStream;
 
+use crate::write_limit::WriteLimit;
+
 /// Bytes that may still be read from a connection until the next part of a response
 /// is complete: its head, or a part of its body.
 #[derive(Debug, Clone)]
@@ -31,15 +33,30 @@
 
 /// A connection on which reading fails once the allowance is used up. hyper does not
 /// limit interim responses and chunk sizes, and reads them within one poll for as long
-/// as bytes are available, so that no timeout would end it.
+/// as bytes are available, so that no timeout would end it. Writing fails after its limit.
 pub(crate) struct BoundedStream {
     stream: TcpStream,
     allowance: ReadAllowance,
+    write_limit: WriteLimit,
 }
 
 impl BoundedStream {
-    pub(crate) fn new(stream: TcpStream, allowance: ReadAllowance) -> Self {
-        BoundedStream { stream, allowance }
+    pub(crate) fn new(
+        stream: TcpStream,
+        allowance: ReadAllowance,
+        write_limit: WriteLimit,
+    ) -> Self {
+        BoundedStream {
+            stream,
+            allowance,
+            write_limit,
+        }
+    }
+
+    fn record(&self, written: &Poll<io::Result<usize>>) {
+        if let Poll::Ready(Ok(bytes)) = written {
+            self.write_limit.record(*bytes);
+        }
     }
 }
 
@@ -69,7 +86,10 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        self.write_limit.check()?;
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.record(&written);
+        written
     }
 
     fn poll_write_vectored(
@@ -77,7 +97,10 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        self.write_limit.check()?;
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.record(&written);
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/components/transport/src/connection.rs
+++ b/components/transport/src/connection.rs
@@ -11,6 +11,7 @@
 use smol_hyper::rt::FuturesIo;
 
 use crate::bounded_stream::{BoundedStream, ReadAllowance};
+use crate::write_limit::WriteLimit;
 use crate::{TransportError, spawn, with_timeout};
 
 /// TCP user timeout: a connection fails when sent bytes stay unacknowledged for
@@ -31,6 +32,7 @@
     /// Idle time after which the peer closes it, if the peer announces it.
     pub(crate) keep_alive: Option<Duration>,
     pub(crate) allowance: ReadAllowance,
+    pub(crate) write_limit: WriteLimit,
     _driver: Task<()>,
 }
 
@@ -44,7 +46,8 @@
             .map_err(|e| failed(e.to_string()))?;
         set_socket_options(&stream).map_err(|e| failed(e.to_string()))?;
         let allowance = ReadAllowance::new(MAX_UNDELIVERED);
-        let bounded = BoundedStream::new(stream, allowance.clone());
+        let write_limit = WriteLimit::default();
+        let bounded = BoundedStream::new(stream, allowance.clone(), write_limit.clone());
         let (sender, driver) = Builder::new()
             .max_buf_size(MAX_HEAD)
             .handshake(FuturesIo::new(bounded))
@@ -61,6 +64,7 @@
             idle_since: Instant::now(),
             keep_alive: None,
             allowance,
+            write_limit,
             _driver: driver,
         })
     }
--- a/components/transport/src/exchange.rs
+++ b/components/transport/src/exchange.rs
@@ -28,24 +28,41 @@
 impl Exchange {
     /// Sends a request and waits for the head of the response.
     pub async fn begin(
+        connection: Connection,
+        request: Request<Full<Bytes>>,
+        timeouts: ExchangeTimeouts,
+    ) -> Result<Self, TransportError> {
+        Exchange::start(connection, request, timeouts, None).await
+    }
+
+    /// The same for a request that is written by `latest` or not at all. A request of
+    /// which only a part was written by then stays incomplete.
+    pub async fn begin_by(
+        connection: Connection,
+        request: Request<Full<Bytes>>,
+        timeouts: ExchangeTimeouts,
+        latest: Instant,
+    ) -> Result<Self, TransportError> {
+        Exchange::start(connection, request, timeouts, Some(latest)).await
+    }
+
+    async fn start(
         mut connection: Connection,
         request: Request<Full<Bytes>>,
         timeouts: ExchangeTimeouts,
+        latest: Option<Instant>,
     ) -> Result<Self, TransportError> {
         let addr = connection.addr;
         connection.allowance.renew();
+        connection.write_limit.start(latest);
         let response = with_timeout(timeouts.head, connection.sender.try_send_request(request))
             .await
-            .ok_or(TransportError::Timeout {
+            .ok_or_else(|| no_head(&connection, timeouts.head))?
+            .map_err(|e| TransportError::Aborted {
                 addr,
-                limit: timeouts.head,
-            })?
-            .map_err(|mut e| TransportError::Aborted {
-                addr,
-                // hyper returns the request only if it has written none of it.
-                cause: match e.take_message() {
-                    Some(_) => AbortCause::Unsent,
-                    None => AbortCause::before_head(e.error()),
+                cause: match connection.write_limit.has_written() {
+                    false => AbortCause::Unsent,
+                    true => AbortCause::before_head(e.error()),
                 },
                 reason: reason_of(e.error()),
             })?;
@@ -140,6 +157,20 @@
     }
 }
 
+/// No head arrived within `limit`. Dropping the connection cancels a request that was not
+/// written yet.
+fn no_head(connection: &Connection, limit: Duration) -> TransportError {
+    let addr = connection.addr;
+    if connection.write_limit.has_written() {
+        return TransportError::Timeout { addr, limit };
+    }
+    TransportError::Aborted {
+        addr,
+        cause: AbortCause::Unsent,
+        reason: format!("nothing was written for {limit:?}"),
+    }
+}
+
 /// Joins the messages of all causes; hyper's own message omits its source.
 fn reason_of(error: &dyn std::error::Error) -> String {
     let mut text = error.to_string();
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -15,6 +15,7 @@
 mod pool;
 mod runtime;
 mod timeout;
+mod write_limit;
 
 pub use abort_cause::AbortCause;
 pub use connection::Connection;
--- /dev/null
+++ b/components/transport/tests/late_writes.rs
@@ -0,0 +1,106 @@
+//! Requests that a process writes later than it meant to.
+
+use std::io::Read;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use async_channel::{Receiver, bounded};
+use bytes::Bytes;
+use futures_lite::future::poll_once;
+use http::Request;
+use http_body_util::Full;
+use transport::{Connection, Exchange, ExchangeTimeouts, TransportError, block_on};
+
+/// Timeout of each step.
+const LIMIT: Duration = Duration::from_secs(5);
+/// Time in which a request may be written.
+const WRITE_TIME: Duration = Duration::from_millis(100);
+/// All tests of a process share an executor; another thread would write during a pause.
+static ALONE: Mutex<()> = Mutex::new(());
+/// A body that does not fit into the buffers of a connection.
+const LONG_BODY: usize = 32 << 20;
+
+/// Accepts one connection and, from when `start` receives, reads it to its end; returns
+/// the number of bytes.
+fn server(start: Receiver<()>) -> (SocketAddr, Receiver<usize>) {
+    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = socket.local_addr().unwrap();
+    let (sender, received) = bounded(1);
+    std::thread::spawn(move || {
+        let (mut stream, _) = socket.accept().unwrap();
+        start.recv_blocking().unwrap();
+        let mut bytes = Vec::new();
+        let _ = stream.read_to_end(&mut bytes);
+        sender.send_blocking(bytes.len()).unwrap();
+    });
+    (addr, received)
+}
+
+fn request(body: usize) -> Request<Full<Bytes>> {
+    let request = Request::builder().method("POST").uri("/");
+    let request = request.header("host", "h");
+    request.body(Full::from(vec![b'x'; body])).unwrap()
+}
+
+/// Begins an exchange whose process stands still for `pause` before anything else runs.
+/// Returns its error and the number of bytes that the peer received.
+async fn exchange(
+    addr: SocketAddr,
+    received: Receiver<usize>,
+    body: usize,
+    pause: Duration,
+) -> (TransportError, usize) {
+    let connection = Connection::open(addr, LIMIT).await.unwrap();
+    let timeouts = ExchangeTimeouts {
+        head: LIMIT,
+        read_timeout: LIMIT,
+    };
+    let latest = Instant::now() + WRITE_TIME;
+    let mut exchange = Box::pin(Exchange::begin_by(
+        connection,
+        request(body),
+        timeouts,
+        latest,
+    ));
+    assert!(poll_once(&mut exchange).await.is_none());
+    std::thread::sleep(pause);
+    let error = exchange.await.err().unwrap();
+    (error, received.recv().await.unwrap())
+}
+
+/// A process that was stopped between its decision and the write wrote the request when it
+/// ran again.
+#[test]
+fn stopped_process_writes_its_request_late() {
+    let _alone = ALONE.lock();
+    for pause in [150, 400, 1200] {
+        let (start, started) = bounded(1);
+        let (addr, received) = server(started);
+        start.send_blocking(()).unwrap();
+
+        let pause = Duration::from_millis(pause);
+        let (error, received) = block_on(exchange(addr, received, 0, pause));
+
+        assert!(error.is_unsent(), "after {pause:?}: {error}");
+        assert_eq!(received, 0, "after {pause:?}");
+    }
+}
+
+/// The rest of a request that a full send buffer held back was written whenever the peer
+/// read on.
+#[test]
+fn full_send_buffer_completes_a_request_late() {
+    let _alone = ALONE.lock();
+    let (start, started) = bounded(1);
+    let (addr, received) = server(started);
+    std::thread::spawn(move || {
+        std::thread::sleep(2 * WRITE_TIME);
+        start.send_blocking(()).unwrap();
+    });
+
+    let (error, received) = block_on(exchange(addr, received, LONG_BODY, Duration::ZERO));
+
+    assert!(!error.is_unsent(), "{error}");
+    assert!(received < LONG_BODY, "{received} bytes arrived");
+}
