Fencing numbers rise across a log that was restored from a copy

An agent that started after the log came back from an older copy got an offset that had been given out before, below the fencing number its engine had seen: each of its orders was answered 409 and the engine kept its old weights.

A fencing number is the position of the agent's start record, and offsets are given out again. The log names its era in a header (Log-Era, rising by one with each restore); the position now consists of era and offset, and the number has the era above 40 bits of offset. Without the header it is the offset as before. A response of an earlier era that arrives after one of a later era is an error with an unknown effect.

The stand-in log has the drill: POST /restore?age_ms=N loses the records of the last N ms, and a read beyond the end gets 410.

--- a/components/agent/src/weights_service.rs
+++ b/components/agent/src/weights_service.rs
@@ -357,15 +357,16 @@
         Ok(())
     }
 
-    /// Fencing token of this process: the offset of its start record in the log, which is
-    /// higher than that of any earlier process.
+    /// Fencing token of this process: the sequence number of its start record in the log,
+    /// which is higher than that of any earlier process.
     async fn fence(&self) -> anyhow::Result<u64> {
         let cached = *self.fence.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(fence) = cached {
             return Ok(fence);
         }
         let record = json!({ "vm": self.settings.node.vm, "upstream": self.settings.upstream });
-        let fence = self.log.append(streams::STARTS, &record).await?;
+        let position = self.log.append(streams::STARTS, &record).await?;
+        let fence = position.sequence();
         *self.fence.lock().unwrap_or_else(PoisonError::into_inner) = Some(fence);
         Ok(fence)
     }
--- a/components/entry/src/claims.rs
+++ b/components/entry/src/claims.rs
@@ -94,8 +94,8 @@
     async fn publish(&self, claim: &Claim) -> Result<Vec<ClaimRecord>, PlatformError> {
         let stream = stream_name(claim);
         let record = ClaimRecord::Claim(claim.clone());
-        let offset = self.log.append(&stream, &record).await?;
-        let from = offset.saturating_sub(CHECKED_RECORDS);
+        let position = self.log.append(&stream, &record).await?;
+        let from = position.offset.saturating_sub(CHECKED_RECORDS);
         let page = self
             .log
             .read::<ClaimRecord>(&stream, from, Duration::ZERO)
--- a/components/platform/src/error.rs
+++ b/components/platform/src/error.rs
@@ -24,6 +24,14 @@
         /// Error of the decoder.
         reason: String,
     },
+    /// A response of a later era of the log arrived meanwhile; what the call did may be
+    /// lost.
+    #[from(ignore)]
+    #[display("platform: the log was restored from an older copy during the {call}; repeat it")]
+    Outdated {
+        /// Name of the call.
+        call: &'static str,
+    },
     /// No response. The call may have had an effect, unless nothing was sent.
     #[display("{_0}")]
     Wire(WireError),
@@ -34,7 +42,7 @@
     pub fn is_without_effect(&self) -> bool {
         match self {
             PlatformError::Refused { .. } => true,
-            PlatformError::InvalidResponse { .. } => false,
+            PlatformError::InvalidResponse { .. } | PlatformError::Outdated { .. } => false,
             PlatformError::Wire(e) => e.is_unsent(),
         }
     }
--- a/components/platform/src/log_client.rs
+++ b/components/platform/src/log_client.rs
@@ -1,4 +1,6 @@
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use http_types::Method;
@@ -6,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use wire::{Call, Client};
 
-use crate::PlatformError;
+use crate::{PlatformError, Position};
 
 /// Names of the streams of the log.
 pub mod streams {
@@ -23,9 +25,15 @@
 /// Longest wait for a response, beyond the wait that a read requests.
 const LOG_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Header of every response: how often the log was restored from an older copy. The copy
+/// lacks its latest records, and their offsets are given out again.
+const ERA: &str = "log-era";
+
 /// Consecutive records of a stream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Page<T> {
+    /// Era of the log in which it was read.
+    pub era: u64,
     /// Offset of the first record that the log retains.
     pub first: u64,
     /// Offset that the next record will have.
@@ -57,31 +65,45 @@
 pub struct LogClient {
     addr: SocketAddr,
     client: Client,
+    /// Latest era that a response has named.
+    era: Arc<AtomicU64>,
 }
 
 impl LogClient {
     /// A client of the log at `addr`.
     pub fn new(addr: SocketAddr, client: Client) -> Self {
-        LogClient { addr, client }
+        LogClient {
+            addr,
+            client,
+            era: Arc::default(),
+        }
+    }
+
+    /// Latest era that a response to this client or a clone of it has named.
+    pub fn era(&self) -> u64 {
+        self.era.load(Ordering::Relaxed)
     }
 
-    /// Appends a record and returns its offset. After an error for which
+    /// Appends a record and returns its position. After an error for which
     /// [`PlatformError::is_without_effect`] is false, the record may have been appended.
     pub async fn append<T: Serialize>(
         &self,
         stream: &str,
         value: &T,
-    ) -> Result<u64, PlatformError> {
+    ) -> Result<Position, PlatformError> {
         let call = "append";
         let body = serde_json::to_vec(value).map_err(|e| invalid_response(call, e))?;
         let path = format!("/streams/{stream}");
         let request = Call::new(Method::Post, self.addr, &path)?
             .body(body)
             .head_timeout(LOG_TIMEOUT);
-        let bytes = self.send(call, request).await?;
+        let (era, bytes) = self.send(call, request).await?;
         let appended: Appended =
             serde_json::from_slice(&bytes).map_err(|e| invalid_response(call, e))?;
-        Ok(appended.offset)
+        Ok(Position {
+            era,
+            offset: appended.offset,
+        })
     }
 
     /// Reads records from an offset; waits up to `wait` if there are none.
@@ -94,25 +116,38 @@
         let call = "read";
         let path = format!("/streams/{stream}?from={from}&wait_ms={}", wait.as_millis());
         let request = Call::new(Method::Get, self.addr, &path)?.head_timeout(wait + LOG_TIMEOUT);
-        let bytes = self.send(call, request).await?;
+        let (era, bytes) = self.send(call, request).await?;
         let raw: RawPage = serde_json::from_slice(&bytes).map_err(|e| invalid_response(call, e))?;
         let records = raw.records.into_iter().filter_map(decode_record).collect();
         Ok(Page {
+            era,
             first: raw.first,
             end: raw.end,
             records,
         })
     }
 
-    async fn send(&self, call: &'static str, request: Call) -> Result<Vec<u8>, PlatformError> {
+    /// Sends a call; returns the era of the log and the body of the response. Fails if a
+    /// response of a later era has arrived meanwhile.
+    async fn send(
+        &self,
+        call: &'static str,
+        request: Call,
+    ) -> Result<(u64, Vec<u8>), PlatformError> {
         let response = self.client.send(request).await?;
         let status = response.status();
+        let era = response.header(ERA).and_then(|v| v.parse().ok());
+        let era = era.unwrap_or_default();
+        let known = self.era.fetch_max(era, Ordering::Relaxed);
         let bytes = response.bytes(MAX_RESPONSE_BYTES).await?;
         if !status.is_success() {
             let status = status.into();
             return Err(PlatformError::Refused { call, status });
         }
-        Ok(bytes)
+        if era < known.max(self.era()) {
+            return Err(PlatformError::Outdated { call });
+        }
+        Ok((era, bytes))
     }
 }
 
--- a/stand-ins/src/log.rs
+++ b/stand-ins/src/log.rs
@@ -17,11 +17,18 @@
 const MAX_RECORDS: usize = 1000;
 /// Interval at which a waiting read checks for new records.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Header of every response: how often the log was restored from an older copy.
+const ERA: &str = "log-era";
+
+struct Entry {
+    value: Value,
+    appended_at: Instant,
+}
 
 #[derive(Default)]
 struct Stream {
     first_offset: u64,
-    records: VecDeque<Value>,
+    records: VecDeque<Entry>,
 }
 
 impl Stream {
@@ -32,6 +39,7 @@
 
 struct State {
     streams: HashMap<String, Stream>,
+    era: u64,
     /// Appends that the rate limit allows now.
     tokens: f64,
     refilled_at: Instant,
@@ -54,6 +62,7 @@
         Log {
             state: Mutex::new(State {
                 streams: HashMap::new(),
+                era: 0,
                 tokens: f64::from(rate),
                 refilled_at: Instant::now(),
                 appends: 0,
@@ -65,6 +74,16 @@
         }
     }
 
+    /// Restores a copy that is `age` old: later records are lost, and their offsets are
+    /// given out again.
+    pub fn restore(&self, age: Duration) {
+        let mut state = self.lock();
+        state.era += 1;
+        for stream in state.streams.values_mut() {
+            stream.records.retain(|r| r.appended_at.elapsed() >= age);
+        }
+    }
+
     async fn append(&self, name: &str, mut req: Request) -> Response {
         let action = self.faults.next_action().await;
         if action == FaultAction::Refuse {
@@ -95,7 +114,10 @@
         state.appends += 1;
         let stream = state.streams.entry(name.to_owned()).or_default();
         let offset = stream.end_offset();
-        stream.records.push_back(value);
+        stream.records.push_back(Entry {
+            value,
+            appended_at: Instant::now(),
+        });
         while stream.records.len() > self.retention {
             stream.records.pop_front();
             stream.first_offset += 1;
@@ -111,13 +133,16 @@
         let wait = Duration::from_millis(http::query_param(req, "wait_ms").unwrap_or(0));
         let start = Instant::now();
         self.lock().reads += 1;
-        while start.elapsed() < wait && self.end_offset(name) <= from {
+        while start.elapsed() < wait && self.end_offset(name) == from {
             Timer::after(POLL_INTERVAL).await;
         }
         // An outage may have begun while the read waited.
         if self.faults.next_action().await == FaultAction::Refuse {
             return http::status(503);
         }
+        if from > self.end_offset(name) {
+            return http::status(410);
+        }
         http::json(&self.read_page(name, from))
     }
 
@@ -136,7 +161,7 @@
             .skip(skip)
             .take(MAX_RECORDS)
             .zip(first..)
-            .map(|(value, offset)| json!({ "offset": offset, "value": value }))
+            .map(|(r, offset)| json!({ "offset": offset, "value": r.value }))
             .collect();
         json!({ "first": stream.first_offset, "end": stream.end_offset(), "records": records })
     }
@@ -146,12 +171,17 @@
     }
 }
 
-impl Handler for Log {
-    async fn handle(&self, mut req: Request, _peer: SocketAddr) -> Response {
+impl Log {
+    async fn respond(&self, mut req: Request) -> Response {
         let segments = http::path_segments(&req);
         let parts: Vec<&str> = segments.iter().map(String::as_str).collect();
         match (req.method(), parts.as_slice()) {
             (Method::Post, ["faults"]) => self.faults.update(&mut req).await,
+            (Method::Post, ["restore"]) => {
+                let age = http::query_param(&req, "age_ms").unwrap_or(0);
+                self.restore(Duration::from_millis(age));
+                http::status(204)
+            }
             (Method::Get, ["record"]) => {
                 let state = self.lock();
                 http::json(&json!({ "appends": state.appends, "reads": state.reads }))
@@ -162,3 +192,11 @@
         }
     }
 }
+
+impl Handler for Log {
+    async fn handle(&self, req: Request, _peer: SocketAddr) -> Response {
+        let mut response = self.respond(req).await;
+        response.insert_header(ERA, self.lock().era.to_string());
+        response
+    }
+}
