config: keep the active configuration when the log is restored from a copy

After the log came back from an older copy, an entry that was ahead of it waited for offsets that were given out again and missed every change written to them; an entry started afterwards served the older configuration of the copy; and two entries could hold different configurations under one revision.

What rested on offsets: where a reader goes on, what a peer's configuration covers, and what a checkpoint covers. Entries now read the log from its start when its era rises, and decide proposals by the log alone, so all come to one verdict. The active configuration is kept beside it and never returns to a lower revision. An entry that finds the log without it at its end appends it as a checkpoint, which readers adopt when its revision is higher. A peer's configuration carries its era, and a position of another era is not used.

Truncation of the log's history together with a restore is not covered.

--- a/components/config/src/snapshot.rs
+++ b/components/config/src/snapshot.rs
@@ -9,10 +9,14 @@
 pub struct Snapshot {
     /// Revision; higher ones supersede lower ones.
     pub revision: u64,
-    /// Offset of the first configuration record that is not included.
+    /// Offset of the first configuration record that is not included; 0 if the log lacks
+    /// the configuration.
     pub as_of: u64,
     /// The declaration as JSON.
     pub text: Arc<str>,
+    /// Era of the log that the offset belongs to.
+    #[serde(default)]
+    pub era: u64,
 }
 
 impl Snapshot {
--- a/components/entry/src/config_service.rs
+++ b/components/entry/src/config_service.rs
@@ -10,7 +10,7 @@
 use futures_lite::FutureExt;
 use http_types::Method;
 use kernel::{BoxFuture, Clock, Registry, Service};
-use platform::{LogClient, PlatformError, VmListClient, streams};
+use platform::{LogClient, Page, PlatformError, VmListClient, streams};
 use protocol::paths;
 use smol::Timer;
 use wire::{Call, Client};
@@ -128,19 +128,40 @@
         }
     }
 
-    /// Reads and applies the next records of the log.
+    /// Reads and applies the next records of the log. When the log was restored from an
+    /// older copy, reads it anew and writes again what it lacks.
     async fn read_page(&self, wait: Duration) -> Result<(), PlatformError> {
-        let from = self.state().next_offset();
-        let page = self.log.read::<Record>(streams::CONFIG, from, wait).await?;
+        let (era, from) = {
+            let mut state = self.state();
+            state.begin_era(self.log.era());
+            (state.era(), state.next_offset())
+        };
+        let page = self.log.read::<Record>(streams::CONFIG, from, wait).await;
+        if self.log.era() > era {
+            log::warn!("config: the log was restored from an older copy; reading it anew");
+            return Ok(());
+        }
+        self.apply_page(page?).await;
+        self.page_applied.notify(usize::MAX);
+        Ok(())
+    }
+
+    async fn apply_page(&self, page: Page<Record>) {
         for (_, record) in &page.records {
             if let Record::Crash(crash) = record {
                 self.crashes.record_crash(&crash.id, &crash.fingerprints);
             }
         }
-        let (snapshot, result) = {
+        let (snapshot, result, missing) = {
             let mut state = self.state();
+            // A peer's configuration may be of a later era.
+            if page.era != state.era() {
+                return;
+            }
             let result = state.apply_page(page.first, &page.records);
-            (state.current().cloned(), result)
+            let is_complete = state.next_offset() >= page.end;
+            let missing = state.missing_checkpoint().filter(|_| is_complete);
+            (state.current().cloned(), result, missing)
         };
         if let Err(e) = result {
             log::error!("{e}");
@@ -151,8 +172,13 @@
             self.cell.activate(&snapshot);
             self.checkpoint(snapshot).await;
         }
-        self.page_applied.notify(usize::MAX);
-        Ok(())
+        if let Some(missing) = missing {
+            log::warn!(
+                "config: the log lacks revision {}; appending it again",
+                missing.revision
+            );
+            self.append_checkpoint(missing).await;
+        }
     }
 
     /// Appends a checkpoint every [`CHECKPOINT_INTERVAL`] records, so that the log may
@@ -163,16 +189,23 @@
                 .last_checkpoint
                 .lock()
                 .unwrap_or_else(PoisonError::into_inner);
+            // After a restore of the log, offsets are lower than before.
+            *last = snapshot.as_of.min(*last);
             if snapshot.as_of < *last + CHECKPOINT_INTERVAL {
                 return;
             }
             *last = snapshot.as_of;
         }
-        let record = Record::Checkpoint(Checkpoint {
+        self.append_checkpoint(Checkpoint {
             as_of: snapshot.as_of,
             revision: snapshot.revision,
             text: snapshot.text.to_string(),
-        });
+        })
+        .await;
+    }
+
+    async fn append_checkpoint(&self, checkpoint: Checkpoint) {
+        let record = Record::Checkpoint(checkpoint);
         if let Err(e) = self.log.append(streams::CONFIG, &record).await {
             log::warn!("config: cannot append a checkpoint: {e}");
         }
--- a/components/protocol/tests/messages.rs
+++ b/components/protocol/tests/messages.rs
@@ -81,6 +81,7 @@
         revision: 3,
         as_of: 9,
         text: "{}".into(),
+        era: 2,
     };
     let bytes = wire::encode(&snapshot).unwrap();
     assert_eq!(wire::decode::<Snapshot>(&bytes).unwrap(), snapshot);
