Keep the pieces of an order until its outcome is known

Callers got tokens made with the pieces of the next version: the connection of an order had ended without a response, the agent staged the next version, and the engine then accepted the order. Also with a single version: a piece that turned bad while the engine had not accepted the order yet was loaded.

An order is now in doubt from the moment it is sent. Until then no other version is staged or ordered; its pieces are read again every second and staged again if wrong; and an order without a response is sent again with the same expected sequence, so that the engine accepts one of the two. A report ends the wait for a lost response. A call that is dropped, by whatever code, stays in doubt.

--- a/components/loader/src/agent.rs
+++ b/components/loader/src/agent.rs
@@ -97,7 +97,7 @@
         let mut status = self.status();
         match report {
             Ok(report) => {
-                self.local.doubts.settle_before(report.started_ms);
+                self.local.doubts.settle(&report);
                 let previous_start = status.started_ms.replace(report.started_ms);
                 if previous_start.is_some_and(|p| p != report.started_ms) {
                     // Pieces may have been lost in the restart.
--- a/components/loader/src/local_pieces.rs
+++ b/components/loader/src/local_pieces.rs
@@ -66,23 +66,49 @@
         self.clear_staged();
         let mut session = self.engines.connect(self.engine).await?;
         for (number, bytes) in self.cache.pieces(model, version) {
-            let called_at = now();
-            if let Err(e) = session.stage_piece(model, number, bytes).await {
-                log::warn!(
-                    "loader: piece {number} of version {version} not staged after {} ms: {e}",
-                    millis(now().saturating_sub(called_at))
-                );
-                if let EngineError::NoResponse { .. } = e {
-                    let call = DoubtfulCall::Piece(model.into(), version);
-                    self.doubts.add(call, session.status().started_ms);
-                }
-                return Err(e.into());
-            }
+            self.stage_piece(&mut session, model, version, number, bytes)
+                .await?;
         }
         self.mark_staged(model, version);
         Ok(())
     }
 
+    /// Stages the wrong ones among the pieces of a version again, as long as they are in
+    /// memory.
+    pub async fn repair(&self, model: &str, version: WeightVersion) -> anyhow::Result<()> {
+        let mut session = self.engines.connect(self.engine).await?;
+        for (number, bytes) in self.cache.pieces(model, version) {
+            if self.read_verified(model, version, number).await.is_none() {
+                self.stage_piece(&mut session, model, version, number, bytes)
+                    .await?;
+            }
+        }
+        Ok(())
+    }
+
+    async fn stage_piece(
+        &self,
+        session: &mut E::Session,
+        model: &str,
+        version: WeightVersion,
+        number: u32,
+        bytes: Bytes,
+    ) -> Result<(), EngineError> {
+        let called_at = now();
+        let call = DoubtfulCall::Piece(model.into(), version);
+        let call = self.doubts.begin(call, session.status());
+        let staged = session.stage_piece(model, number, bytes).await;
+        if !matches!(staged, Err(EngineError::NoResponse { .. })) {
+            call.settle();
+        }
+        staged.inspect_err(|e| {
+            log::warn!(
+                "loader: piece {number} of version {version} not staged after {} ms: {e}",
+                millis(now().saturating_sub(called_at))
+            );
+        })
+    }
+
     /// Reads staged pieces that survived a restart of the engine or of this process
     /// into memory.
     pub async fn restore(&self, model: &str, version: WeightVersion) {
--- a/components/loader/src/switching.rs
+++ b/components/loader/src/switching.rs
@@ -5,8 +5,10 @@
 use anyhow::ensure;
 use dispatch::{SwitchPlan, SwitchStep, VersionCandidate};
 use domain::{
-    EngineApi, EngineError, EngineSession, LoadOrder, Moment, Platform, WeightVersion, millis, now,
+    EngineApi, EngineError, EngineSession, EngineStatus, LoadOrder, Moment, Platform,
+    WeightVersion, millis, now,
 };
+use futures_lite::FutureExt;
 use pieces::{Downloader, TargetVersion};
 use serde_json::json;
 use smol::{Task, Timer};
@@ -14,6 +16,7 @@
 use transport::{spawn, with_timeout};
 
 use crate::agent::Agent;
+use crate::doubts::DoubtfulCall;
 
 /// Longest interval between two steps.
 const STEP_INTERVAL: Duration = Duration::from_millis(100);
@@ -22,6 +25,8 @@
 /// Longest age of the oldest check of a staged piece when an order is sent. A piece
 /// that turns bad is excused for 3 s; the rest is left for the engine to accept.
 const MAX_CHECK_AGE: Duration = Duration::from_millis(2000);
+/// Interval between checks of the pieces that an order may still load.
+const REPAIR_INTERVAL: Duration = Duration::from_millis(1000);
 /// Longest time from an order until the engine reports the version.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time from an order after which an engine that is not loading has not accepted it.
@@ -85,7 +90,11 @@
         }
         let wanted = |v: WeightVersion| targets.iter().any(|t| t.version == v);
         downloads.retain(|v, _| wanted(*v));
-        self.local.cache.retain_versions(wanted);
+        // Pieces that an order may still load have to be staged again if they turn bad.
+        let ordered = self.local.doubts.order().map(|t| t.version);
+        self.local
+            .cache
+            .retain_versions(|v| wanted(v) || ordered == Some(v));
         for target in targets {
             downloads.entry(target.version).or_insert_with(|| {
                 let downloader = Downloader::new(self.peers.clone(), target.clone());
@@ -101,6 +110,14 @@
         let Some(report) = self.report() else {
             return Ok(());
         };
+        if let Some(ordered) = self.local.doubts.order() {
+            // The same order, sent again, shows whether the first was accepted: the
+            // engine accepts one of the two.
+            return match report.busy {
+                true => Ok(()),
+                false => self.switch(&ordered).await,
+            };
+        }
         let Some(first) = targets.first() else {
             self.set_closes_at(None);
             self.share_loaded().await;
@@ -224,6 +241,30 @@
         Ok(verified_at)
     }
 
+    /// Returns once an order that was sent to an engine with status `before` can no longer
+    /// be accepted, or has been. Until then its pieces are kept good: the engine loads
+    /// them as they are when it accepts the order.
+    async fn guard_order(&self, target: &TargetVersion, before: &EngineStatus) {
+        let mut checked_at = now();
+        loop {
+            Timer::after(LOAD_POLL_INTERVAL).await;
+            self.read_report().await;
+            let is_open = |r: EngineStatus| {
+                r.started_ms == before.started_ms && r.sequence == before.sequence
+            };
+            if !self.report().is_none_or(is_open) {
+                return;
+            }
+            if now() >= checked_at + REPAIR_INTERVAL {
+                checked_at = now();
+                let repaired = self.local.repair(&target.model, target.version).await;
+                if let Err(e) = repaired {
+                    log::warn!("loader: version {} not repaired: {e}", target.version);
+                }
+            }
+        }
+    }
+
     /// Orders the engine to load a version whose pieces were verified at `verified_at`
     /// or later, and waits until it reports the version.
     async fn order(&self, target: &TargetVersion, verified_at: Moment) -> anyhow::Result<()> {
@@ -253,7 +294,17 @@
             sequence: report.sequence,
             send_by: verified_at + MAX_CHECK_AGE,
         });
-        let ordered = ordered.await;
+        let call = DoubtfulCall::Order(Box::new(target.clone()));
+        let call = self.local.doubts.begin(call, &report);
+        let settled = async {
+            self.guard_order(target, &report).await;
+            Ok(())
+        };
+        let ordered = ordered.or(settled).await;
+        match &ordered {
+            Err(EngineError::NoResponse { .. }) => drop(call),
+            _ => call.settle(),
+        }
         if let Err(e @ EngineError::NotSent { .. }) = ordered {
             return Err(e.into());
         }
