--- a/components/loader/src/switching.rs
+++ b/components/loader/src/switching.rs
@@ -250,7 +250,7 @@
             Timer::after(LOAD_POLL_INTERVAL).await;
             self.read_report().await;
             let is_open = |r: EngineStatus| {
-                r.started_ms == before.started_ms && r.sequence == before.sequence
+                r.started_ms == before.started_ms && r.sequence <= before.sequence
             };
             if !self.report().is_none_or(is_open) {
                 return;
