Removals in the state that a peer sends are counted

A peer's state has the removals that it knows. Taken over in a newer era, they were not counted, and the next record under such a key subtracted from zero: a panic in a debug build, and in a release build all removals were forgotten at once, so that peers got whole states. Found by reading; state_of_a_peer_may_contain_removals failed before (attempt to subtract with overflow).

--- a/components/dispatch/src/mirror.rs
+++ b/components/dispatch/src/mirror.rs
@@ -109,7 +109,7 @@
             (r.key.clone(), Latest { offset, value })
         };
         self.latest = batch.records.iter().map(entry).collect();
-        self.tombstones = 0;
+        self.tombstones = batch.records.iter().filter(|r| r.value.is_none()).count();
         self.end = Some(batch.end);
         self.era = batch.era;
         self.complete_from = batch.end;
--- a/components/dispatch/tests/store_eras.rs
+++ b/components/dispatch/tests/store_eras.rs
@@ -157,3 +157,18 @@
     assert_eq!(declared, Some(vec![(3, start())]));
     assert_eq!(view.in_force(start() + secs(8), "m", secs(8)), Some(3));
 }
+
+/// The state that a peer sends has the removals that it knows; the first record written
+/// again under such a key made the count of removals negative.
+#[test]
+fn state_of_a_peer_may_contain_removals() {
+    let mut mirror = Mirror::default();
+    mirror.reset(batch(0, 1, vec![record("k", 0, Some("1"))]));
+
+    let restored = mirror.restore(batch(1, 2, vec![record("k", 1, None)]));
+    let written = mirror.extend(batch(1, 3, vec![record("k", 2, Some("2"))]));
+
+    assert_eq!(restored.records, [record("k", 1, None)]);
+    assert!(restored.lost.is_empty());
+    assert_eq!(written, [record("k", 2, Some("2"))]);
+}
