Don't wait for calls of a process that cannot have made any

After a loss of power an engine starts up to some 200 ms before its agent.

An engine that started less than 500 ms before this process cannot have been called by a process that was killed and replaced in between.

--- a/components/loader/src/doubts.rs
+++ b/components/loader/src/doubts.rs
@@ -3,13 +3,17 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use derive_more::Display;
-use domain::{EngineStatus, ModelId, Moment, WeightVersion, now};
+use domain::{EngineStatus, ModelId, Moment, WeightVersion, millis, now};
 use pieces::TargetVersion;
 
 /// Longest time after the end of its connection within which an engine accepts a call.
 /// Engines state no such limit; this is assumed.
 const LATE_EFFECT_LIMIT: Duration = Duration::from_secs(5);
 
+/// Shortest time from the start of an engine to that of a process whose predecessor has
+/// called it: the predecessor saw its report, was killed and replaced meanwhile.
+const FIRST_CALL_TIME: Duration = Duration::from_millis(500);
+
 /// A call to the engine that may still take effect.
 #[derive(Debug, Clone, PartialEq, Display)]
 pub enum DoubtfulCall {
@@ -84,9 +88,9 @@
     /// The doubts of a process that starts now.
     fn default() -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH);
-        let unix_ms = unix.map_or(Duration::ZERO, |t| t).as_millis();
+        let unix = unix.map_or(Duration::ZERO, |t| t.saturating_sub(FIRST_CALL_TIME));
         let engine = EngineStatus {
-            started_ms: u64::try_from(unix_ms).unwrap_or(u64::MAX),
+            started_ms: millis(unix),
             ..EngineStatus::default()
         };
         let doubts = Doubts {
