--- a/components/config/src/snapshot.rs
+++ b/components/config/src/snapshot.rs
@@ -14,11 +14,18 @@
     pub as_of: u64,
     /// The declaration as JSON.
     pub text: Arc<str>,
-    /// Era of the log that the offset belongs to.
-    #[serde(default)]
+    /// Era of the log that the offset belongs to. It is left out before the first restore:
+    /// processes of earlier releases do not know it.
+    #[serde(default, skip_serializing_if = "is_first")]
     pub era: u64,
 }
 
+// serde passes a reference.
+#[allow(clippy::trivially_copy_pass_by_ref)]
+fn is_first(era: &u64) -> bool {
+    *era == 0
+}
+
 impl Snapshot {
     /// Digest of the text.
     pub fn digest(&self) -> Digest {
--- a/components/protocol/tests/messages.rs
+++ b/components/protocol/tests/messages.rs
@@ -87,6 +87,23 @@
     assert_eq!(wire::decode::<Snapshot>(&bytes).unwrap(), snapshot);
 }
 
+/// An agent of an earlier release could not read the configuration of an upgraded entry.
+#[test]
+fn snapshot_of_the_first_era_has_a_further_field() {
+    let text: std::sync::Arc<str> = "{}".into();
+    let snapshot = Snapshot {
+        revision: 3,
+        as_of: 9,
+        text: text.clone(),
+        era: 0,
+    };
+
+    let bytes = wire::encode(&snapshot).unwrap();
+
+    assert_eq!(bytes, wire::encode(&(3_u64, 9_u64, text)).unwrap());
+    assert_eq!(wire::decode::<Snapshot>(&bytes).unwrap(), snapshot);
+}
+
 #[test]
 fn a_load_round_trips_through_its_header() {
     let load = reply().load;
