Log answers that end early, and the last lines of a process

What callers saw: connections that ended without a complete answer, with no line that told whose end had closed them. A process that stopped wrote 'stopping' but never 'stopped': the line was queued, and the process ended before it was written.

Why: ResponseBody now carries a log that is dropped with it, so that the connection, the relay and a dropped request all end in one place; errors of callers' connections reach the handler; the commands flush the queue of lines for at most 200 ms before they return.

No logic of requests is changed.

--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -353,10 +353,7 @@
             events: EventSplitter::default(),
             event_due: now() + STREAM_TIMEOUT,
         };
-        let body = ResponseBody::Streamed {
-            chunks: Box::pin(chunks),
-            _relay: spawn(relay.run(sender)),
-        };
+        let body = ResponseBody::streamed(chunks, spawn(relay.run(sender)));
         assemble(&head, headers, body)
     }
 
--- a/components/gateway/src/front.rs
+++ b/components/gateway/src/front.rs
@@ -1,3 +1,4 @@
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -12,6 +13,7 @@
 use telemetry::{Outcome, decision};
 use transport::{Handler, with_timeout};
 
+use crate::answer_log::AnswerLog;
 use crate::caller_request::{CallerRequest, features, fingerprint};
 use crate::dispatcher::Dispatcher;
 use crate::refusal::Refusal;
@@ -108,11 +110,20 @@
     type Body = ResponseBody;
     type Error = ResponseAborted;
 
+    fn connection_failed(&self, peer: SocketAddr, error: &hyper::Error) {
+        let fields = json!({ "caller": peer, "why": transport::reason_of(error) });
+        decision("front", "connection failed", Outcome::Failure, fields);
+    }
+
     async fn handle(&self, request: Request<Incoming>) -> Response<ResponseBody> {
         let (parts, body) = request.into_parts();
         let path = parts.uri.path().to_owned();
         match self.admit(parts, body).await {
-            Ok(request) => self.dispatcher.dispatch(request).await,
+            Ok(request) => {
+                let log = AnswerLog::new(request.head.attempt.clone(), request.arrived);
+                let response = self.dispatcher.dispatch(request).await;
+                response.map(|body| body.logged(log))
+            }
             Err(refusal) => {
                 let fields = json!({ "path": path, "status": refusal.status().as_u16() });
                 decision("front", refusal.name(), Outcome::Failure, fields);
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -1,6 +1,7 @@
 //! The entry on a platform whose upstreams are called directly: accepts callers'
 //! requests, schedules them onto upstreams and returns the responses.
 
+mod answer_log;
 mod body_buffers;
 mod caller_request;
 mod connection_use;
--- a/components/gateway/src/response_body.rs
+++ b/components/gateway/src/response_body.rs
@@ -8,6 +8,7 @@
 use http_body::{Body, Frame, SizeHint};
 use smol::Task;
 
+use crate::answer_log::AnswerLog;
 use crate::body_buffers::Reservation;
 
 /// A response that ends early; the caller's connection is reset.
@@ -16,7 +17,13 @@
 pub struct ResponseAborted;
 
 /// Body of a response to a caller.
-pub enum ResponseBody {
+pub struct ResponseBody {
+    content: Content,
+    log: Option<AnswerLog>,
+}
+
+/// Bytes of a response.
+enum Content {
     /// A body in memory.
     Buffered {
         /// `None` after it was sent.
@@ -36,10 +43,33 @@
 impl ResponseBody {
     /// A body in memory, and its share of the memory for bodies.
     pub(crate) fn buffered(bytes: Bytes, memory: Option<Reservation>) -> Self {
-        ResponseBody::Buffered {
+        let content = Content::Buffered {
             bytes: Some(bytes),
             _memory: memory,
+        };
+        ResponseBody { content, log: None }
+    }
+
+    /// A body whose chunks come from the task `relay`.
+    pub(crate) fn streamed(
+        chunks: Receiver<Result<Bytes, ResponseAborted>>,
+        relay: Task<()>,
+    ) -> Self {
+        let content = Content::Streamed {
+            chunks: Box::pin(chunks),
+            _relay: relay,
+        };
+        ResponseBody { content, log: None }
+    }
+
+    /// Logs in `log` how the body ends.
+    pub(crate) fn logged(mut self, mut log: AnswerLog) -> Self {
+        log.start();
+        if self.is_end_stream() {
+            log.complete();
         }
+        self.log = Some(log);
+        self
     }
 }
 
@@ -51,31 +81,43 @@
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, ResponseAborted>>> {
-        match self.get_mut() {
-            ResponseBody::Buffered { bytes, .. } => {
-                Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b))))
-            }
-            ResponseBody::Streamed { chunks, .. } => {
-                let next = chunks.as_mut().poll_next(cx);
-                next.map(|chunk| chunk.map(|c| c.map(Frame::data)))
+        let this = self.get_mut();
+        let next = match &mut this.content {
+            Content::Buffered { bytes, .. } => Poll::Ready(bytes.take().map(Ok)),
+            Content::Streamed { chunks, .. } => chunks.as_mut().poll_next(cx),
+        };
+        if let Some(log) = &mut this.log {
+            match &next {
+                Poll::Ready(Some(Err(_))) => log.cut(),
+                Poll::Ready(None) => log.complete(),
+                Poll::Ready(Some(Ok(_))) if this.content.is_end() => log.complete(),
+                _ => {}
             }
         }
+        next.map(|chunk| chunk.map(|c| c.map(Frame::data)))
     }
 
     fn is_end_stream(&self) -> bool {
-        match self {
-            ResponseBody::Buffered { bytes, .. } => bytes.as_ref().is_none_or(Bytes::is_empty),
-            ResponseBody::Streamed { .. } => false,
-        }
+        self.content.is_end()
     }
 
     fn size_hint(&self) -> SizeHint {
-        match self {
-            ResponseBody::Buffered { bytes, .. } => {
+        match &self.content {
+            Content::Buffered { bytes, .. } => {
                 let len = bytes.as_ref().map_or(0, Bytes::len);
                 SizeHint::with_exact(u64::try_from(len).unwrap_or(u64::MAX))
             }
-            ResponseBody::Streamed { .. } => SizeHint::default(),
+            Content::Streamed { .. } => SizeHint::default(),
+        }
+    }
+}
+
+impl Content {
+    /// Whether nothing is left to send.
+    fn is_end(&self) -> bool {
+        match self {
+            Content::Buffered { bytes, .. } => bytes.as_ref().is_none_or(Bytes::is_empty),
+            Content::Streamed { .. } => false,
         }
     }
 }
--- a/components/transport/src/exchange.rs
+++ b/components/transport/src/exchange.rs
@@ -177,7 +177,7 @@
 }
 
 /// Joins the messages of all causes; hyper's own message omits its source.
-fn reason_of(error: &dyn std::error::Error) -> String {
+pub fn reason_of(error: &dyn std::error::Error) -> String {
     let mut text = error.to_string();
     let mut source = error.source();
     while let Some(cause) = source {
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -20,7 +20,7 @@
 pub use abort_cause::AbortCause;
 pub use connection::Connection;
 pub use error::TransportError;
-pub use exchange::{Exchange, ExchangeTimeouts, UpstreamBody};
+pub use exchange::{Exchange, ExchangeTimeouts, UpstreamBody, reason_of};
 pub use fetch::{FetchedResponse, fetch, fetch_on};
 pub use listener::{Handler, Listener, ListenerLimits};
 pub use pool::{MAX_IDLE, Pool};
--- a/components/transport/src/listener.rs
+++ b/components/transport/src/listener.rs
@@ -35,6 +35,11 @@
         &self,
         request: Request<Incoming>,
     ) -> impl Future<Output = Response<Self::Body>> + Send;
+
+    /// Is told of a connection that failed, also after a response was passed to it.
+    fn connection_failed(&self, peer: SocketAddr, error: &hyper::Error) {
+        log::debug!("transport: connection from {peer} failed: {error}");
+    }
 }
 
 /// Limits on connections and request heads.
@@ -122,8 +127,9 @@
         );
         let closing = self.closing.clone();
         spawn(async move {
+            let requests = handler.clone();
             let service = service_fn(move |request| {
-                let handler = handler.clone();
+                let handler = requests.clone();
                 async move { Ok::<_, std::convert::Infallible>(handler.handle(request).await) }
             });
             let connection = Builder::new()
@@ -146,7 +152,7 @@
                 }
             };
             if let Err(e) = result {
-                log::debug!("transport: connection from {peer} ended: {e}");
+                handler.connection_failed(peer, &e);
             }
             open_connections.fetch_sub(1, Ordering::Relaxed);
         })
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -4,7 +4,7 @@
 use telemetry::MetricsPage;
 
 use crate::cli::finish;
-use crate::cmd::stop::stop_signal;
+use crate::cmd::stop::{run_to_end, stop_signal};
 
 pub const HELP: &str = "\
 Accepts callers' requests and calls upstreams directly, without agents between.
@@ -28,5 +28,5 @@
         settings.file_descriptors(),
         metrics,
     );
-    transport::block_on(gateway.run(stop_signal(settings)))
+    run_to_end(gateway.run(stop_signal(settings)))
 }
--- a/src/cmd/loader.rs
+++ b/src/cmd/loader.rs
@@ -4,7 +4,7 @@
 use telemetry::MetricsPage;
 
 use crate::cli::finish;
-use crate::cmd::stop::stop_signal;
+use crate::cmd::stop::{run_to_end, stop_signal};
 
 pub const HELP: &str = "\
 Loads the declared weights into the engine on the same VM.
@@ -22,5 +22,5 @@
     telemetry::init_decisions(&agent_settings.node.vm)?;
     let metrics = MetricsPage::shared()?;
     let platform = UsersPlatform::new(agent_settings.node.store);
-    transport::block_on(Loader::new(platform, agent_settings, metrics).run(stop_signal(settings)))
+    run_to_end(Loader::new(platform, agent_settings, metrics).run(stop_signal(settings)))
 }
--- a/src/cmd/stop.rs
+++ b/src/cmd/stop.rs
@@ -3,12 +3,24 @@
 use futures_lite::{FutureExt, StreamExt};
 use serde_json::json;
 use smol::Timer;
-use telemetry::{Outcome, decision};
+use telemetry::{Outcome, decision, flush_decisions};
 
 /// Interval between two checks of the settings file, which may change without a
 /// SIGHUP.
 const CHECK_INTERVAL: std::time::Duration = std::time::Duration::from_secs(5);
 
+/// Time for the last lines of a process to be written; it ends 0.7 s before SIGKILL.
+const FLUSH_LIMIT: std::time::Duration = std::time::Duration::from_millis(200);
+
+/// Runs a role and waits until its last lines are written.
+pub fn run_to_end(role: impl Future<Output = anyhow::Result<()>>) -> anyhow::Result<()> {
+    let result = transport::block_on(role);
+    if !flush_decisions(FLUSH_LIMIT) {
+        log::warn!("kernel: the last lines were not written; read standard output faster");
+    }
+    result
+}
+
 /// Resolves on SIGTERM or SIGINT. Until then, logs changes of the settings file,
 /// which take effect at the next start.
 pub async fn stop_signal(mut settings: Settings) {
