Release held records of a restored store before the bound of an evacuation

What callers saw: a request reached an upstream in a failure domain up to 5 s after the bound on its evacuation, when the evacuation was requested right after the store came back from an older copy, at the offset of an earlier one that had been removed.

Cause: a record of the copy that is known as removed is not taken, as its removal was probably lost. It was held back until the copy is settled (10 s), and the bound of an evacuation is 5 s.

The state of the store is the same in both cases (end, offset and value), so no reader that sees only the later state can tell them apart.

The code for restored records moves to a file of its own.

--- a/components/dispatch/src/mirror.rs
+++ b/components/dispatch/src/mirror.rs
@@ -120,6 +120,19 @@
         }
     }
 
+    /// Ends the time in which the records of the copy may be removed again: returns those
+    /// that were held back and that the store still holds. Of such a record nothing tells
+    /// whether the store lost its removal or got it anew, at the same offset.
+    pub fn release(&mut self) -> Vec<Record> {
+        let latest = &self.latest;
+        let is_held = |key: &CompactString, record: &mut Record| {
+            let held = latest.get(key);
+            held.is_some_and(|l| l.offset == record.offset && l.value == record.value)
+        };
+        let released = self.removed.extract_if(is_held);
+        released.map(|(_, record)| record).collect()
+    }
+
     /// Ends the time in which lost records may be written again: returns the records that
     /// the store holds, and a removal for each key that is still missing.
     pub fn settle(&mut self) -> Vec<Record> {
--- a/components/dispatch/tests/store_eras.rs
+++ b/components/dispatch/tests/store_eras.rs
@@ -174,16 +174,34 @@
 }
 
 /// An evacuation that was requested anew after the restore, at the offset of an earlier one
-/// that had ended, was taken for that and not in force.
+/// that had ended, was taken for that until the copy was settled.
 #[test]
-fn record_written_at_the_offset_of_a_removed_one_is_not_taken() {
+fn record_written_at_the_offset_of_a_removed_one_is_held_until_the_copy_is_settled() {
     let mut mirror = Mirror::default();
     mirror.reset(batch(0, 1, vec![record("other", 0, Some("1"))]));
     mirror.extend(batch(0, 2, vec![record("k", 1, Some("1"))]));
     mirror.extend(batch(0, 3, vec![record("k", 2, None)]));
 
     let written = vec![record("other", 0, Some("1")), record("k", 1, Some("1"))];
-    let restored = mirror.restore(batch(1, 2, written.clone()));
+    let restored = mirror.restore(batch(1, 2, written));
+    let released = mirror.release();
+    let again = mirror.release();
 
-    assert_eq!(restored.records, written);
+    assert_eq!(restored.records, [record("other", 0, Some("1"))]);
+    assert_eq!(released, [record("k", 1, Some("1"))]);
+    assert!(again.is_empty());
+}
+
+#[test]
+fn record_that_was_removed_again_is_not_released() {
+    let mut mirror = Mirror::default();
+    mirror.reset(batch(0, 2, vec![record("k", 1, Some("1"))]));
+    mirror.extend(batch(0, 3, vec![record("k", 2, None)]));
+
+    mirror.restore(batch(1, 2, vec![record("k", 1, Some("1"))]));
+    let removed = mirror.extend(batch(1, 3, vec![record("k", 2, None)]));
+    let released = mirror.release();
+
+    assert_eq!(removed, [record("k", 2, None)]);
+    assert!(released.is_empty());
 }
--- a/components/feed/src/feed.rs
+++ b/components/feed/src/feed.rs
@@ -20,10 +20,6 @@
 use crate::batch::{BatchKind, BatchResult};
 use crate::topic::{Role, Topic};
 
-/// Time after a return of the store from an older copy in which operators, upstreams and
-/// entries write again what it lost.
-const REWRITE_TIME: Duration = Duration::from_secs(10);
-
 #[derive(Debug)]
 pub(crate) struct State {
     /// Records of each topic, by [`Topic::index`].
@@ -36,9 +32,11 @@
     pub(crate) reachable: [bool; 3],
     /// Until when the records of each topic may be missing or older than those known,
     /// after a return of the store from a copy, by [`Topic::index`].
-    settle_at: [Option<Moment>; 3],
+    pub(crate) settle_at: [Option<Moment>; 3],
+    /// Until when the operators' records in that copy may be such that were removed.
+    pub(crate) release_at: Option<Moment>,
     /// Version of the configuration that the store last returned.
-    stored_config: Option<u64>,
+    pub(crate) stored_config: Option<u64>,
 }
 
 impl State {
@@ -80,6 +78,7 @@
                 members: HashMap::new(),
                 reachable: [true; 3],
                 settle_at: [None; 3],
+                release_at: None,
                 stored_config: None,
             }),
             platform,
@@ -213,89 +212,6 @@
             .collect()
     }
 
-    /// Applies the state of a newer era. What was known stays in force where the state is
-    /// older; what is missing in it gets time to be written again.
-    fn apply_restored(
-        &self,
-        state: &mut State,
-        topic: Topic,
-        batch: RecordBatch,
-        written: WriteTime,
-    ) -> Vec<ViewChange> {
-        let now = now();
-        let mirror = &mut state.mirrors[topic.index()];
-        let (known_era, known_end) = (mirror.era(), mirror.end());
-        let (era, end, held) = (batch.era, batch.end, batch.records.len());
-        let restored = mirror.restore(batch);
-        metrics::gauge!("turmerichold_store_era", "topic" => self.topic_name(topic))
-            .set(era as f64);
-        let fields = json!({
-            "topic": self.topic_name(topic),
-            "era": era,
-            "known_era": known_era,
-            "end": end,
-            "known_end": known_end,
-            "held": held,
-            "removed": held - restored.records.len(),
-            "lost": restored.lost,
-        });
-        decision("feed", "store restored", Outcome::Change, fields);
-        state.settle_at[topic.index()] = Some(now + REWRITE_TIME);
-        if topic == Topic::Fleet {
-            state.stored_config = None;
-        }
-        let mut changes = self.apply_held(state, topic, &restored.records, written);
-        if topic == Topic::Upstreams {
-            let lost = restored.lost.iter();
-            changes.extend(lost.filter_map(|id| state.view.lapse_lost_upstream(now, id)));
-        }
-        changes
-    }
-
-    /// Applies records that may be older than the ones known.
-    fn apply_held(
-        &self,
-        state: &mut State,
-        topic: Topic,
-        records: &[Record],
-        written: WriteTime,
-    ) -> Vec<ViewChange> {
-        let mut changes = Vec::new();
-        for record in records {
-            let (key, value) = (record.key.as_str(), record.value.as_ref());
-            changes.extend(match (topic, value) {
-                (Topic::Upstreams, Some(value)) => {
-                    let upstream = self.platform.upstream(key, value);
-                    let upstream = skip_invalid(upstream.map(Some)).flatten();
-                    upstream.and_then(|u| state.view.apply_restored_upstream(now(), u))
-                }
-                _ => self.apply_record(state, topic, record, written),
-            });
-        }
-        changes
-    }
-
-    /// Applies what the store holds once what a copy lost should have been written again.
-    pub(crate) fn settle(&self, topic: Topic) {
-        let changes = {
-            let mut state = self.state();
-            let state = &mut *state;
-            let settle_at = &mut state.settle_at[topic.index()];
-            if settle_at.take_if(|at| *at <= now()).is_none() {
-                return;
-            }
-            let records = state.mirrors[topic.index()].settle();
-            if topic == Topic::Upstreams {
-                state.view.forget_departed();
-            }
-            let written = state.freshness.since_last_read(WriteBasis::Newest);
-            self.apply_held(state, topic, &records, written)
-        };
-        let fields = json!({ "topic": self.topic_name(topic), "changed": changes.len() });
-        decision("feed", "store settled", Outcome::Change, fields);
-        self.publish(changes);
-    }
-
     /// Logs what a batch of records changed, and where the topic ended before.
     fn log_batch(&self, topic: Topic, era: Era, end: u64, known_end: Option<u64>, changed: usize) {
         let fields = json!({
@@ -308,7 +224,7 @@
         decision("feed", "records", Outcome::Change, fields);
     }
 
-    fn apply_record(
+    pub(crate) fn apply_record(
         &self,
         state: &mut State,
         topic: Topic,
@@ -439,7 +355,7 @@
 }
 
 /// Logs and skips a record that does not decode.
-fn skip_invalid<T>(record: Result<Option<T>, domain::BadRecord>) -> Option<Option<T>> {
+pub(crate) fn skip_invalid<T>(record: Result<Option<T>, domain::BadRecord>) -> Option<Option<T>> {
     match record {
         Ok(record) => Some(record),
         Err(e) => {
--- a/components/feed/src/lib.rs
+++ b/components/feed/src/lib.rs
@@ -9,6 +9,7 @@
 mod peer_handler;
 mod peer_messages;
 mod peers;
+mod restored;
 mod store_reader;
 mod targets;
 mod targets_messages;
--- a/components/feed/src/store_reader.rs
+++ b/components/feed/src/store_reader.rs
@@ -44,6 +44,7 @@
                     pause = FAILURE_PAUSE;
                     self.record_reachable(topic, None);
                     if topic == Topic::Fleet {
+                        self.release();
                         self.update_bounds();
                     }
                     Timer::after(topic.pause(self.role)).await;
