Date a record by the read before it if its response took long

What callers saw: requests began on older weights up to about a second after the bound of the newer ones (VERSION), through entries that had been stopped while the version was declared and had been in touch again for long.

Cause: a read that was pending for two beats of the process counted as waiting for a new record. It may as well have been answered at once, with its response on the way or in the queues of a process that works off what came during its stop. The record was then dated by its arrival.

Why this works: the last moment at which a read was surely unanswered lies a quarter of a second before the last handled input, and a read that was not sent right after the one before says nothing, since its record may be older than itself. Both errors only ever make a date earlier, by the time between two reads at most. With a transit of half a second the date is 0.25 s late at most.

--- a/components/dispatch/src/config_freshness.rs
+++ b/components/dispatch/src/config_freshness.rs
@@ -13,6 +13,14 @@
 /// older records.
 const LATE_AFTER: Duration = Duration::from_millis(600);
 
+/// Time for which a response may be on its way: a read that has not returned for so long may
+/// have been answered before.
+const RESPONSE_TIME: Duration = Duration::from_millis(250);
+
+/// Longest time from the end of a read to the start of the next one after which records
+/// are dated by the course of the next one. It may return what was written between them.
+const MAX_READ_GAP: Duration = Duration::from_millis(100);
+
 /// What an entry may do with its configuration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConfigStatus {
@@ -42,11 +50,12 @@
 }
 
 impl ReadTiming {
-    /// Last moment at which the read was known to be pending. The store answers when
+    /// Last moment at which the read was surely not answered yet. The store answers when
     /// the wait is over, however late the response is handled.
     fn pending_until(&self) -> Option<Moment> {
-        let settled = self.settled.min(self.sent + self.wait);
-        (settled > self.sent).then_some(settled)
+        let unanswered = self.settled.saturating_sub(RESPONSE_TIME);
+        let unanswered = unanswered.min(self.sent + self.wait);
+        (unanswered > self.sent).then_some(unanswered)
     }
 }
 
@@ -120,8 +129,8 @@
 
     /// Earliest moment at which a record of a read was written. A waiting read returns
     /// a record as soon as it is written, so the record is newer than the last moment
-    /// at which the read was known to be pending. A read that returned at once may
-    /// return what was written since the read before it.
+    /// at which the read was known to be pending. A read that returned at once, however
+    /// long its response took, may return what was written since the read before it.
     pub fn earliest_write(&self, now: Moment, read: &ReadTiming) -> WriteTime {
         if !read.followed {
             return self.since_last_read(WriteBasis::AfterFailure);
@@ -129,12 +138,14 @@
         if now.saturating_sub(read.sent) > read.wait + LATE_AFTER {
             return self.since_last_read(WriteBasis::LateRead);
         }
+        let previous = self.since_last_read(WriteBasis::PreviousRead);
+        let gap = read.sent.saturating_sub(previous.at);
         match read.pending_until() {
-            Some(at) => WriteTime {
+            Some(at) if gap <= MAX_READ_GAP => WriteTime {
                 at,
                 basis: WriteBasis::WaitingRead,
             },
-            None => self.since_last_read(WriteBasis::PreviousRead),
+            _ => previous,
         }
     }
 
