Let beats between two gaps vouch for no read that was pending before

Cause: a process that was stopped works off its input when it runs again, and is held up by that once more. The second gap replaced what was known to be handled before the first one by the beats between them, although a task that waits since before the stop may not have had its turn.

Evidence: read_sent_before_a_stop_is_not_settled_by_beats_before_another_gap failed before (settled up to 1002.06 s, known only up to 1000.03 s).

Why this works: within a second after a gap, another one keeps what was settled before the first. Dates only become earlier by it.

--- a/components/dispatch/src/pulse.rs
+++ b/components/dispatch/src/pulse.rs
@@ -5,6 +5,9 @@
 /// Longest time between two beats of a process that was not held up between them.
 const MAX_GAP: Duration = Duration::from_millis(100);
 
+/// Time after a gap in which a task that waited in it may not have had its turn yet.
+const CATCH_UP_TIME: Duration = Duration::from_secs(1);
+
 /// Time between two beats after which the process counts as resumed: evidence about
 /// other processes starts anew.
 const RESUME_GAP: Duration = Duration::from_millis(500);
@@ -15,7 +18,7 @@
 pub struct Pulse {
     last: Moment,
     settled: Moment,
-    /// When the last gap ended, and what was settled before it.
+    /// When the last gap ended, and what was settled before it and those shortly before.
     gap_end: Moment,
     settled_before_gap: Moment,
     resumed: Moment,
@@ -30,7 +33,9 @@
         if now.saturating_sub(self.last) <= MAX_GAP {
             self.settled = self.last;
         } else {
-            self.settled_before_gap = self.settled;
+            if now.saturating_sub(self.gap_end) > CATCH_UP_TIME {
+                self.settled_before_gap = self.settled;
+            }
             self.gap_end = now;
         }
         self.resumed = self.resumed(now);
--- a/components/dispatch/tests/records.rs
+++ b/components/dispatch/tests/records.rs
@@ -522,6 +522,18 @@
     assert_eq!((before, after), (start() + ms(30), start() + ms(2040)));
 }
 
+/// A process that had been stopped was held up again by what had arrived meanwhile. The
+/// beats between vouched for a read that was pending since before the stop.
+#[test]
+fn read_sent_before_a_stop_is_not_settled_by_beats_before_another_gap() {
+    let mut pulse = Pulse::default();
+    for at in [0, 30, 60, 2000, 2030, 2060, 2090, 2250, 2280] {
+        pulse.beat(start() + ms(at));
+    }
+
+    assert_eq!(pulse.settled(start() + ms(40)), start() + ms(30));
+}
+
 #[test]
 fn input_counts_as_handled_up_to_the_beat_before_last() {
     let mut pulse = Pulse::default();
