Wait for a begun write in the test of a full send buffer

Seen: full_send_buffer_completes_a_request_late failed in 2 of 9 runs at a load average of 99: nothing had been written within 100 ms.

Cause: the test, not the code. A process that is held up for 100 ms between its decision and the write must write nothing, which is what the other test of the file checks. The peer also read on by a clock of its own, which began before the connection was open.

Why this works: the peer reads on after the latest moment for the write, and an exchange in which no write began is tried again with twice the time; the test fails if none begins in 1.6 s. It now also checks in each try that the request counts as unsent exactly if nothing arrived.

--- a/components/transport/tests/late_writes.rs
+++ b/components/transport/tests/late_writes.rs
@@ -14,6 +14,10 @@
 
 /// Timeout of each step.
 const LIMIT: Duration = Duration::from_secs(5);
+const TIMEOUTS: ExchangeTimeouts = ExchangeTimeouts {
+    head: LIMIT,
+    read_timeout: LIMIT,
+};
 /// Time in which a request may be written.
 const WRITE_TIME: Duration = Duration::from_millis(100);
 /// All tests of a process share an executor; another thread would write during a pause.
@@ -52,15 +56,11 @@
     pause: Duration,
 ) -> (TransportError, usize) {
     let connection = Connection::open(addr, LIMIT).await.unwrap();
-    let timeouts = ExchangeTimeouts {
-        head: LIMIT,
-        read_timeout: LIMIT,
-    };
     let latest = Instant::now() + WRITE_TIME;
     let mut exchange = Box::pin(Exchange::begin_by(
         connection,
         request(body),
-        timeouts,
+        TIMEOUTS,
         latest,
     ));
     assert!(poll_once(&mut exchange).await.is_none());
@@ -87,20 +87,40 @@
     }
 }
 
-/// The rest of a request that a full send buffer held back was written whenever the peer
-/// read on.
-#[test]
-fn full_send_buffer_completes_a_request_late() {
-    let _alone = ALONE.lock();
+/// Sends a long request to a peer that reads only after the latest moment for the write,
+/// which is `write_time` from now. Returns the error and the number of bytes that arrived.
+async fn exchange_with_full_buffer(write_time: Duration) -> (TransportError, usize) {
     let (start, started) = bounded(1);
     let (addr, received) = server(started);
+    let connection = Connection::open(addr, LIMIT).await.unwrap();
+    let latest = Instant::now() + write_time;
     std::thread::spawn(move || {
-        std::thread::sleep(2 * WRITE_TIME);
+        std::thread::sleep((latest + WRITE_TIME).saturating_duration_since(Instant::now()));
         start.send_blocking(()).unwrap();
     });
+    let exchange = Exchange::begin_by(connection, request(LONG_BODY), TIMEOUTS, latest);
+    let error = exchange.await.err().unwrap();
+    (error, received.recv().await.unwrap())
+}
 
-    let (error, received) = block_on(exchange(addr, received, LONG_BODY, Duration::ZERO));
+/// The rest of a request that a full send buffer held back was written whenever the peer
+/// read on.
+#[test]
+fn full_send_buffer_completes_a_request_late() {
+    let _alone = ALONE.lock();
+    // A process that is held up writes nothing in a short time, as it should.
+    for write_time in [1, 2, 4, 8, 16].map(|n| n * WRITE_TIME) {
+        let (error, received) = block_on(exchange_with_full_buffer(write_time));
 
-    assert!(!error.is_unsent(), "{error}");
-    assert!(received < LONG_BODY, "{received} bytes arrived");
+        assert!(received < LONG_BODY, "{received} bytes arrived");
+        assert_eq!(
+            error.is_unsent(),
+            received == 0,
+            "{received} bytes: {error}"
+        );
+        if received > 0 {
+            return;
+        }
+    }
+    panic!("no write began");
 }
