Reproduce requests that end without an answer at entry and agent

What callers saw: no byte after a half-close, after a stop and for requests in the queue of a removed service; 502 after four seconds of an agent's silence; a stream cut after ten; runs that count as running for ever.

How: stand-ins of upstreams pause within a stream, announce that they leave and refuse with Retry-After; a fixture runs an entry and an agent in the test's process.

--- a/stand-ins/src/engine.rs
+++ b/stand-ins/src/engine.rs
@@ -18,7 +18,7 @@
 use smol::Timer;
 use wire::{Call, Client, Handler};
 
-use crate::faults::{FaultAction, FaultInjector};
+use crate::faults::{FaultAction, FaultInjector, Faults};
 use crate::http;
 
 /// A prompt that contains this word crashes the engine.
@@ -164,11 +164,19 @@
         }
     }
 
+    /// Replaces the faults in effect.
+    pub fn set_faults(&self, faults: Faults) {
+        self.faults.set(faults);
+    }
+
     async fn generate(self: &Arc<Self>, mut req: Request) -> Response {
         let action = self.faults.next_action().await;
         if action == FaultAction::Refuse || self.lock().down {
             return http::aborted();
         }
+        if let Some(res) = self.faults.refusal() {
+            return res;
+        }
         let request: GenerateRequest = match http::read_json(&mut req).await {
             Ok(request) => request,
             Err(res) => return res,
@@ -244,6 +252,7 @@
             text: generated_text(&request.prompt),
             remaining: request.max_tokens,
             timer: Timer::after(prefill.mul_f64(slowdown)),
+            pause: self.faults.stream_pause(),
             pending: Vec::new(),
             ended: false,
         }
@@ -381,6 +390,8 @@
     text: String,
     remaining: u32,
     timer: Timer,
+    /// Added once to the time until the next tokens.
+    pause: Duration,
     pending: Vec<u8>,
     ended: bool,
 }
@@ -401,7 +412,8 @@
         self.remaining -= count;
         self.engine.lock().record.tokens += u64::from(count);
         self.pending = format!("{} {}\n", self.text, self.remaining).into_bytes();
-        self.timer = Timer::after(self.engine.write_interval(self.priority));
+        let interval = self.engine.write_interval(self.priority);
+        self.timer = Timer::after(interval + std::mem::take(&mut self.pause));
         Ok(())
     }
 }
@@ -457,13 +469,13 @@
         match (req.method(), parts.as_slice()) {
             (Method::Post, ["faults"]) => self.0.faults.update(&mut req).await,
             (Method::Get, ["record"]) => http::json(&self.0.lock().record),
-            (Method::Get, ["load"]) => self.0.report_load(),
-            (Method::Post, ["orders"]) => self.0.accept_load(req).await,
+            (Method::Get, ["load"]) => self.0.faults.announce(self.0.report_load()),
+            (Method::Post, ["orders"]) => self.0.faults.announce(self.0.accept_load(req).await),
             (Method::Post, ["crash"]) => {
                 self.0.crash();
                 http::status(204)
             }
-            (Method::Post, _) => self.0.generate(req).await,
+            (Method::Post, _) => self.0.faults.announce(self.0.generate(req).await),
             _ => http::status(404),
         }
     }
--- a/stand-ins/src/faults.rs
+++ b/stand-ins/src/faults.rs
@@ -25,6 +25,12 @@
     pub silent: bool,
     /// Makes an engine cold again without a new incarnation.
     pub cold: bool,
+    /// Pause of every stream of an engine after its first tokens, in milliseconds.
+    pub pause_ms: u64,
+    /// Announces in every response that the upstream leaves.
+    pub leaving: bool,
+    /// Refuses runs with status 503 and this value of `Retry-After`.
+    pub retry_after: Option<String>,
 }
 
 /// How a stand-in handles one call.
@@ -46,15 +52,17 @@
 
 impl FaultInjector {
     /// Replaces the faults in effect.
-    fn set(&self, faults: Faults) -> Response {
+    pub fn set(&self, faults: Faults) {
         *self.lock() = faults;
-        http::status(204)
     }
 
     /// Handles `POST /faults`.
     pub async fn update(&self, req: &mut Request) -> Response {
         match http::read_json(req).await {
-            Ok(faults) => self.set(faults),
+            Ok(faults) => {
+                self.set(faults);
+                http::status(204)
+            }
             Err(res) => res,
         }
     }
@@ -87,6 +95,27 @@
         corrupt
     }
 
+    /// Pause of a stream after its first tokens.
+    pub fn stream_pause(&self) -> Duration {
+        Duration::from_millis(self.lock().pause_ms)
+    }
+
+    /// The response with which runs are refused for some time, if they are.
+    pub fn refusal(&self) -> Option<Response> {
+        let wait = self.lock().retry_after.clone()?;
+        let mut res = http::status(503);
+        res.insert_header("retry-after", wait);
+        Some(res)
+    }
+
+    /// Adds the headers that every response of an upstream has.
+    pub fn announce(&self, mut res: Response) -> Response {
+        if self.lock().leaving {
+            res.insert_header("server-leaving", "1");
+        }
+        res
+    }
+
     /// Whether the engine has to become cold again; clears the fault.
     pub fn take_cold(&self) -> bool {
         std::mem::take(&mut self.lock().cold)
--- /dev/null
+++ b/stand-ins/tests/lost_requests.rs
@@ -0,0 +1,149 @@
+//! Requests that were read whole get an answer or a refusal, beside silence, changes, stops
+//! and callers that have closed their sending side.
+
+mod fixture;
+
+use std::net::Shutdown;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use fixture::{Deployment, declaration, order, read_response, serve, wait_until};
+use smol::Timer;
+use stand_ins::plain_service::PlainService;
+
+const TIMEOUT: Duration = Duration::from_secs(8);
+/// After a caller has left, no work goes on for longer.
+const LEFT_LIMIT: Duration = Duration::from_millis(500);
+
+/// A deployment before a plain service that takes `service_time` for each request and runs
+/// `limit` at once.
+async fn start(service_time: Duration, limit: u32) -> (Deployment, Arc<PlainService>) {
+    let service = Arc::new(PlainService::new(service_time, true));
+    let (addr, close) = serve(service.clone()).await;
+    std::mem::forget(close);
+    let deployment = Deployment::start(addr, &declaration(limit, TIMEOUT)).await;
+    (deployment, service)
+}
+
+fn runs(service: &PlainService) -> u32 {
+    service.record().runs.values().sum()
+}
+
+/// A caller that had only finished sending was taken for one that left.
+#[test]
+fn half_closed_caller_gets_no_answer_to_a_request_that_runs_once() {
+    smol::block_on(async {
+        let (deployment, service) = start(Duration::from_millis(1700), 4).await;
+
+        let mut caller = deployment.send("/orders", &order("a")).await;
+        wait_until(async || runs(&service) == 1).await;
+        caller.shutdown(Shutdown::Write).unwrap();
+        let response = read_response(&mut caller).await;
+
+        assert!(response.starts_with("HTTP/1.1 200"), "{response:?}");
+        assert_eq!(runs(&service), 1);
+    });
+}
+
+/// The same for a request that may be repeated: the work ends, and the caller is told that
+/// it may have run.
+#[test]
+fn half_closed_caller_gets_no_answer_to_an_idempotent_request() {
+    smol::block_on(async {
+        let (deployment, service) = start(Duration::from_secs(5), 4).await;
+
+        let mut caller = deployment.send("/stock", &order("a")).await;
+        wait_until(async || runs(&service) == 1).await;
+        let closed = Instant::now();
+        caller.shutdown(Shutdown::Write).unwrap();
+        wait_until(async || service.record().cancelled == 1).await;
+        let took = closed.elapsed();
+        let response = read_response(&mut caller).await;
+
+        assert!(response.starts_with("HTTP/1.1 502"), "{response:?}");
+        assert!(response.contains("outcome: unknown"), "{response:?}");
+        assert!(took < LEFT_LIMIT, "{took:?}");
+    });
+}
+
+/// A request that waited for an upstream got no byte; it is refused and never runs.
+#[test]
+fn half_closed_caller_gets_no_refusal_of_a_waiting_request() {
+    smol::block_on(async {
+        let (deployment, service) = start(Duration::from_secs(2), 1).await;
+        let mut first = deployment.send("/orders", &order("a")).await;
+        wait_until(async || runs(&service) == 1).await;
+
+        let mut caller = deployment.send("/orders", &order("b")).await;
+        caller.shutdown(Shutdown::Write).unwrap();
+        let closed = Instant::now();
+        let response = read_response(&mut caller).await;
+        let took = closed.elapsed();
+        let answered = read_response(&mut first).await;
+        Timer::after(Duration::from_millis(300)).await;
+
+        assert!(response.starts_with("HTTP/1.1 503"), "{response:?}");
+        assert!(response.contains("outcome: not-run"), "{response:?}");
+        assert!(took < LEFT_LIMIT, "{took:?}");
+        assert!(answered.starts_with("HTTP/1.1 200"), "{answered:?}");
+        assert_eq!(runs(&service), 1);
+    });
+}
+
+/// Requests in the queue of a service that a change removed were not refused.
+#[test]
+fn request_waits_after_its_service_was_removed() {
+    smol::block_on(async {
+        let (mut deployment, service) = start(Duration::from_secs(4), 1).await;
+        let mut first = deployment.send("/orders", &order("a")).await;
+        wait_until(async || runs(&service) == 1).await;
+        let mut waiting = deployment.send("/orders", &order("b")).await;
+        Timer::after(Duration::from_millis(100)).await;
+
+        let mut without = declaration(1, TIMEOUT);
+        without["services"]
+            .as_object_mut()
+            .unwrap()
+            .remove(fixture::SERVICE);
+        deployment.apply(&without).await;
+        let removed = Instant::now();
+        let refused = read_response(&mut waiting).await;
+        let took = removed.elapsed();
+        let answered = read_response(&mut first).await;
+
+        assert!(refused.starts_with("HTTP/1.1 503"), "{refused:?}");
+        assert!(refused.contains("outcome: not-run"), "{refused:?}");
+        assert!(took < Duration::from_secs(1), "{took:?}");
+        assert!(answered.starts_with("HTTP/1.1 200"), "{answered:?}");
+        assert_eq!(runs(&service), 1);
+    });
+}
+
+/// Requests that needed longer than the time for the shutdown ended without a byte.
+#[test]
+fn stop_ends_requests_without_an_answer() {
+    smol::block_on(async {
+        let (deployment, service) = start(Duration::from_secs(6), 1).await;
+        let mut running = deployment.send("/orders", &order("a")).await;
+        wait_until(async || runs(&service) == 1).await;
+        let mut waiting = deployment.send("/orders", &order("b")).await;
+
+        let stopped = Instant::now();
+        let stop = smol::spawn(async move { deployment.stop_entry().await });
+        let refused = read_response(&mut waiting).await;
+        let unknown = read_response(&mut running).await;
+        let answered = stopped.elapsed();
+        stop.await;
+        let took = stopped.elapsed();
+
+        assert!(refused.starts_with("HTTP/1.1 503"), "{refused:?}");
+        assert!(refused.contains("outcome: not-run"), "{refused:?}");
+        assert!(unknown.starts_with("HTTP/1.1 502"), "{unknown:?}");
+        assert!(unknown.contains("outcome: unknown"), "{unknown:?}");
+        assert!(answered <= took, "{answered:?} {took:?}");
+        assert!(
+            took < fixture::DRAIN + Duration::from_millis(500),
+            "{took:?}"
+        );
+    });
+}
--- /dev/null
+++ b/stand-ins/tests/silent_upstreams.rs
@@ -0,0 +1,255 @@
+//! Upstreams and agents that fall silent and go on: silence ends no answer before its
+//! deadline.
+
+mod fixture;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use fixture::{Deployment, declaration, order, read_response, serve, wait_until};
+use http_types::{Method, Request, Response, StatusCode};
+use protocol::{
+    Availability, Heartbeat, HeartbeatReply, Load, RunRequest, Settle, SettleReply, Ticket,
+    headers, paths,
+};
+use smol::Timer;
+use stand_ins::engine::{Engine, EngineHandler, EngineSpec, GenerateRequest};
+use stand_ins::faults::Faults;
+use stand_ins::plain_service::PlainService;
+use wire::{Call, Handler};
+
+const TIMEOUT: Duration = Duration::from_secs(20);
+/// Silence of a sound upstream.
+const SHORT_PAUSE: Duration = Duration::from_millis(1700);
+
+fn engine_spec() -> EngineSpec {
+    EngineSpec {
+        fenced: false,
+        cold_slots: 4,
+        slots: 4,
+        prefill_time: Duration::from_millis(10),
+        token_time: Duration::from_millis(1),
+        restart_time: Duration::from_secs(1),
+        report_lag: Duration::ZERO,
+    }
+}
+
+/// The answer to a streamed request whose engine pauses after the first tokens.
+async fn stream_with_pause(pause: Duration) -> String {
+    let engine = Arc::new(Engine::new(engine_spec()));
+    engine.set_faults(Faults {
+        pause_ms: u64::try_from(pause.as_millis()).unwrap(),
+        ..Faults::default()
+    });
+    let (addr, _close) = serve(Arc::new(EngineHandler(engine))).await;
+    let deployment = Deployment::start(addr, &declaration(4, TIMEOUT)).await;
+    let request = GenerateRequest {
+        prompt: "layout".to_owned(),
+        max_tokens: 40,
+        stream: true,
+    };
+    let body = serde_json::to_string(&request).unwrap();
+    let mut caller = deployment.send("/stock", &body).await;
+    read_response(&mut caller).await
+}
+
+fn is_whole_stream(response: &str) -> bool {
+    response.starts_with("HTTP/1.1 200") && response.ends_with("\r\n0\r\n\r\n")
+}
+
+#[test]
+fn short_pause_ends_a_stream() {
+    let response = smol::block_on(stream_with_pause(SHORT_PAUSE));
+
+    assert!(is_whole_stream(&response), "{response:?}");
+}
+
+/// Agent and entry gave up a body after 10 s without a byte.
+#[test]
+fn long_pause_ends_a_stream_before_its_deadline() {
+    let response = smol::block_on(stream_with_pause(Duration::from_secs(11)));
+
+    assert!(is_whole_stream(&response), "{response:?}");
+}
+
+#[test]
+fn short_pause_before_the_head_ends_a_request() {
+    smol::block_on(async {
+        let service = Arc::new(PlainService::new(SHORT_PAUSE, true));
+        let (addr, _close) = serve(service.clone()).await;
+        let deployment = Deployment::start(addr, &declaration(4, TIMEOUT)).await;
+
+        for path in ["/orders", "/stock"] {
+            let mut caller = deployment.send(path, &order(path)).await;
+            let response = read_response(&mut caller).await;
+
+            assert!(response.starts_with("HTTP/1.1 200"), "{path}: {response:?}");
+        }
+        assert!(service.record().runs.values().all(|n| *n == 1));
+    });
+}
+
+/// An agent that replies to heartbeats, and to nothing else for some time.
+struct SilentAgent {
+    pause: Duration,
+}
+
+fn message<T: serde::Serialize>(message: &T) -> Response {
+    let mut res = Response::new(StatusCode::Ok);
+    res.set_body(wire::encode(message).unwrap());
+    res
+}
+
+impl Handler for SilentAgent {
+    async fn handle(&self, mut request: Request, _peer: SocketAddr) -> Response {
+        let path = request.url().path().to_owned();
+        let bytes = wire::read_limited(&mut request, 1 << 20).await.unwrap();
+        if path == paths::HEARTBEAT {
+            let _: Heartbeat = wire::decode(&bytes).unwrap();
+            return message(&HeartbeatReply {
+                vm: "upstream".into(),
+                ticket: Ticket::default(),
+                availability: Availability::Open,
+                load: Load {
+                    limit: 4,
+                    in_flight: 0,
+                    service_us: 0,
+                },
+                revision: 1,
+                progress: None,
+                crashes: Vec::new(),
+            });
+        }
+        Timer::after(self.pause).await;
+        if path == paths::SETTLE {
+            let _: Settle = wire::decode(&bytes).unwrap();
+            return message(&SettleReply::Running);
+        }
+        let run: RunRequest = wire::decode(&bytes).unwrap();
+        let mut res = Response::new(StatusCode::Ok);
+        res.set_body("done");
+        res.insert_header(headers::RUN_ID, run.id.as_str());
+        res.insert_header(headers::UPSTREAM_STATUS, "200");
+        res
+    }
+}
+
+/// The entry gave up an agent that was silent for some seconds, and with it the answer that
+/// was on its way.
+#[test]
+fn silence_of_an_agent_ends_a_request_before_its_deadline() {
+    smol::block_on(async {
+        let agent = SilentAgent {
+            pause: Duration::from_secs(6),
+        };
+        let (addr, _close) = serve(Arc::new(agent)).await;
+        let deployment = Deployment::with_agent(addr, &declaration(4, TIMEOUT)).await;
+
+        for path in ["/orders", "/stock"] {
+            let mut caller = deployment.send(path, &order("a")).await;
+            let response = read_response(&mut caller).await;
+
+            assert!(response.starts_with("HTTP/1.1 200"), "{path}: {response:?}");
+        }
+    });
+}
+
+/// The agent cancelled a run whose connection was lost and went on to report it as running,
+/// so that the entry waited for it until the deadline.
+#[test]
+fn run_whose_connection_was_lost_counts_as_running_for_ever() {
+    smol::block_on(async {
+        let service = Arc::new(PlainService::new(Duration::from_secs(5), true));
+        let (addr, _close) = serve(service.clone()).await;
+        let deployment = Deployment::start(addr, &declaration(4, TIMEOUT)).await;
+        let run = run_request(&deployment, "run-1").await;
+        let call = Call::new(Method::Post, deployment.agent, paths::RUN)
+            .unwrap()
+            .body(wire::encode(&run).unwrap());
+        let client = deployment.client.clone();
+        let sent = smol::spawn(async move { drop(client.send(call).await) });
+        wait_until(async || service.record().runs.len() == 1).await;
+
+        sent.cancel().await;
+        wait_until(async || service.record().cancelled == 1).await;
+        let reply = settle(&deployment, &run).await;
+
+        assert_eq!(reply, SettleReply::Unknown);
+    });
+}
+
+/// The same after the end of a response that was passed on as it arrived.
+#[test]
+fn run_that_was_streamed_counts_as_running_for_ever() {
+    smol::block_on(async {
+        let engine = Arc::new(Engine::new(engine_spec()));
+        let (addr, _close) = serve(Arc::new(EngineHandler(engine))).await;
+        let deployment = Deployment::start(addr, &declaration(4, TIMEOUT)).await;
+        let request = GenerateRequest {
+            prompt: "layout".to_owned(),
+            max_tokens: 8,
+            stream: true,
+        };
+        let run = RunRequest {
+            body: serde_json::to_vec(&request).unwrap(),
+            ..run_request(&deployment, "run-1").await
+        };
+        let call = Call::new(Method::Post, deployment.agent, paths::RUN)
+            .unwrap()
+            .body(wire::encode(&run).unwrap());
+
+        let response = deployment.client.send(call).await.unwrap();
+        response.bytes(1 << 20).await.unwrap();
+        let reply = settle(&deployment, &run).await;
+
+        assert_eq!(reply, SettleReply::Unknown);
+    });
+}
+
+async fn run_request(deployment: &Deployment, id: &str) -> RunRequest {
+    let heartbeat = Heartbeat {
+        vm: "entry".into(),
+        addr: deployment.entry,
+        revision: 0,
+    };
+    let limit = Duration::from_secs(1);
+    let reply: HeartbeatReply = deployment
+        .client
+        .exchange(deployment.agent, paths::HEARTBEAT, &heartbeat, limit)
+        .await
+        .unwrap();
+    RunRequest {
+        id: id.into(),
+        ticket: reply.ticket,
+        method: "POST".into(),
+        path: "/stock".into(),
+        media_type: "application/json".into(),
+        account: "parents".into(),
+        idempotent: true,
+        priority: 5,
+        remaining: TIMEOUT,
+        fingerprint: 1,
+        suspect: false,
+        body: order(id).into_bytes(),
+    }
+}
+
+async fn settle(deployment: &Deployment, run: &RunRequest) -> SettleReply {
+    let message = Settle {
+        id: run.id.clone(),
+        ticket: run.ticket,
+    };
+    let start = Instant::now();
+    loop {
+        let reply = deployment
+            .client
+            .exchange(deployment.agent, paths::SETTLE, &message, TIMEOUT)
+            .await
+            .unwrap();
+        if reply != SettleReply::Running || start.elapsed() > Duration::from_secs(2) {
+            return reply;
+        }
+        Timer::after(Duration::from_millis(20)).await;
+    }
+}
