Answer or refuse every request that a wire server has read

What callers saw: no byte, or a reset, after a half-close, for a head partly read at a stop, on a connection above the limit, and while a long head was being sent.

Cause: the server took a FIN for the caller's departure and dropped the connection; idle connections were closed without a look at what was being read; connections above the limit were dropped; a connection was closed with unread bytes, which resets it.

Why this works: a connection knows how far its exchange has come. The end of input cancels the handler as before and is answered with an unknown outcome, or is passed to handlers that ask for it (InputEnd::Notify). Requests on connections above the limit are refused, for 64 at a time. Connections in the accept queue at a stop are served. ServerTask::stop reported that all was drained when the limit had passed.

--- a/components/wire/src/server.rs
+++ b/components/wire/src/server.rs
@@ -1,32 +1,53 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
-use async_h1::server::{ConnectionStatus, Encoder};
 use futures_lite::FutureExt;
-use http_types::headers::CONTENT_LENGTH;
-use http_types::{Method, Request, Response};
+use futures_lite::future::poll_once;
+use http_types::{Request, Response};
 use smol::net::{TcpListener, TcpStream};
 
-use crate::metered::Metered;
-use crate::{Problem, with_timeout};
+use crate::connection::Connection;
+use crate::{Caller, with_timeout};
 
-/// Interval of checks for a closed connection while its request is handled.
-const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Most connections above the limit that are refused at one time; further ones are closed
+/// at once.
+const MAX_REFUSALS: usize = 64;
+
+/// What the end of a caller's input means for its request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum InputEnd {
+    /// The caller has left: the request is cancelled.
+    Cancel,
+    /// The caller may still read the response: the handler is notified.
+    Notify,
+}
 
 /// Handles the requests of a server.
 pub trait Handler: Send + Sync + 'static {
+    /// What happens when a caller closes its sending side.
+    const INPUT_END: InputEnd = InputEnd::Cancel;
+
     /// Responds to one request; `peer` is the other end of the connection.
     fn handle(&self, request: Request, peer: SocketAddr) -> impl Future<Output = Response> + Send;
+
+    /// Responds to one request of a caller whose input may end meanwhile.
+    fn handle_caller(
+        &self,
+        request: Request,
+        caller: Caller,
+    ) -> impl Future<Output = Response> + Send {
+        self.handle(request, caller.addr())
+    }
 }
 
 /// Limits on the connections of a server.
 #[derive(Debug, Clone)]
 pub struct ServerLimits {
-    /// Most open connections; further ones are closed at once.
+    /// Most open connections; requests on further ones are refused.
     pub connections: usize,
     /// Longest wait for a complete request head.
     pub idle_timeout: Duration,
@@ -52,9 +73,11 @@
     shutdown: Receiver<()>,
 }
 
-enum NextStep {
-    ReadRequest,
-    Close,
+/// What is done with a new connection.
+enum Accept {
+    Serve,
+    Refuse,
+    Drop,
 }
 
 impl<H: Handler> Server<H> {
@@ -70,6 +93,11 @@
         (Arc::new(server), close)
     }
 
+    /// Number of open connections.
+    pub fn open_connections(&self) -> usize {
+        self.open_connections.load(Ordering::Relaxed)
+    }
+
     /// Serves until the shutdown starts, then until all connections are closed, for
     /// at most `drain`.
     pub async fn run(self: Arc<Self>, listener: TcpListener, drain: Duration) {
@@ -88,6 +116,10 @@
                 None => drop(smol::Timer::after(Duration::from_millis(10)).await),
             }
         }
+        // Connections that wait to be accepted would be reset.
+        while let Some(Ok((stream, peer))) = poll_once(listener.accept()).await {
+            self.accept(stream, peer, guard.clone());
+        }
         drop(listener);
         drop(guard);
         let _ = with_timeout(drain, all_closed.recv()).await;
@@ -98,104 +130,40 @@
     }
 
     fn accept(self: &Arc<Self>, stream: TcpStream, peer: SocketAddr, guard: Sender<()>) {
-        if self.open_connections.fetch_add(1, Ordering::Relaxed) >= self.limits.connections {
+        let accept = self.next_accept();
+        if matches!(accept, Accept::Drop) {
+            log::debug!("wire: connection of {peer} closed: too many are open");
             self.open_connections.fetch_sub(1, Ordering::Relaxed);
             return;
         }
+        let connection = Connection {
+            stream,
+            peer,
+            handler: self.handler.clone(),
+            limits: self.limits.clone(),
+            shutdown: self.shutdown.clone(),
+        };
         let server = self.clone();
         smol::spawn(async move {
-            let _ = stream.set_nodelay(true);
-            while let NextStep::ReadRequest = server.serve_request(&stream, peer).await {}
+            let _ = connection.stream.set_nodelay(true);
+            match accept {
+                Accept::Serve => connection.run().await,
+                _ => connection.refuse().await,
+            }
             server.open_connections.fetch_sub(1, Ordering::Relaxed);
             drop(guard);
         })
         .detach();
     }
 
-    /// Serves one request on a connection.
-    async fn serve_request(&self, stream: &TcpStream, peer: SocketAddr) -> NextStep {
-        let busy = AtomicBool::new(false);
-        let handle = |req: Request| {
-            busy.store(true, Ordering::Relaxed);
-            self.handle_request(req, peer)
-        };
-        let mut server = async_h1::server::Server::new(Metered(stream.clone()), handle);
-        let idle = async {
-            self.idle_expired(&busy).await;
-            Ok(ConnectionStatus::Close)
-        };
-        let peer_closed = async {
-            self.peer_closed(stream, &busy).await;
-            Ok(ConnectionStatus::Close)
-        };
-        match server.accept_one().or(idle).or(peer_closed).await {
-            Ok(ConnectionStatus::KeepAlive) if !self.shutdown.is_closed() => NextStep::ReadRequest,
-            Ok(_) => NextStep::Close,
-            Err(e) if !busy.load(Ordering::Relaxed) => {
-                refuse_head(stream, &e).await;
-                NextStep::Close
-            }
-            Err(_) => NextStep::Close,
-        }
-    }
-
-    /// Resolves when a connection without a request is due to be closed.
-    async fn idle_expired(&self, busy: &AtomicBool) {
-        self.shutdown_started()
-            .or(async {
-                smol::Timer::after(self.limits.idle_timeout).await;
-            })
-            .await;
-        if self.shutdown.is_closed() {
-            smol::Timer::after(self.limits.close_delay).await;
-        }
-        if busy.load(Ordering::Relaxed) {
-            std::future::pending::<()>().await;
+    /// Counts a new connection and decides what is done with it.
+    fn next_accept(&self) -> Accept {
+        let open = self.open_connections.fetch_add(1, Ordering::Relaxed);
+        let limit = self.limits.connections;
+        match open {
+            n if n < limit => Accept::Serve,
+            n if n < limit + MAX_REFUSALS => Accept::Refuse,
+            _ => Accept::Drop,
         }
     }
-
-    /// Resolves when the peer closes the connection while its request is handled,
-    /// which cancels the handler and everything it waits for.
-    async fn peer_closed(&self, stream: &TcpStream, busy: &AtomicBool) {
-        let mut byte = [0u8; 1];
-        loop {
-            smol::Timer::after(PEER_CHECK_INTERVAL).await;
-            if !busy.load(Ordering::Relaxed) {
-                continue;
-            }
-            match stream.peek(&mut byte).await {
-                Ok(0) | Err(_) => return,
-                // The rest of the body or the next request can be read.
-                Ok(_) => {}
-            }
-        }
-    }
-
-    async fn handle_request(&self, req: Request, peer: SocketAddr) -> http_types::Result<Response> {
-        let repeated = req
-            .header(CONTENT_LENGTH)
-            .is_some_and(|v| v.iter().count() > 1);
-        let mut res = if repeated {
-            let text = "content-length is repeated; send it once";
-            let mut res = Response::from(Problem::not_run(400, "bad request", text));
-            res.insert_header("connection", "close");
-            res
-        } else {
-            self.handler.handle(req, peer).await
-        };
-        if self.shutdown.is_closed() {
-            res.insert_header("connection", "close");
-        }
-        Ok(res)
-    }
-}
-
-/// Responds with status 400 to a request whose head could not be read.
-async fn refuse_head(stream: &TcpStream, error: &http_types::Error) {
-    let text = format!("{error}; send a well-formed HTTP/1.1 head of at most 8 KiB");
-    let mut res = Response::from(Problem::not_run(400, "bad request", text));
-    res.insert_header("connection", "close");
-    let mut out = stream.clone();
-    let _ = smol::io::copy(Encoder::new(res, Method::Get), &mut out).await;
-    let _ = stream.shutdown(std::net::Shutdown::Write);
 }
--- a/components/wire/src/server_task.rs
+++ b/components/wire/src/server_task.rs
@@ -12,7 +12,7 @@
 /// gracefully.
 #[derive(Default)]
 pub struct ServerTask {
-    running: Mutex<Option<(Sender<()>, Task<()>)>>,
+    running: Mutex<Option<(Sender<()>, Task<bool>)>>,
 }
 
 impl ServerTask {
@@ -26,7 +26,10 @@
     ) -> std::io::Result<()> {
         let listener = smol::block_on(TcpListener::bind(addr))?;
         let (server, close) = Server::new(handler, ServerLimits::default());
-        let task = smol::spawn(server.run(listener, drain));
+        let task = smol::spawn(async move {
+            server.clone().run(listener, drain).await;
+            server.open_connections() == 0
+        });
         *self.running.lock().unwrap_or_else(PoisonError::into_inner) = Some((close, task));
         Ok(())
     }
@@ -43,6 +46,6 @@
             return true;
         };
         close.close();
-        with_timeout(limit, task).await.is_some()
+        with_timeout(limit, task).await.unwrap_or(false)
     }
 }
