Answer requests at the entry beside half-closes, stops and silent agents

What callers saw: no byte after they had closed their sending side or when the time for a shutdown had passed; 502 after four seconds of an agent's silence.

Cause: the server dropped the handler of a half-closed connection; at the drain limit the process ended with requests in the queue and in flight; two settle messages without a reply were taken for the end of a run, and its exchange was dropped with the answer that was on its way.

Why this works: an Interrupt is raised 250 ms after the caller's input has ended and 300 ms before the end of a shutdown. A request that waits is then refused as not run and is not sent any more; a run that may be repeated is cancelled, one that runs once is awaited until the stop, and both are reported as unknown. A run of a silent agent goes on until the deadline; a request that may be repeated is sent to another upstream meanwhile, and the first that answers counts. The exchange ends 250 ms after the deadline. A line of the log tells when a caller's connection ends without a complete answer, and who ended it.

--- a/components/entry/src/dispatcher.rs
+++ b/components/entry/src/dispatcher.rs
@@ -1,34 +1,34 @@
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use async_channel::Receiver;
+use compact_str::CompactString;
 use config::VmId;
-use futures_lite::io::BufReader;
-use http_types::{Body, Response, StatusCode};
+use futures_lite::FutureExt;
+use http_types::Response;
 use kernel::Clock;
 use platform::LogClient;
-use protocol::{Load, Refusal, RunId, RunRequest, UpstreamResponse, headers};
+use protocol::{Load, Refusal, RunId, RunRequest};
 use requests::{Arrival, Claim, ClaimStep, Suspicion};
-use wire::{CallResponse, Client, ObservedBody, Outcome, Problem};
+use wire::{CallResponse, Client, Outcome, Problem};
 
+use crate::answer_log::AnswerLog;
 use crate::caller_request::CallerRequest;
 use crate::claims::Claims;
 use crate::crash_tracker::CrashTracker;
 use crate::exchange::{ExchangeResult, exchange};
+use crate::failures::Failures;
+use crate::interrupt::{Interrupt, Interruption};
 use crate::lease::Lease;
+use crate::pending_placement::PendingPlacement;
 use crate::placement::{Placement, Target};
+use crate::responses::{
+    FAILED_RETRY, claim_problem, finish, quarantined, relay, service_removed, silent_agent,
+    stored_response,
+};
 use crate::schedulers::{SharedScheduler, lock};
-
-/// Most attempts at one request.
-const MAX_ATTEMPTS: usize = 4;
-/// Most attempts at one request that may have run.
-const MAX_MAY_HAVE_RUN: usize = 2;
-/// Wait advised before a retry of a failed request.
-const FAILED_RETRY: Duration = Duration::from_secs(1);
-
-/// Wait advised before a retry while the platform's log does not respond.
-const LOG_RETRY: Duration = Duration::from_secs(5);
+use crate::sent_run::SentRun;
 
 /// Submits requests to the scheduler of their service, sends them to the assigned
 /// upstreams and retries them.
@@ -46,23 +46,38 @@
 enum NextStep {
     /// Submit the request again; the attempt does not count.
     Requeue,
+    /// Pass on the response of an upstream.
+    Relay(Box<CallResponse>, Lease, RunId),
     /// Return this response to the caller.
     Respond(Box<Response>),
     /// Retry, or report this problem if no retry is left.
     Retry(Problem),
+    /// Retry, and keep the run, whose agent is silent: it may still end first.
+    Keep(Box<SentRun>),
+    /// End the request, or wait for the runs that were kept.
+    Refuse(Problem),
+}
+
+/// A request on its way.
+struct Job<'a> {
+    scheduler: &'a SharedScheduler,
+    request: &'a CallerRequest,
+    interrupt: &'a Interrupt,
+    id: u64,
+    /// Hash of the request's content.
+    fingerprint: u64,
+    deadline: Duration,
 }
 
 /// One attempt at a request.
 #[derive(Debug, Clone, Copy)]
-struct Attempt {
-    /// Id of the request.
-    id: u64,
+struct Attempt<'a> {
     /// Number of earlier runs sent for the request.
     sent: usize,
     /// Whether the request was in flight when an upstream crashed.
     suspect: bool,
-    /// Hash of the request's content.
-    fingerprint: u64,
+    /// Keys of the upstreams that failed to run the request.
+    tried: &'a [u64],
 }
 
 /// Parts of a dispatcher.
@@ -79,22 +94,6 @@
     pub clock: Clock,
 }
 
-/// A submitted request that waits for its placement. Dropping it, as when the caller
-/// disconnects, removes the request from the queue and releases an upstream that was
-/// assigned but not used.
-struct PendingPlacement<'a> {
-    scheduler: &'a SharedScheduler,
-    request: &'a CallerRequest,
-    id: u64,
-    receiver: Receiver<Placement>,
-}
-
-impl Drop for PendingPlacement<'_> {
-    fn drop(&mut self) {
-        lock(self.scheduler).remove(&self.request.account, self.id, &self.receiver);
-    }
-}
-
 impl Dispatcher {
     /// A dispatcher with these parts.
     pub fn new(parts: DispatcherParts) -> Self {
@@ -111,137 +110,248 @@
         }
     }
 
-    /// Returns the response to one request.
-    pub async fn dispatch(&self, scheduler: &SharedScheduler, request: &CallerRequest) -> Response {
+    /// Returns the response to one request, unless `interrupt` is raised before.
+    pub async fn dispatch(
+        &self,
+        scheduler: &SharedScheduler,
+        request: &CallerRequest,
+        interrupt: &Interrupt,
+    ) -> Response {
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
-        let deadline = self.clock.now() + request.timeout;
-        let fingerprint = request.fingerprint();
-        let mut tried: Vec<u64> = Vec::new();
-        let mut problem: Option<Problem> = None;
-        let mut may_have_run = 0;
+        let mut log = AnswerLog::new(self.request_id(id));
+        let job = Job {
+            scheduler,
+            request,
+            interrupt,
+            id,
+            fingerprint: request.fingerprint(),
+            deadline: self.clock.now() + request.timeout,
+        };
         lock(scheduler).deposit_retry();
-        let (mut failed_attempts, mut charged_retries) = (0, 0);
+        match self.run_to_end(&job).await {
+            Answer::Relay(response, lease, run) => relay(*response, log.start(lease), &run),
+            Answer::Respond(response) => {
+                log.complete();
+                *response
+            }
+        }
+    }
+
+    /// Sends a request to one upstream after the other until one has answered.
+    async fn run_to_end(&self, job: &Job<'_>) -> Answer {
+        let mut failures = Failures::default();
+        let mut kept: Vec<SentRun> = Vec::new();
+        let mut charged_retries = 0;
         // A run that a full upstream refused counts neither as an attempt nor as a
         // retry; only the deadline bounds the number of such runs. `sent` counts all
         // runs.
         for sent in 0.. {
-            let suspect = match self.crashes.check(fingerprint) {
+            let suspect = match self.crashes.check(job.fingerprint) {
                 Suspicion::Quarantined { remaining: wait } => {
-                    return finish(problem.unwrap_or_else(|| quarantined(wait)), request);
+                    failures.problem.get_or_insert_with(|| quarantined(wait));
+                    break;
                 }
                 suspicion => suspicion == Suspicion::Suspect,
             };
-            if failed_attempts > charged_retries {
-                if !lock(scheduler).try_withdraw_retry() {
+            if failures.attempts > charged_retries {
+                if !lock(job.scheduler).try_withdraw_retry() {
                     break;
                 }
-                charged_retries = failed_attempts;
+                charged_retries = failures.attempts;
             }
-            let target = match self
-                .wait_for_placement(scheduler, request, id, deadline, &tried)
-                .await
-            {
-                Placement::Assigned(target) => target,
-                Placement::Refused(p) => return finish(problem.unwrap_or(p), request),
-            };
-            let key = target.key;
+            let tried = failures.tried.clone();
             let attempt = Attempt {
-                id,
                 sent,
                 suspect,
-                fingerprint,
+                tried: &tried,
             };
-            match self
-                .run_attempt(scheduler, request, &target, attempt, deadline)
-                .await
-            {
-                NextStep::Respond(response) => return *response,
+            let step = self.attempt_beside(job, attempt, &mut kept, &mut failures);
+            let (key, step) = step.await;
+            match step {
+                NextStep::Relay(response, lease, run) => {
+                    return Answer::Relay(response, lease, run);
+                }
+                NextStep::Respond(response) => return Answer::Respond(response),
                 NextStep::Requeue => continue,
-                NextStep::Retry(p) => {
-                    failed_attempts += 1;
-                    tried.push(key);
-                    may_have_run += usize::from(p.outcome != Outcome::NotRun);
-                    problem = Some(match problem {
-                        None => p,
-                        Some(earlier) => earlier.followed_by(p),
-                    });
+                NextStep::Retry(problem) => failures.record(key, problem),
+                NextStep::Keep(run) => {
+                    failures.record(key, silent_agent(&run.target.vm));
+                    kept.push(*run);
+                }
+                NextStep::Refuse(problem) => {
+                    failures.problem.get_or_insert(problem);
+                    break;
                 }
             }
-            if may_have_run >= MAX_MAY_HAVE_RUN || failed_attempts >= MAX_ATTEMPTS {
+            if failures.are_final() {
                 break;
             }
         }
+        self.await_kept(job, kept, failures).await
+    }
+
+    /// Makes an attempt, and ends it if a run that was kept answers first. Returns the key
+    /// of its upstream, if one was assigned.
+    async fn attempt_beside(
+        &self,
+        job: &Job<'_>,
+        attempt: Attempt<'_>,
+        kept: &mut Vec<SentRun>,
+        failures: &mut Failures,
+    ) -> (Option<u64>, NextStep) {
+        let mut next = pin!(self.attempt(job, attempt));
+        loop {
+            let ended = async { Err(SentRun::first_end(kept).await) };
+            match ended.or(async { Ok((&mut next).await) }).await {
+                Ok(end) => return end,
+                Err((run, result)) => match self.conclude(job, run, result) {
+                    NextStep::Retry(problem) => failures.record(None, problem),
+                    NextStep::Requeue | NextStep::Keep(_) | NextStep::Refuse(_) => {}
+                    answer => return (None, answer),
+                },
+            }
+        }
+    }
+
+    /// Waits for the runs that were kept, after the last attempt has failed.
+    async fn await_kept(
+        &self,
+        job: &Job<'_>,
+        mut kept: Vec<SentRun>,
+        mut failures: Failures,
+    ) -> Answer {
+        while !kept.is_empty() {
+            let interrupted = async { Err(job.interrupt.raised().await) };
+            let ended = async { Ok(SentRun::first_end(&mut kept).await) };
+            match interrupted.or(ended).await {
+                Err(interruption) => {
+                    failures.record(None, interruption.unknown());
+                    break;
+                }
+                Ok((run, result)) => match self.conclude(job, run, result) {
+                    NextStep::Relay(response, lease, run) => {
+                        return Answer::Relay(response, lease, run);
+                    }
+                    NextStep::Respond(response) => return Answer::Respond(response),
+                    NextStep::Retry(problem) => failures.record(None, problem),
+                    NextStep::Requeue | NextStep::Keep(_) | NextStep::Refuse(_) => {}
+                },
+            }
+        }
         let fallback = || Problem::not_run(503, "overloaded", "retries are used up");
-        finish(problem.unwrap_or_else(fallback), request)
+        let problem = failures.problem.unwrap_or_else(fallback);
+        Answer::Respond(Box::new(finish(problem, job.request)))
+    }
+
+    /// Waits for an upstream and sends the request to it. Returns its key too.
+    async fn attempt(&self, job: &Job<'_>, attempt: Attempt<'_>) -> (Option<u64>, NextStep) {
+        match self.wait_for_placement(job, attempt.tried).await {
+            Placement::Assigned(target) => {
+                let key = target.key;
+                (Some(key), self.run_attempt(job, target, attempt).await)
+            }
+            Placement::Refused(problem) => (None, NextStep::Refuse(problem)),
+        }
     }
 
     /// Submits a request and waits for its placement.
-    async fn wait_for_placement(
-        &self,
-        scheduler: &SharedScheduler,
-        request: &CallerRequest,
-        id: u64,
-        deadline: Duration,
-        tried: &[u64],
-    ) -> Placement {
+    async fn wait_for_placement(&self, job: &Job<'_>, tried: &[u64]) -> Placement {
+        let request = job.request;
         let arrival = Arrival {
-            id,
+            id: job.id,
             account: request.account.clone(),
             share: request.share,
             priority: request.priority,
-            deadline,
+            deadline: job.deadline,
         };
         let now = self.clock.now();
-        let receiver = lock(scheduler).submit(now, arrival, request.prefix(), tried.to_vec());
+        let submitted = lock(job.scheduler).submit(now, arrival, request.prefix(), tried.to_vec());
         let pending = PendingPlacement {
-            scheduler,
+            scheduler: job.scheduler,
             request,
-            id,
-            receiver,
+            id: job.id,
+            receiver: submitted,
+        };
+        let placed = async {
+            let placement = pending.receiver.recv().await;
+            placement.unwrap_or_else(|_| Placement::Refused(service_removed()))
         };
-        let placement = pending.receiver.recv().await;
-        placement.unwrap_or_else(|_| {
-            Placement::Refused(Problem::not_run(
-                503,
-                "no upstream",
-                "the service was removed",
-            ))
-        })
+        // The interrupt goes first: after it, no upstream gets the request.
+        let interrupted = async { Placement::Refused(job.interrupt.raised().await.not_run()) };
+        interrupted.or(placed).await
     }
 
     /// Sends a run to the assigned upstream.
-    async fn run_attempt(
-        &self,
-        scheduler: &SharedScheduler,
-        request: &CallerRequest,
-        target: &Target,
-        attempt: Attempt,
-        deadline: Duration,
-    ) -> NextStep {
-        let mut lease = Lease::new(scheduler.clone(), self.clock, target.key);
+    async fn run_attempt(&self, job: &Job<'_>, target: Target, attempt: Attempt<'_>) -> NextStep {
+        let mut lease = Lease::new(job.scheduler.clone(), self.clock, target.key);
         if attempt.suspect {
-            lease.forget_on_completion(self.crashes.clone(), attempt.fingerprint);
+            lease.forget_on_completion(self.crashes.clone(), job.fingerprint);
         }
-        let timeout = deadline.saturating_sub(self.clock.now());
-        let run = self.new_run(request, target, attempt, timeout);
-        let claim = self.claims.claim_for(request, target, &run);
+        let timeout = job.deadline.saturating_sub(self.clock.now());
+        let run = self.new_run(job, &target, attempt, timeout);
+        let claim = self.claims.claim_for(job.request, &target, &run);
         if let Some(claim) = &claim
-            && let Some(next) = self.check_claim(claim, timeout, &mut lease).await
+            && let Some(next) = self.check_claim(job, claim, timeout, &mut lease).await
         {
             return next;
         }
-        match exchange(&self.client, target, &run, timeout).await {
+        let (silence, silent) = async_channel::bounded(1);
+        let mut sent = SentRun {
+            id: run.id.clone(),
+            target: target.clone(),
+            lease,
+            claim,
+            task: smol::spawn(exchange(self.client.clone(), target, run, timeout, silence)),
+        };
+        let idempotent = job.request.idempotent;
+        let interrupted = async {
+            RunEvent::Interrupted(match idempotent {
+                true => job.interrupt.raised().await,
+                false => job.interrupt.stopping().await,
+            })
+        };
+        let agent_silent = async {
+            // The sender is dropped when the exchange ends, which is an event of its own.
+            if !idempotent || silent.recv().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+            RunEvent::Silent
+        };
+        let ended = async { RunEvent::Ended((&mut sent.task).await) };
+        match ended.or(interrupted).or(agent_silent).await {
+            RunEvent::Ended(result) => self.conclude(job, sent, result),
+            RunEvent::Interrupted(interruption) => {
+                NextStep::Respond(Box::new(finish(interruption.unknown(), job.request)))
+            }
+            RunEvent::Silent => {
+                lock(job.scheduler).record_failure(self.clock.now(), sent.target.key);
+                NextStep::Keep(Box::new(sent))
+            }
+        }
+    }
+
+    /// Decides what follows the end of a run.
+    fn conclude(&self, job: &Job<'_>, run: SentRun, result: ExchangeResult) -> NextStep {
+        let SentRun {
+            id,
+            target,
+            mut lease,
+            claim,
+            ..
+        } = run;
+        let now = self.clock.now();
+        match result {
             ExchangeResult::Response(response, load) => {
-                self.record_load(scheduler, target, load);
-                NextStep::Respond(Box::new(relay(*response, lease, &run.id)))
+                self.record_load(job.scheduler, &target, load);
+                NextStep::Relay(response, lease, id)
             }
             ExchangeResult::Stored(response) => {
                 lease.complete();
-                NextStep::Respond(Box::new(stored_response(response, &run.id)))
+                NextStep::Respond(Box::new(stored_response(response, &id)))
             }
             ExchangeResult::NotRun(refusal, load) => {
-                self.record_load(scheduler, target, load);
-                self.record_refusal(scheduler, target, refusal);
+                self.record_load(job.scheduler, &target, load);
+                self.record_refusal(job.scheduler, &target, refusal);
                 if let Some(claim) = claim {
                     self.claims.void(claim);
                 }
@@ -255,35 +365,36 @@
             }
             ExchangeResult::Crashed(crash) => {
                 self.crashes.record_crash(&crash.id, &crash.fingerprints);
-                lock(scheduler).record_failure(self.clock.now(), target.key);
+                lock(job.scheduler).record_failure(now, target.key);
                 let detail = format!(
                     "the upstream of {} crashed while it ran the request",
                     target.vm
                 );
                 let problem = Problem::failed(502, "upstream crashed", detail);
-                match request.idempotent {
+                match job.request.idempotent {
                     true => NextStep::Retry(problem),
                     false => NextStep::Respond(Box::new(finish(
                         Problem {
                             outcome: Outcome::Unknown,
                             ..problem
                         },
-                        request,
+                        job.request,
                     ))),
                 }
             }
             ExchangeResult::TimedOut => {
                 let detail = "the upstream did not respond before the deadline";
                 let problem = Problem::unknown(504, "deadline passed", detail);
-                NextStep::Respond(Box::new(finish(problem.retry_after(FAILED_RETRY), request)))
+                let problem = problem.retry_after(FAILED_RETRY);
+                NextStep::Respond(Box::new(finish(problem, job.request)))
             }
             ExchangeResult::Unknown(cause) => {
-                lock(scheduler).record_failure(self.clock.now(), target.key);
+                lock(job.scheduler).record_failure(now, target.key);
                 let detail = format!("{} did not respond: {cause}", target.vm);
                 let problem = Problem::unknown(502, "upstream broke", detail);
-                match request.idempotent {
+                match job.request.idempotent {
                     true => NextStep::Retry(problem.retry_after(FAILED_RETRY)),
-                    false => NextStep::Respond(Box::new(finish(problem, request))),
+                    false => NextStep::Respond(Box::new(finish(problem, job.request))),
                 }
             }
         }
@@ -292,19 +403,23 @@
     /// Checks the claim of a run. `None` if the run may start.
     async fn check_claim(
         &self,
+        job: &Job<'_>,
         claim: &Claim,
         timeout: Duration,
         lease: &mut Lease,
     ) -> Option<NextStep> {
-        let problem = match self.claims.check(claim, timeout).await {
-            ClaimStep::Run => return None,
-            ClaimStep::Replay(response) => {
+        let interrupted = async { Err(job.interrupt.raised().await) };
+        let checked = async { Ok(self.claims.check(claim, timeout).await) };
+        let problem = match interrupted.or(checked).await {
+            Ok(ClaimStep::Run) => return None,
+            Ok(ClaimStep::Replay(response)) => {
                 lease.complete();
                 return Some(NextStep::Respond(Box::new(stored_response(
                     response, &claim.run,
                 ))));
             }
-            step => claim_problem(&step),
+            Ok(step) => claim_problem(&step),
+            Err(interruption) => interruption.not_run(),
         };
         self.claims.void(claim.clone());
         Some(NextStep::Respond(Box::new(problem.into())))
@@ -337,14 +452,14 @@
 
     fn new_run(
         &self,
-        request: &CallerRequest,
+        job: &Job<'_>,
         target: &Target,
-        attempt: Attempt,
+        attempt: Attempt<'_>,
         timeout: Duration,
     ) -> RunRequest {
-        let Attempt { id, sent, .. } = attempt;
+        let request = job.request;
         RunRequest {
-            id: RunId::from(format!("{}-{:x}-{id}-{sent}", self.vm, self.incarnation)),
+            id: RunId::from(format!("{}-{}", self.request_id(job.id), attempt.sent)),
             ticket: target.ticket,
             method: request.method.clone(),
             path: request.path.clone(),
@@ -353,86 +468,30 @@
             idempotent: request.idempotent,
             priority: request.priority,
             remaining: timeout,
-            fingerprint: attempt.fingerprint,
+            fingerprint: job.fingerprint,
             suspect: attempt.suspect,
             body: request.body.clone(),
         }
     }
-}
 
-fn quarantined(wait: Duration) -> Problem {
-    let detail = "upstreams crashed while they ran this request; change it before sending it again";
-    Problem::not_run(422, "quarantined", detail).retry_after(wait)
-}
-
-fn claim_problem(step: &ClaimStep) -> Problem {
-    match step {
-        ClaimStep::InProgress => {
-            let detail = "the same request is running; send it again later for its response";
-            Problem::unknown(409, "in progress", detail).retry_after(FAILED_RETRY)
-        }
-        ClaimStep::Mismatch => {
-            let detail = "the idempotency key belongs to another request; use a new key";
-            Problem::not_run(422, "key in use", detail)
-        }
-        ClaimStep::Unknown => {
-            let detail =
-                "an earlier attempt with this key may have run; check before you send a new one";
-            Problem::unknown(502, "earlier attempt", detail)
-        }
-        _ => {
-            let detail = "the platform's log does not respond; send the request again later";
-            Problem::not_run(503, "log not available", detail).retry_after(LOG_RETRY)
-        }
+    /// Id of a request, with which the ids of its runs begin.
+    fn request_id(&self, id: u64) -> CompactString {
+        format!("{}-{:x}-{id}", self.vm, self.incarnation).into()
     }
 }
 
-/// Logs the outcome of a request that ends without a response of an upstream, and
-/// returns the problem as its response. The caller may send an idempotent request again
-/// even if it may have run.
-fn finish(problem: Problem, request: &CallerRequest) -> Response {
-    log::debug!(
-        "dispatch: {} request ended as {}",
-        request.service,
-        problem.outcome
-    );
-    problem.into()
+/// What happens first to a run that was sent.
+enum RunEvent {
+    Ended(ExchangeResult),
+    Interrupted(Interruption),
+    /// Its agent does not reply.
+    Silent,
 }
 
-/// Forwards the response of an upstream; `lease` is released at its end.
-fn relay(response: CallResponse, lease: Lease, id: &RunId) -> Response {
-    let status = response
-        .header(headers::UPSTREAM_STATUS)
-        .and_then(|s| s.parse::<u16>().ok())
-        .and_then(|s| StatusCode::try_from(s).ok())
-        .unwrap_or(StatusCode::BadGateway);
-    let mut res = Response::new(status);
-    let media_type = response
-        .header("content-type")
-        .unwrap_or("application/octet-stream");
-    let media_type = media_type.to_owned();
-    if let Some(version) = response.header(headers::MODEL_VERSION) {
-        res.insert_header(headers::MODEL_VERSION, version);
-    }
-    let body = response.into_body();
-    let len = body
-        .remaining_length()
-        .and_then(|l| usize::try_from(l).ok());
-    res.set_body(Body::from_reader(
-        BufReader::new(ObservedBody::new(body, lease)),
-        len,
-    ));
-    res.insert_header("content-type", media_type);
-    res.insert_header("request-id", id.as_str());
-    res
-}
-
-/// A complete response that the agent stored.
-fn stored_response(response: UpstreamResponse, id: &RunId) -> Response {
-    let status = StatusCode::try_from(response.status).unwrap_or(StatusCode::BadGateway);
-    let mut res = Response::new(status);
-    res.set_body(response.body);
-    res.insert_header("content-type", response.media_type.as_str());
-    res.insert_header("request-id", id.as_str());
-    res
+/// The end of a request.
+enum Answer {
+    /// The response of an upstream is passed on.
+    Relay(Box<CallResponse>, Lease, RunId),
+    /// This response is sent.
+    Respond(Box<Response>),
 }
--- a/components/entry/src/exchange.rs
+++ b/components/entry/src/exchange.rs
@@ -2,12 +2,14 @@
 use std::pin::pin;
 use std::time::{Duration, Instant};
 
+use async_channel::Sender;
 use futures_lite::FutureExt;
 use http_types::{Method, StatusCode};
 use protocol::{
     Crash, Load, Refusal, RunId, RunRequest, Settle, SettleReply, Ticket, UpstreamResponse,
     headers, paths,
 };
+use smol::Timer;
 use wire::{Call, CallResponse, Client, WireError};
 
 use crate::placement::Target;
@@ -15,16 +17,17 @@
 /// Time without a response after which a [`Settle`] message is sent to the agent on a
 /// new connection.
 const SETTLE_DELAY: Duration = Duration::from_secs(1);
+/// Time after the deadline in which the response that an agent sends at the deadline
+/// arrives.
+const RESPONSE_DELAY: Duration = Duration::from_millis(250);
 /// Consecutive [`Settle`] messages without a reply after which the agent counts as
-/// failed.
+/// silent.
 const MAX_MISSED_REPLIES: u32 = 2;
 /// Longest wait for the reply to a [`Settle`] message.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Pause between two [`Settle`] messages for a run in progress whose response was
 /// lost.
 const SETTLE_PAUSE: Duration = Duration::from_millis(100);
-/// Longest wait between two bytes of a response body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Longest reply to a [`Settle`] message, in bytes.
 const MAX_SETTLE_BYTES: usize = 2 << 20;
 /// Longest refusal or crash report, in bytes.
@@ -48,40 +51,56 @@
     Crashed(Crash),
 }
 
+/// What happens next to a run that was sent.
+enum Event {
+    Response(Result<Box<CallResponse>, WireError>),
+    /// The agent was asked about the run, and replied or did not.
+    Settled(Option<SettleReply>),
+    DeadlinePassed,
+}
+
 /// Sends a run, whose deadline is `timeout` from now, to an agent and determines its
-/// outcome.
+/// outcome. Signals on `silence` when the agent does not reply; it may still do so later.
 pub async fn exchange(
-    client: &Client,
-    target: &Target,
-    run: &RunRequest,
+    client: Client,
+    target: Target,
+    run: RunRequest,
     timeout: Duration,
+    silence: Sender<()>,
 ) -> ExchangeResult {
     let deadline = Instant::now() + timeout;
-    let call = match new_call(target, run, timeout) {
+    let call = match new_call(&target, &run, timeout) {
         Ok(call) => call,
         Err(e) => return ExchangeResult::Unknown(e.to_string()),
     };
     let mut response = pin!(client.send(call));
     let mut missed = 0;
     loop {
-        let settle_due = async {
-            smol::Timer::after(SETTLE_DELAY).await;
-            None
+        let settled = async {
+            Timer::after(SETTLE_DELAY).await;
+            Event::Settled(send_settle(&client, target.addr, &run.id, run.ticket).await)
         };
-        let arrived = async { Some((&mut response).await) }.or(settle_due).await;
-        match arrived {
-            Some(Ok(response)) => return read_head(client, target, run, response, deadline).await,
-            Some(Err(e)) if e.is_unsent() => return ExchangeResult::NotRun(None, None),
-            Some(Err(e)) => return settle(client, target, run, deadline, &e.to_string()).await,
-            None => {}
-        }
-        match send_settle(client, target.addr, &run.id, run.ticket).await {
-            Some(SettleReply::Running) => missed = 0,
-            Some(other) => return from_settle_reply(other),
-            None => missed += 1,
+        let passed = async {
+            Timer::at(deadline + RESPONSE_DELAY).await;
+            Event::DeadlinePassed
+        };
+        let arrived = async { Event::Response((&mut response).await.map(Box::new)) };
+        match arrived.or(settled).or(passed).await {
+            Event::Response(Ok(response)) => {
+                return read_head(&client, &target, &run, *response, deadline).await;
+            }
+            Event::Response(Err(e)) if e.is_unsent() => return ExchangeResult::NotRun(None, None),
+            Event::Response(Err(e)) => {
+                return settle(&client, &target, &run, deadline, &e.to_string()).await;
+            }
+            Event::Settled(Some(SettleReply::Running)) => missed = 0,
+            Event::Settled(Some(other)) => return from_settle_reply(other),
+            Event::Settled(None) => missed += 1,
+            Event::DeadlinePassed => return ExchangeResult::TimedOut,
         }
-        if missed >= MAX_MISSED_REPLIES {
-            return ExchangeResult::Unknown("the agent does not reply".to_owned());
+        if missed == MAX_MISSED_REPLIES {
+            // It is full if the silence was signalled before.
+            let _ = silence.try_send(());
         }
     }
 }
@@ -92,7 +111,8 @@
         // The agent responds at the deadline at the latest; the timeout leaves time for
         // that response to arrive.
         .head_timeout(timeout + SETTLE_DELAY)
-        .read_timeout(BODY_TIMEOUT)
+        // A silent upstream may go on until the deadline.
+        .read_timeout(timeout + SETTLE_DELAY)
         .total_timeout(timeout + SETTLE_DELAY))
 }
 
@@ -158,7 +178,7 @@
         if Instant::now() >= deadline {
             return ExchangeResult::TimedOut;
         }
-        smol::Timer::after(SETTLE_PAUSE).await;
+        Timer::after(SETTLE_PAUSE).await;
     }
 }
 
--- a/components/entry/src/front.rs
+++ b/components/entry/src/front.rs
@@ -4,20 +4,26 @@
 use std::time::Duration;
 
 use anyhow::Context;
+use async_channel::{Receiver, Sender};
 use config::{ConfigCell, NodeSettings};
 use http_types::{Method, Request, Response, StatusCode};
 use kernel::{BoxFuture, Clock, Registry, Service};
 use protocol::paths;
+use smol::Timer;
 use telemetry::MetricsPage;
-use wire::{Client, Handler, Problem, ServerTask};
+use wire::{Caller, Client, Handler, InputEnd, Problem, ServerTask};
 
 use crate::caller_request::CallerRequest;
 use crate::config_service::ConfigService;
 use crate::directory::Directory;
 use crate::dispatcher::{Dispatcher, DispatcherParts};
+use crate::interrupt::Interrupt;
 use crate::operator_api::OperatorApi;
 use crate::schedulers::Schedulers;
 
+/// Time before the end of a shutdown at which the requests that are left are answered.
+const ANSWER_MARGIN: Duration = Duration::from_millis(300);
+
 /// HTTP server of the entry, for callers, operators and other processes.
 pub struct Front {
     settings: NodeSettings,
@@ -25,6 +31,8 @@
     clock: Clock,
     metrics: Arc<MetricsPage>,
     stopping: Arc<AtomicBool>,
+    /// Closed shortly before the end of a shutdown.
+    end: (Sender<()>, Receiver<()>),
     server: ServerTask,
 }
 
@@ -45,6 +53,7 @@
             clock,
             metrics,
             stopping: Arc::default(),
+            end: async_channel::bounded(1),
             server: ServerTask::default(),
         }
     }
@@ -73,6 +82,7 @@
             dispatcher: Dispatcher::new(parts),
             metrics: self.metrics.clone(),
             stopping: self.stopping.clone(),
+            end: self.end.1.clone(),
         });
         let addr = self.settings.listen;
         self.server
@@ -84,6 +94,12 @@
 
     fn stop(&self, timeout: Duration) -> BoxFuture<'_, ()> {
         self.stopping.store(true, Ordering::Relaxed);
+        let end = self.end.0.clone();
+        smol::spawn(async move {
+            Timer::after(timeout.saturating_sub(ANSWER_MARGIN)).await;
+            end.close();
+        })
+        .detach();
         Box::pin(async move {
             if !self.server.stop(timeout).await {
                 log::warn!("front: requests were still in flight when the drain timeout expired");
@@ -99,10 +115,23 @@
     dispatcher: Dispatcher,
     metrics: Arc<MetricsPage>,
     stopping: Arc<AtomicBool>,
+    end: Receiver<()>,
 }
 
 impl Handler for FrontHandler {
+    const INPUT_END: InputEnd = InputEnd::Notify;
+
     async fn handle(&self, request: Request, _peer: SocketAddr) -> Response {
+        self.route(request, None).await
+    }
+
+    async fn handle_caller(&self, request: Request, caller: Caller) -> Response {
+        self.route(request, Some(caller)).await
+    }
+}
+
+impl FrontHandler {
+    async fn route(&self, request: Request, caller: Option<Caller>) -> Response {
         let path = request.url().path().to_owned();
         match (request.method(), path.as_str()) {
             (Method::Get, "/healthz") => Response::new(StatusCode::Ok),
@@ -116,12 +145,10 @@
             (Method::Get, p) if p.starts_with("/config/proposals/") => self
                 .operator
                 .proposal_status(&p["/config/proposals/".len()..]),
-            _ => self.serve(request).await,
+            _ => self.serve(request, caller).await,
         }
     }
-}
 
-impl FrontHandler {
     fn readiness(&self) -> Response {
         let stopping = self.stopping.load(Ordering::Relaxed);
         match self.cell.get() {
@@ -131,7 +158,7 @@
     }
 
     /// Handles a request of a caller.
-    async fn serve(&self, mut request: Request) -> Response {
+    async fn serve(&self, mut request: Request, caller: Option<Caller>) -> Response {
         let Some(active) = self.cell.get() else {
             let detail = "no configuration is in force yet; send the request again later";
             return Problem::not_run(503, "not ready", detail)
@@ -148,7 +175,11 @@
                 .retry_after(Duration::from_secs(1))
                 .into();
         };
-        let response = self.dispatcher.dispatch(&scheduler, &caller_request).await;
+        let interrupt = Interrupt::new(caller, self.end.clone());
+        let response = self
+            .dispatcher
+            .dispatch(&scheduler, &caller_request, &interrupt)
+            .await;
         count_request(&caller_request.service, response.status());
         response
     }
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -1,6 +1,7 @@
 //! The entry: accepts requests of callers, sends them to upstreams and reports
 //! whether a request that failed may have run.
 
+mod answer_log;
 mod caller_request;
 mod claims;
 mod config_service;
@@ -8,11 +9,16 @@
 mod directory;
 mod dispatcher;
 mod exchange;
+mod failures;
 mod front;
+mod interrupt;
 mod lease;
 mod operator_api;
+mod pending_placement;
 mod placement;
+mod responses;
 mod schedulers;
+mod sent_run;
 mod service_scheduler;
 
 pub use config_service::ConfigService;
