Refuse requests that wait when their service is removed

What callers saw: a request in the queue of a service that a change removed was answered when a run before it ended (3.9 s after the removal in the test), and never if there was none.

Cause: the scheduler was taken out of the set that is ticked, and the requests that waited kept it alive.

Why this works: a scheduler that is removed refuses all requests that wait and those that are submitted to it later, as not run.

Result: request_waits_after_its_service_was_removed passes; requests_of_a_removed_service_are_refused is new (without remove_service nothing is sent to the waiting request).

--- a/components/entry/src/schedulers.rs
+++ b/components/entry/src/schedulers.rs
@@ -58,7 +58,13 @@
             .by_service
             .write()
             .unwrap_or_else(PoisonError::into_inner);
-        schedulers.retain(|id, _| declaration.services.contains_key(id));
+        schedulers.retain(|id, scheduler| {
+            let is_kept = declaration.services.contains_key(id);
+            if !is_kept {
+                lock(scheduler).remove_service();
+            }
+            is_kept
+        });
         for id in declaration.services.keys() {
             let scheduler = schedulers.entry(id.clone()).or_insert_with(|| {
                 let scheduler =
--- a/components/entry/src/service_scheduler.rs
+++ b/components/entry/src/service_scheduler.rs
@@ -12,6 +12,7 @@
 use wire::Problem;
 
 use crate::placement::{Placement, Target};
+use crate::responses::service_removed;
 
 /// Time for which an upstream is avoided after one failed exchange.
 const FAILURE_BACKOFF: Duration = Duration::from_millis(500);
@@ -75,6 +76,7 @@
     rng: fastrand::Rng,
     in_service: Vec<config::FailureDomainId>,
     heartbeat_timeout: Duration,
+    removed: bool,
 }
 
 impl ServiceScheduler {
@@ -93,6 +95,7 @@
             rng: fastrand::Rng::new(),
             in_service: Vec::new(),
             heartbeat_timeout: Duration::ZERO,
+            removed: false,
         }
     }
 
@@ -110,6 +113,15 @@
             .collect();
     }
 
+    /// Refuses all requests from now on, because the service was removed.
+    pub fn remove_service(&mut self) {
+        self.removed = true;
+        let waiting: Vec<u64> = self.pending.keys().copied().collect();
+        for id in waiting {
+            self.refuse(id, service_removed());
+        }
+    }
+
     /// Sets the upstreams to use; keeps the state of those it has already.
     pub fn set_members(&mut self, members: &[&Member]) {
         let mut previous: HashMap<VmId, (Upstream, Candidate)> = self
@@ -167,6 +179,10 @@
         tried: Vec<u64>,
     ) -> Receiver<Placement> {
         let (sender, receiver) = async_channel::bounded(1);
+        if self.removed {
+            let _ = sender.try_send(Placement::Refused(service_removed()));
+            return receiver;
+        }
         let id = arrival.id;
         match self.queue.enqueue(now, arrival) {
             EnqueueResult::Refused { retry_after } => {
--- a/components/entry/src/service_scheduler_tests.rs
+++ b/components/entry/src/service_scheduler_tests.rs
@@ -233,3 +233,23 @@
         scheduler.remove(&"parents".into(), id, &placement);
     }
 }
+
+/// Requests that waited when a change removed their service were never refused: nothing
+/// called `tick` any more.
+#[test]
+fn requests_of_a_removed_service_are_refused() {
+    let mut scheduler = scheduler(1);
+    let assigned: Vec<_> = (0..2).map(|id| submit(&mut scheduler, ms(0), id)).collect();
+    let waiting = submit(&mut scheduler, ms(0), 9);
+
+    scheduler.remove_service();
+    let later = submit(&mut scheduler, ms(1), 10);
+
+    for placement in [waiting, later] {
+        let Ok(Placement::Refused(problem)) = placement.try_recv() else {
+            panic!("the request was not refused");
+        };
+        assert_eq!(problem.outcome, Outcome::NotRun);
+    }
+    drop(assigned);
+}
