End runs without a recorded response in the agent's table

What callers saw: a request whose connection between entry and agent was lost waited until its deadline and then got 504, though the agent had cancelled its run at once. The ids of streamed and of cancelled runs were kept for ever.

Cause: only buffered responses, timeouts and failures were recorded; the other runs stayed in the state of running, for which the entry waits.

Why this works: the guard of a run records its end when it is dropped, whatever ended it; the outcome is then unknown.

--- a/components/agent/src/runner.rs
+++ b/components/agent/src/runner.rs
@@ -60,6 +60,7 @@
 
 impl Drop for RunGuard {
     fn drop(&mut self) {
+        self.admission.with_runs(|r| r.end(&self.id));
         self.admission.record_end(&self.id, self.end);
     }
 }
--- a/components/requests/src/run_table.rs
+++ b/components/requests/src/run_table.rs
@@ -125,6 +125,13 @@
         }
     }
 
+    /// Records that a run has ended: one whose response was not recorded may have run.
+    pub fn end(&mut self, id: &RunId) {
+        if let Some(state @ State::Running) = self.runs.get_mut(id) {
+            *state = State::Lost;
+        }
+    }
+
     /// Returns the outcome of a run, and voids it if it has not started.
     pub fn settle(&mut self, now: Duration, id: &RunId, ticket: Ticket) -> Settled {
         self.expire(now);
--- a/components/requests/tests/run_table.rs
+++ b/components/requests/tests/run_table.rs
@@ -238,3 +238,27 @@
         }
     }
 }
+
+/// Runs that were cancelled or whose responses were passed on as they arrived counted as
+/// running for ever, and their ids were never removed.
+#[test]
+fn a_run_without_a_recorded_response_counts_as_running_for_ever() {
+    let mut table = table();
+    let (id, ticket) = (RunId::from("a"), table.issue_ticket(secs(1)));
+    let answered = RunId::from("b");
+    table.begin(secs(1), &id, ticket);
+    table.begin(secs(1), &answered, ticket);
+    table.record_response(&answered, response());
+
+    table.end(&id);
+    table.end(&answered);
+
+    assert_eq!(table.settle(secs(2), &id, ticket), Settled::Unknown);
+    assert_eq!(
+        table.settle(secs(2), &answered, ticket),
+        Settled::Answered(response())
+    );
+    let late = table.issue_ticket(secs(2000));
+    table.begin(secs(2000), &RunId::from("c"), late);
+    assert_eq!(table.len(), 1);
+}
