Let an upstream be silent until the deadline of its run

What callers saw: a stream cut after ten seconds of silence, although its deadline was twenty; 502 'upstream broke' where the deadline had passed within a body.

The agent took a body that was not complete at the deadline for a failure of the upstream, which also lowered its limit and started the detection of crashes.

Why this works: the wait between two bytes is limited by the deadline only, and a body that is cut by the deadline is reported as a timeout.

--- a/components/agent/src/runner.rs
+++ b/components/agent/src/runner.rs
@@ -1,6 +1,6 @@
 use std::io;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use futures_lite::io::BufReader;
 use http_types::{Body, Method, Response, StatusCode};
@@ -14,8 +14,6 @@
 const MAX_BUFFERED_BYTES: usize = 1 << 20;
 /// Longest response that is buffered although the request may be retried, in bytes.
 const MAX_SHORT_BYTES: u64 = 64 << 10;
-/// Longest wait between two bytes of a response of the upstream.
-const UPSTREAM_READ_TIMEOUT: Duration = Duration::from_secs(10);
 /// Response header of an engine: the digest of the weights that it used.
 const MODEL_DIGEST: &str = "model-digest";
 
@@ -33,6 +31,7 @@
     id: RunId,
     fingerprint: u64,
     started_at: Instant,
+    deadline: Instant,
     end: RunEnd,
 }
 
@@ -103,11 +102,13 @@
     }
 
     async fn execute(&self, request: RunRequest) -> Response {
+        let started_at = Instant::now();
         let run = RunGuard {
             admission: self.admission.clone(),
             id: request.id.clone(),
             fingerprint: request.fingerprint,
-            started_at: Instant::now(),
+            started_at,
+            deadline: started_at + request.remaining,
             end: RunEnd::Cancelled,
         };
         let sent = match self.call(&request) {
@@ -142,7 +143,8 @@
             .header("priority", &request.priority.to_string())
             .header("content-type", &request.media_type)
             .head_timeout(request.remaining)
-            .read_timeout(UPSTREAM_READ_TIMEOUT)
+            // A silent upstream may go on until the deadline.
+            .read_timeout(request.remaining)
             .total_timeout(request.remaining)
             .body(request.body.clone());
         // The upstream may have closed an idle connection already, which would leave it
@@ -209,6 +211,7 @@
     let status = u16::from(response.status());
     let media_type = response.header("content-type").unwrap_or_default().into();
     match response.bytes(MAX_BUFFERED_BYTES).await {
+        Err(_) if Instant::now() >= run.deadline => time_out_run(run),
         Err(e) => fail_run(run, &e).await,
         Ok(body) => {
             run.complete();
--- a/stand-ins/tests/silent_upstreams.rs
+++ b/stand-ins/tests/silent_upstreams.rs
@@ -73,6 +73,37 @@
     assert!(is_whole_stream(&response), "{response:?}");
 }
 
+/// A body that was not complete at the deadline counted as a failure of the upstream, and
+/// its caller was told that the connection had broken.
+#[test]
+fn pause_in_a_body_beyond_the_deadline_counts_as_a_failure() {
+    smol::block_on(async {
+        let engine = Arc::new(Engine::new(engine_spec()));
+        engine.set_faults(Faults {
+            pause_ms: 5000,
+            ..Faults::default()
+        });
+        let (addr, _close) = serve(Arc::new(EngineHandler(engine))).await;
+        let timeout = Duration::from_secs(1);
+        let deployment = Deployment::start(addr, &declaration(4, timeout)).await;
+        let request = GenerateRequest {
+            prompt: "layout".to_owned(),
+            max_tokens: 40,
+            stream: true,
+        };
+        let body = serde_json::to_string(&request).unwrap();
+
+        let start = Instant::now();
+        let mut caller = deployment.send("/complete", &body).await;
+        let response = read_response(&mut caller).await;
+        let took = start.elapsed();
+
+        assert!(response.starts_with("HTTP/1.1 504"), "{response:?}");
+        assert!(response.contains("outcome: unknown"), "{response:?}");
+        assert!(took < timeout + Duration::from_millis(500), "{took:?}");
+    });
+}
+
 #[test]
 fn short_pause_before_the_head_ends_a_request() {
     smol::block_on(async {
