Heed upstreams that leave or want no requests for some time

What the operators of upstreams saw: an agent went on sending runs to an upstream that had answered with Server-Leaving, or had turned a run away with status 503 and Retry-After.

Why this works: the agent, which has the only access to its upstream, reads both headers in every response (runs, load reports, orders). They hold for one start of the upstream: a response to a request that was sent during an earlier start is ignored, and another incarnation or a refused connection ends them. The check stands at admission and again when the connection is ready, before the first byte is written. Entries learn it from heartbeats (Leaving, and the new Paused with its time) and from refusals, and advise callers to wait until the first upstream is open again. Probes of a paused upstream are one second apart, and no weights are ordered meanwhile. The value of an upstream's Retry-After reaches the caller.

The field of a heartbeat's reply is left out while there is no pause, so that earlier releases can read it; the constructors of replies in tests name it.

--- a/components/agent/src/admission_controller.rs
+++ b/components/agent/src/admission_controller.rs
@@ -11,7 +11,8 @@
 use platform::{LogClient, streams};
 use protocol::{Availability, Crash, Load, Progress, Refusal, RunId, RunRequest, Ticket};
 use requests::{
-    Admit, Begin, ConcurrencyLimit, CrashDetector, LimitRange, Probe, RunEnd, RunTable, Settled,
+    Admit, Begin, ConcurrencyLimit, CrashDetector, Hold, LimitRange, Probe, RunEnd, RunTable,
+    Settled,
 };
 use smol::Timer;
 use wire::Client;
@@ -19,8 +20,6 @@
 use crate::config_follower::ConfigFollower;
 use crate::engine::{Engine, LoadReport};
 
-/// Time between two probes of the upstream.
-const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 /// Longest wait of a run for a slot at the upstream.
 const SLOT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Most crashes in the reply to a heartbeat; the oldest are dropped first.
@@ -106,7 +105,7 @@
             cell: config.cell().clone(),
             clock,
             log: LogClient::new(settings.node.platform.log, client.clone()),
-            engine: Engine::new(settings.upstream, client),
+            engine: Engine::new(settings.upstream, client, clock),
             settings: settings.clone(),
             leaving: AtomicBool::new(false),
             idle: Event::new(),
@@ -120,6 +119,10 @@
         if self.leaving.load(Ordering::Relaxed) {
             return Availability::Leaving;
         }
+        let held = self.engine.held();
+        if held == Some(Hold::Leaving) {
+            return Availability::Leaving;
+        }
         let Some(active) = self.cell.get() else {
             return Availability::Starting;
         };
@@ -129,6 +132,9 @@
         {
             return Availability::OutOfService;
         }
+        if held.is_some() {
+            return Availability::Paused;
+        }
         let state = self.state();
         let serves = match active.declaration.model_of(&self.settings.service) {
             Some(_) => state.target.is_some() && state.serving == state.target,
@@ -144,6 +150,11 @@
         }
     }
 
+    /// Client of the upstream.
+    pub fn engine(&self) -> &Engine {
+        &self.engine
+    }
+
     /// Issues a ticket.
     pub fn issue_ticket(&self) -> Ticket {
         self.state().runs.issue_ticket(self.clock.now())
@@ -358,7 +369,8 @@
 
     /// Probes the upstream: reads its load report and updates the state.
     pub async fn probe(&self) {
-        let report = self.engine.load().await;
+        let last = self.state().incarnation;
+        let report = self.engine.load(last).await;
         let range = self.range();
         let mut state = self.state();
         if let Some(range) = range {
@@ -371,6 +383,10 @@
                 if state.reachable {
                     log::warn!("admission: upstream does not respond: {e}");
                 }
+                // The next process at the address is a new start.
+                if e.is_refused() {
+                    self.engine.record_restart();
+                }
                 state.reachable = false;
                 state.serving = None;
                 state.concurrency_limit.reset();
@@ -407,7 +423,7 @@
     async fn probe_periodically(self: Arc<Self>) {
         loop {
             self.probe().await;
-            Timer::after(PROBE_INTERVAL).await;
+            Timer::after(self.engine.probe_interval()).await;
         }
     }
 
--- /dev/null
+++ b/components/agent/src/engine_notice.rs
@@ -0,0 +1,40 @@
+use std::time::Duration;
+
+use requests::Notice;
+use serde_json::json;
+use telemetry::{Outcome, decision};
+use wire::CallResponse;
+
+/// Response header of an upstream that leaves; its value is 1.
+const LEAVING: &str = "server-leaving";
+/// Response header of an upstream that turns requests away: the time for which it wants no
+/// others, in seconds.
+pub const RETRY_AFTER: &str = "retry-after";
+/// Longest time for which an upstream gets no requests; longer ones are shortened to it.
+const MAX_WAIT: Duration = Duration::from_secs(24 * 3600);
+
+/// Reads what an upstream announces in a response.
+pub fn notice_of(response: &CallResponse) -> Notice {
+    let turned_away = u16::from(response.status()) == 503;
+    let wait = response.header(RETRY_AFTER).filter(|_| turned_away);
+    Notice {
+        leaving: response.header(LEAVING).is_some_and(|v| v.trim() == "1"),
+        retry_after: wait.and_then(parse_wait),
+    }
+}
+
+/// Seconds, also with decimals. `None` for another text: the response is then handled like
+/// one without the header.
+fn parse_wait(text: &str) -> Option<Duration> {
+    let seconds = text.trim().parse::<f64>().ok();
+    let wait = seconds.filter(|s| s.is_finite() && *s >= 0.0).map(|s| {
+        Duration::try_from_secs_f64(s)
+            .unwrap_or(MAX_WAIT)
+            .min(MAX_WAIT)
+    });
+    if wait.is_none() {
+        let fields = json!({ "value": text });
+        decision("engine", "unreadable retry-after", Outcome::Failure, fields);
+    }
+    wait
+}
--- a/components/agent/src/inbound.rs
+++ b/components/agent/src/inbound.rs
@@ -10,7 +10,7 @@
 use requests::Settled;
 use serde::de::DeserializeOwned;
 use telemetry::MetricsPage;
-use wire::{Client, Handler, Problem, ServerTask, read_limited};
+use wire::{Handler, Problem, ServerTask, read_limited};
 
 use crate::admission_controller::AdmissionController;
 use crate::chunk_body::ChunkBody;
@@ -24,7 +24,6 @@
 /// HTTP interface of the agent for entries, other agents and its engine.
 pub struct Inbound {
     settings: AgentSettings,
-    client: Client,
     metrics: Arc<MetricsPage>,
     server: ServerTask,
 }
@@ -34,10 +33,9 @@
     pub const NAME: &'static str = "inbound";
 
     /// The interface of the agent described by `settings`.
-    pub fn new(settings: &AgentSettings, client: Client, metrics: Arc<MetricsPage>) -> Self {
+    pub fn new(settings: &AgentSettings, metrics: Arc<MetricsPage>) -> Self {
         Inbound {
             settings: settings.clone(),
-            client,
             metrics,
             server: ServerTask::default(),
         }
@@ -55,11 +53,7 @@
             settings: self.settings.clone(),
             config: registry.find(ConfigFollower::NAME)?,
             weights: registry.find(WeightsService::NAME)?,
-            runner: Runner::new(
-                admission.clone(),
-                self.client.clone(),
-                self.settings.upstream,
-            ),
+            runner: Runner::new(admission.clone()),
             admission,
             metrics: self.metrics.clone(),
         });
@@ -126,6 +120,7 @@
             revision: self.config.cell().revision(),
             progress: self.admission.progress(),
             crashes: self.admission.crashes(),
+            retry_after: self.admission.engine().retry_after(),
         })
     }
 
--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -5,6 +5,7 @@
 mod chunk_body;
 mod config_follower;
 mod engine;
+mod engine_notice;
 mod inbound;
 mod runner;
 mod weights_service;
--- a/components/agent/src/runner.rs
+++ b/components/agent/src/runner.rs
@@ -6,9 +6,11 @@
 use http_types::{Body, Method, Response, StatusCode};
 use protocol::{Refusal, RunId, RunRequest, UpstreamResponse, headers};
 use requests::{Begin, RunEnd};
-use wire::{BodyObserver, Call, CallResponse, Client, ObservedBody, WireError};
+use wire::{BodyObserver, Call, CallResponse, ObservedBody, WireError};
 
 use crate::admission_controller::AdmissionController;
+use crate::engine::RunCall;
+use crate::engine_notice::RETRY_AFTER;
 
 /// Longest response to a request that may not be retried, which is buffered, in bytes.
 const MAX_BUFFERED_BYTES: usize = 1 << 20;
@@ -21,8 +23,6 @@
 #[derive(Clone)]
 pub struct Runner {
     admission: Arc<AdmissionController>,
-    client: Client,
-    upstream: std::net::SocketAddr,
 }
 
 /// A run in flight; its end is recorded when the guard is dropped.
@@ -65,24 +65,16 @@
 }
 
 impl Runner {
-    /// Runs requests at `upstream` that `admission` admits.
-    pub fn new(
-        admission: Arc<AdmissionController>,
-        client: Client,
-        upstream: std::net::SocketAddr,
-    ) -> Self {
-        Runner {
-            admission,
-            client,
-            upstream,
-        }
+    /// Runs requests that `admission` admits.
+    pub fn new(admission: Arc<AdmissionController>) -> Self {
+        Runner { admission }
     }
 
     /// Runs one request; a header of the response names the run.
     pub async fn run(&self, request: RunRequest) -> Response {
         let id = request.id.clone();
         let mut res = match self.admission.admit(&request).await {
-            Begin::Refuse(refusal) => refusal_response(refusal),
+            Begin::Refuse(refusal) => self.refuse(refusal),
             // The first copy is running or has ended; the entry requests its outcome.
             Begin::Duplicate => Response::new(StatusCode::Conflict),
             // Continues if the entry disconnects, because the request may not be retried.
@@ -112,24 +104,38 @@
             end: RunEnd::Cancelled,
         };
         let sent = match self.call(&request) {
-            Ok(call) => self.client.send(call).await,
+            Ok(call) => self.admission.engine().run(call).await,
             Err(e) => Err(e),
         };
         match sent {
             Err(e) if e.is_unsent() => {
                 self.admission.with_runs(|r| r.void(&run.id));
                 self.admission.record_unreachable();
-                refusal_response(Refusal::Unreachable)
+                self.refuse(Refusal::Unreachable)
+            }
+            Ok(RunCall::Held(_)) => {
+                self.admission.with_runs(|r| r.void(&run.id));
+                self.refuse(Refusal::Closed)
             }
             Err(WireError::Timeout { .. }) => time_out_run(run),
             Err(e) => fail_run(run, &e).await,
-            Ok(response) if request.idempotent && !is_short(&response) => {
-                stream_response(run, response)
+            Ok(RunCall::Response(response)) if request.idempotent && !is_short(&response) => {
+                stream_response(run, *response)
             }
-            Ok(response) => buffer_response(run, response).await,
+            Ok(RunCall::Response(response)) => buffer_response(run, *response).await,
         }
     }
 
+    /// The response to a run that does not start.
+    fn refuse(&self, refusal: Refusal) -> Response {
+        let mut res = Response::new(StatusCode::ServiceUnavailable);
+        res.set_body(wire::encode(&refusal).unwrap_or_default());
+        if let Some(wait) = self.admission.engine().retry_after() {
+            res.insert_header(headers::RETRY_MS, wait.as_millis().to_string());
+        }
+        res
+    }
+
     fn call(&self, request: &RunRequest) -> Result<Call, WireError> {
         let method = request
             .method
@@ -137,7 +143,7 @@
             .map_err(|e| WireError::Decode {
                 reason: e.to_string(),
             })?;
-        let call = Call::new(method, self.upstream, &request.path)?
+        let call = Call::new(method, self.admission.engine().addr(), &request.path)?
             .header("request-id", &request.id)
             .header("client-account", &request.account)
             .header("priority", &request.priority.to_string())
@@ -229,12 +235,6 @@
     }
 }
 
-fn refusal_response(refusal: Refusal) -> Response {
-    let mut res = Response::new(StatusCode::ServiceUnavailable);
-    res.set_body(wire::encode(&refusal).unwrap_or_default());
-    res
-}
-
 fn response_head(response: &CallResponse) -> Response {
     let mut res = Response::new(StatusCode::Ok);
     res.insert_header(
@@ -244,6 +244,9 @@
     if let Some(t) = response.header("content-type") {
         res.insert_header("upstream-type", t);
     }
+    if let Some(wait) = response.header(RETRY_AFTER) {
+        res.insert_header(headers::RETRY_AFTER, wait);
+    }
     if let Some(d) = response.header(MODEL_DIGEST) {
         res.insert_header(headers::MODEL_VERSION, d);
     }
--- a/components/agent/src/weights_service.rs
+++ b/components/agent/src/weights_service.rs
@@ -73,9 +73,9 @@
         WeightsService {
             settings: settings.clone(),
             cell: config.cell().clone(),
+            engine: admission.engine().clone(),
             admission,
             clock,
-            engine: Engine::new(settings.upstream, client.clone()),
             origin: OriginClient::new(platform.origin, client.clone()),
             vm_list: VmListClient::new(platform.vms, client.clone()),
             log: LogClient::new(platform.log, client.clone()),
@@ -326,6 +326,10 @@
         model: &Model,
         manifest: &Manifest,
     ) -> anyhow::Result<()> {
+        // Checked again soon.
+        if self.engine.held().is_some() {
+            return Ok(());
+        }
         let fence = self.fence().await?;
         self.admission.drain_for_switch().await;
         let order = LoadOrder {
--- a/components/entry/src/dispatcher.rs
+++ b/components/entry/src/dispatcher.rs
@@ -17,15 +17,15 @@
 use crate::caller_request::CallerRequest;
 use crate::claims::Claims;
 use crate::crash_tracker::CrashTracker;
-use crate::exchange::{ExchangeResult, exchange};
+use crate::exchange::{ExchangeResult, RunRefusal, exchange};
 use crate::failures::Failures;
 use crate::interrupt::{Interrupt, Interruption};
 use crate::lease::Lease;
 use crate::pending_placement::PendingPlacement;
 use crate::placement::{Placement, Target};
 use crate::responses::{
-    FAILED_RETRY, claim_problem, finish, quarantined, relay, service_removed, silent_agent,
-    stored_response,
+    FAILED_RETRY, claim_problem, finish, not_run, quarantined, relay, service_removed,
+    silent_agent, stored_response,
 };
 use crate::schedulers::{SharedScheduler, lock};
 use crate::sent_run::SentRun;
@@ -349,19 +349,21 @@
                 lease.complete();
                 NextStep::Respond(Box::new(stored_response(response, &id)))
             }
-            ExchangeResult::NotRun(refusal, load) => {
-                self.record_load(job.scheduler, &target, load);
-                self.record_refusal(job.scheduler, &target, refusal);
-                if let Some(claim) = claim {
-                    self.claims.void(claim);
-                }
-                if refusal == Some(Refusal::Full) {
-                    return NextStep::Requeue;
+            ExchangeResult::NotReceived => {
+                lock(job.scheduler).record_failure(now, target.key);
+                self.void(claim);
+                NextStep::Retry(not_run(&target.vm, "its agent did not receive it", None))
+            }
+            ExchangeResult::Refused(refusal) => {
+                self.record_load(job.scheduler, &target, refusal.load);
+                self.record_refusal(job.scheduler, &target, &refusal);
+                self.void(claim);
+                match refusal.why {
+                    Refusal::Full => NextStep::Requeue,
+                    why => {
+                        NextStep::Retry(not_run(&target.vm, &why.to_string(), refusal.retry_after))
+                    }
                 }
-                let why =
-                    refusal.map_or("its agent did not receive it".to_owned(), |r| r.to_string());
-                let detail = format!("{} did not run the request: {why}", target.vm);
-                NextStep::Retry(Problem::not_run(503, "not run", detail).retry_after(FAILED_RETRY))
             }
             ExchangeResult::Crashed(crash) => {
                 self.crashes.record_crash(&crash.id, &crash.fingerprints);
@@ -431,22 +433,22 @@
         }
     }
 
-    fn record_refusal(
-        &self,
-        scheduler: &SharedScheduler,
-        target: &Target,
-        refusal: Option<Refusal>,
-    ) {
+    fn record_refusal(&self, scheduler: &SharedScheduler, target: &Target, refusal: &RunRefusal) {
+        let now = self.clock.now();
         let mut scheduler = lock(scheduler);
-        match refusal {
-            Some(Refusal::Full) => scheduler.record_full(self.clock.now(), target.key),
-            Some(Refusal::Voided | Refusal::Suspect) => {}
-            Some(Refusal::Closed | Refusal::Restarted | Refusal::Expired) => {
-                scheduler.record_closed(target.key)
-            }
-            Some(Refusal::Unreachable) | None => {
-                scheduler.record_failure(self.clock.now(), target.key)
+        match refusal.why {
+            Refusal::Full => scheduler.record_full(now, target.key),
+            Refusal::Voided | Refusal::Suspect => {}
+            Refusal::Closed | Refusal::Restarted | Refusal::Expired => {
+                scheduler.record_closed(now, target.key, refusal.retry_after)
             }
+            Refusal::Unreachable => scheduler.record_failure(now, target.key),
+        }
+    }
+
+    fn void(&self, claim: Option<Claim>) {
+        if let Some(claim) = claim {
+            self.claims.void(claim);
         }
     }
 
--- a/components/entry/src/exchange.rs
+++ b/components/entry/src/exchange.rs
@@ -40,9 +40,10 @@
     Response(Box<CallResponse>, Option<Load>),
     /// The complete response, which the agent stored after the connection was lost.
     Stored(UpstreamResponse),
-    /// It did not run and never will. The refusal is `None` if the agent did not
-    /// receive the run or voided it.
-    NotRun(Option<Refusal>, Option<Load>),
+    /// It did not run and never will: the agent did not receive the run or voided it.
+    NotReceived,
+    /// The agent refused it, so that it did not run and never will.
+    Refused(RunRefusal),
     /// It may have run: the agent or the connection to it failed, for this cause.
     Unknown(String),
     /// It may have run: there was no response before the deadline.
@@ -59,6 +60,16 @@
     DeadlinePassed,
 }
 
+/// Refusal of a run by its agent.
+pub struct RunRefusal {
+    /// Why it was refused.
+    pub why: Refusal,
+    /// Load of the upstream.
+    pub load: Option<Load>,
+    /// Time until the upstream wants requests again, where it has named one.
+    pub retry_after: Option<Duration>,
+}
+
 /// Sends a run, whose deadline is `timeout` from now, to an agent and determines its
 /// outcome. Signals on `silence` when the agent does not reply; it may still do so later.
 pub async fn exchange(
@@ -89,7 +100,7 @@
             Event::Response(Ok(response)) => {
                 return read_head(&client, &target, &run, *response, deadline).await;
             }
-            Event::Response(Err(e)) if e.is_unsent() => return ExchangeResult::NotRun(None, None),
+            Event::Response(Err(e)) if e.is_unsent() => return ExchangeResult::NotReceived,
             Event::Response(Err(e)) => {
                 return settle(&client, &target, &run, deadline, &e.to_string()).await;
             }
@@ -143,9 +154,17 @@
     if response.header(headers::UPSTREAM_STATUS).is_some() {
         return ExchangeResult::Response(Box::new(response), load);
     }
+    let retry_after = response
+        .header(headers::RETRY_MS)
+        .and_then(|v| v.parse().ok())
+        .map(Duration::from_millis);
     let bytes = response.bytes(MAX_REFUSAL_BYTES).await.unwrap_or_default();
     match wire::decode::<Refusal>(&bytes) {
-        Ok(refusal) => ExchangeResult::NotRun(Some(refusal), load),
+        Ok(why) => ExchangeResult::Refused(RunRefusal {
+            why,
+            load,
+            retry_after,
+        }),
         Err(e) => settle(client, target, run, deadline, &e.to_string()).await,
     }
 }
@@ -184,7 +203,7 @@
 
 fn from_settle_reply(reply: SettleReply) -> ExchangeResult {
     match reply {
-        SettleReply::Voided => ExchangeResult::NotRun(None, None),
+        SettleReply::Voided => ExchangeResult::NotReceived,
         SettleReply::Answered(response) => ExchangeResult::Stored(response),
         SettleReply::Running | SettleReply::Unknown => {
             ExchangeResult::Unknown("the agent has no record of the outcome of the run".to_owned())
--- a/components/entry/src/responses.rs
+++ b/components/entry/src/responses.rs
@@ -43,6 +43,12 @@
     }
 }
 
+/// The problem of a request that an upstream did not run.
+pub fn not_run(vm: &str, why: &str, retry_after: Option<Duration>) -> Problem {
+    let detail = format!("{vm} did not run the request: {why}");
+    Problem::not_run(503, "not run", detail).retry_after(retry_after.unwrap_or(FAILED_RETRY))
+}
+
 /// The problem of a request whose service a change has removed.
 pub fn service_removed() -> Problem {
     let detail = "the service was removed; use another one";
@@ -82,6 +88,9 @@
     if let Some(version) = response.header(headers::MODEL_VERSION) {
         res.insert_header(headers::MODEL_VERSION, version);
     }
+    if let Some(wait) = response.header(headers::RETRY_AFTER) {
+        res.insert_header(headers::RETRY_AFTER, wait);
+    }
     let body = response.into_body();
     let len = body
         .remaining_length()
--- a/components/entry/src/service_scheduler.rs
+++ b/components/entry/src/service_scheduler.rs
@@ -28,6 +28,8 @@
     ticket: Option<Ticket>,
     last_heartbeat: Duration,
     availability: Availability,
+    /// When a paused upstream wants requests again.
+    paused_until: Option<Duration>,
     failures: u32,
     progress: Option<protocol::Progress>,
     revision: u64,
@@ -163,6 +165,7 @@
         u.ticket = Some(reply.ticket);
         u.last_heartbeat = now;
         u.availability = reply.availability;
+        u.paused_until = reply.retry_after.map(|wait| now + wait);
         u.revision = reply.revision;
         u.progress = reply.progress;
         self.update_load(i, reply.load);
@@ -283,11 +286,17 @@
         }
     }
 
-    /// Sends no more runs to an upstream until its next heartbeat reply.
-    pub fn record_closed(&mut self, key: u64) {
+    /// Sends no more runs to an upstream until its next heartbeat reply; `retry_after` is
+    /// the time until a paused one wants requests again.
+    pub fn record_closed(&mut self, now: Duration, key: u64, retry_after: Option<Duration>) {
         if let Some(i) = self.position(key) {
             self.candidates[i].open = false;
-            self.upstreams[i].ticket = None;
+            let u = &mut self.upstreams[i];
+            u.ticket = None;
+            if retry_after.is_some() {
+                u.availability = Availability::Paused;
+                u.paused_until = retry_after.map(|wait| now + wait);
+            }
         }
     }
 
@@ -370,7 +379,7 @@
         let Choice::Upstream(i) = choose(now, &self.candidates, criteria, &mut self.rng) else {
             let _ = request
                 .sender
-                .try_send(Placement::Refused(overloaded(CLOSED_RETRY)));
+                .try_send(Placement::Refused(overloaded(self.closed_retry(now))));
             return;
         };
         let Some(target) = self.target(i) else {
@@ -393,8 +402,26 @@
 
     fn refuse_all(&mut self, now: Duration) {
         while let Some(Dequeued::Start(w) | Dequeued::Late(w)) = self.queue.dequeue(now) {
-            self.refuse(w.arrival.id, no_upstream(&self.service));
+            let wait = self.closed_retry(now);
+            self.refuse(w.arrival.id, no_upstream(&self.service, wait));
+        }
+    }
+
+    /// Wait advised while no upstream is open: until the first that is paused wants requests
+    /// again, unless another may open before.
+    fn closed_retry(&self, now: Duration) -> Duration {
+        let mut first: Option<Duration> = None;
+        for u in &self.upstreams {
+            match (u.availability, u.paused_until) {
+                (Availability::Paused, Some(end)) => {
+                    let wait = end.saturating_sub(now);
+                    first = Some(first.map_or(wait, |f| f.min(wait)));
+                }
+                (Availability::Leaving, _) => {}
+                _ => return CLOSED_RETRY,
+            }
         }
+        first.unwrap_or(CLOSED_RETRY)
     }
 
     fn refuse(&mut self, id: u64, problem: Problem) {
@@ -436,6 +463,7 @@
         ticket: None,
         last_heartbeat: Duration::ZERO,
         availability: Availability::Starting,
+        paused_until: None,
         failures: 0,
         progress: None,
         revision: 0,
@@ -447,9 +475,9 @@
     Problem::not_run(503, "overloaded", detail).retry_after(retry_after)
 }
 
-fn no_upstream(service: &str) -> Problem {
+fn no_upstream(service: &str, retry_after: Duration) -> Problem {
     let detail = format!("no upstream of {service} accepts requests; send the request again later");
-    Problem::not_run(503, "no upstream", detail).retry_after(CLOSED_RETRY)
+    Problem::not_run(503, "no upstream", detail).retry_after(retry_after)
 }
 
 #[cfg(test)]
--- a/components/entry/src/service_scheduler_tests.rs
+++ b/components/entry/src/service_scheduler_tests.rs
@@ -64,6 +64,7 @@
         revision: 1,
         progress: None,
         crashes: Vec::new(),
+        retry_after: None,
     }
 }
 
--- a/components/protocol/src/heartbeat.rs
+++ b/components/protocol/src/heartbeat.rs
@@ -1,7 +1,9 @@
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use config::{Digest, VersionId, VmId};
 use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
 
 use crate::{Crash, Load, Ticket};
 
@@ -25,8 +27,10 @@
     Starting,
     /// Its failure domain is out of service.
     OutOfService,
-    /// About to stop.
+    /// About to stop, or its upstream is.
     Leaving,
+    /// Its upstream wants no requests for some time.
+    Paused,
 }
 
 /// Progress of a model on one VM.
@@ -48,6 +52,7 @@
 }
 
 /// An agent's reply to a heartbeat.
+#[serde_as]
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct HeartbeatReply {
     /// The agent's VM.
@@ -65,4 +70,9 @@
     pub progress: Option<Progress>,
     /// Recent crashes of the upstream.
     pub crashes: Vec<Crash>,
+    /// Time until a paused upstream wants requests again. It is left out otherwise:
+    /// processes of earlier releases do not know it.
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub retry_after: Option<Duration>,
 }
--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -42,6 +42,10 @@
     pub const LOAD: &str = "upstream-load";
     /// Id of the crash of the upstream that ended the run.
     pub const CRASH: &str = "upstream-crash";
+    /// On a refusal: time until the upstream wants requests again, in milliseconds.
+    pub const RETRY_MS: &str = "upstream-retry-ms";
+    /// On the response of an upstream that turned the request away: its own value.
+    pub const RETRY_AFTER: &str = "retry-after";
     /// Digest of the weights that the engine used, as the engine reports it.
     pub const MODEL_VERSION: &str = "model-version";
 }
--- a/components/protocol/tests/messages.rs
+++ b/components/protocol/tests/messages.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use config::Snapshot;
+use config::{Snapshot, VmId};
 use protocol::{
     Availability, Crash, Heartbeat, HeartbeatReply, Load, Progress, Refusal, RunRequest, Settle,
     SettleReply, Ticket, UpstreamResponse,
@@ -56,9 +56,41 @@
             id: "vm-1-7-1".into(),
             fingerprints: vec![1, u64::MAX],
         }],
+        retry_after: None,
     }
 }
 
+/// The fields of a reply in releases that know no pauses.
+type EarlierReply = (
+    VmId,
+    Ticket,
+    Availability,
+    Load,
+    u64,
+    Option<Progress>,
+    Vec<Crash>,
+);
+
+/// The reply has one more field only while the upstream is paused.
+#[test]
+fn earlier_releases_cannot_read_replies_of_upstreams_without_a_pause() {
+    let paused = HeartbeatReply {
+        availability: Availability::Paused,
+        retry_after: Some(Duration::from_millis(1500)),
+        ..reply()
+    };
+
+    let bytes = wire::encode(&reply()).unwrap();
+    let earlier: EarlierReply = wire::decode(&bytes).unwrap();
+    let bytes = wire::encode(&earlier).unwrap();
+    let back: HeartbeatReply = wire::decode(&bytes).unwrap();
+    let paused_bytes = wire::encode(&paused).unwrap();
+    let paused_back: HeartbeatReply = wire::decode(&paused_bytes).unwrap();
+
+    assert_eq!(format!("{back:?}"), format!("{:?}", reply()));
+    assert_eq!(format!("{paused_back:?}"), format!("{paused:?}"));
+}
+
 #[test]
 fn messages_round_trip() {
     let bytes = wire::encode(&run()).unwrap();
--- a/components/requests/src/lib.rs
+++ b/components/requests/src/lib.rs
@@ -12,6 +12,7 @@
 mod quarantine;
 mod retry_budget;
 mod run_table;
+mod upstream_hold;
 
 pub use admission_queue::{
     AdmissionQueue, Arrival, Dequeued, EnqueueResult, QueueLimits, QueuedRequest,
@@ -24,3 +25,4 @@
 pub use quarantine::{Quarantine, Suspicion};
 pub use retry_budget::RetryBudget;
 pub use run_table::{Begin, RunTable, Settled};
+pub use upstream_hold::{Hold, Notice, UpstreamHold};
--- a/components/wire/src/client.rs
+++ b/components/wire/src/client.rs
@@ -1,3 +1,4 @@
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -8,9 +9,8 @@
 use serde::de::DeserializeOwned;
 use smol::net::TcpStream;
 
-use crate::bounded_stream::{BoundedStream, ReadAllowance};
 use crate::pool::Pool;
-use crate::{ResponseBody, WireError, decode, encode, read_limited, with_timeout};
+use crate::{OpenCall, ResponseBody, WireError, decode, encode, read_limited, with_timeout};
 
 /// Default of [`Call::head_timeout`] and [`Call::read_timeout`].
 const DEFAULT_RESPONSE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -23,11 +23,11 @@
 
 /// A request to an address, with its timeouts.
 pub struct Call {
-    addr: SocketAddr,
-    request: Request,
+    pub(crate) addr: SocketAddr,
+    pub(crate) request: Request,
     connect_timeout: Duration,
-    head_timeout: Duration,
-    read_timeout: Duration,
+    pub(crate) head_timeout: Duration,
+    pub(crate) read_timeout: Duration,
     total_timeout: Duration,
     new_connection: bool,
 }
@@ -140,37 +140,19 @@
 impl Client {
     /// Sends a call and returns as soon as the head of the response has arrived.
     pub async fn send(&self, call: Call) -> Result<CallResponse, WireError> {
-        let addr = call.addr;
+        self.open(call).await?.send().await
+    }
+
+    /// Opens a connection for a call, of which nothing is sent yet.
+    pub async fn open(&self, call: Call) -> Result<OpenCall, WireError> {
         let deadline = Instant::now() + call.total_timeout;
         let stream = self.connect(&call).await?;
-        let allowance = ReadAllowance::new();
-        let bounded = BoundedStream::new(stream.clone(), allowance.clone());
-        let exchange = async_h1::connect(bounded, call.request);
-        let limit = deadline.saturating_duration_since(Instant::now());
-        let limit = limit.min(call.head_timeout);
-        let mut head = with_timeout(limit, exchange)
-            .await
-            .ok_or(WireError::Timeout {
-                addr,
-                millis: limit.as_millis(),
-            })?
-            .map_err(|e| WireError::Aborted {
-                addr,
-                reason: e.to_string(),
-            })?;
-        allowance.renew();
-        let body = ResponseBody {
-            inner: head.take_body(),
-            remaining: None,
-            read_timeout: call.read_timeout,
+        Ok(OpenCall {
+            call,
+            stream,
             deadline,
-            timer: None,
-            addr,
-            allowance,
-            stream: Some(stream),
             pool: self.pool.clone(),
-        };
-        response(head, body)
+        })
     }
 
     /// Sends a MessagePack message with POST and decodes the response, which has to
@@ -209,24 +191,28 @@
         {
             return Ok(stream);
         }
-        let connect_error = |reason: String| WireError::Connect {
+        let connect_error = |reason: String, refused: bool| WireError::Connect {
             addr: call.addr,
             reason,
+            refused,
         };
         let limit = call.connect_timeout.min(call.total_timeout);
         let stream = with_timeout(limit, TcpStream::connect(call.addr))
             .await
-            .ok_or_else(|| connect_error(format!("no connection within {} ms", limit.as_millis())))?
-            .map_err(|e| connect_error(e.to_string()))?;
+            .ok_or_else(|| {
+                let reason = format!("no connection within {} ms", limit.as_millis());
+                connect_error(reason, false)
+            })?
+            .map_err(|e| connect_error(e.to_string(), e.kind() == ErrorKind::ConnectionRefused))?;
         stream
             .set_nodelay(true)
-            .map_err(|e| connect_error(e.to_string()))?;
+            .map_err(|e| connect_error(e.to_string(), false))?;
         Ok(stream)
     }
 }
 
 /// Checks how the body is framed.
-fn response(head: Response, mut body: ResponseBody) -> Result<CallResponse, WireError> {
+pub(crate) fn response(head: Response, mut body: ResponseBody) -> Result<CallResponse, WireError> {
     let aborted = |reason: &str| WireError::Aborted {
         addr: body.addr,
         reason: reason.to_owned(),
--- a/components/wire/src/error.rs
+++ b/components/wire/src/error.rs
@@ -12,6 +12,8 @@
         addr: SocketAddr,
         /// Error of the operating system, or the timeout.
         reason: String,
+        /// Whether no process listens at the address.
+        refused: bool,
     },
     /// The head of the response did not arrive in time.
     #[display("wire: no response from {addr} within {millis} ms; retry on a new connection")]
@@ -44,6 +46,11 @@
 }
 
 impl WireError {
+    /// Whether no process listens at the address of the peer.
+    pub fn is_refused(&self) -> bool {
+        matches!(self, WireError::Connect { refused: true, .. })
+    }
+
     /// Whether no byte of the request can have reached the peer.
     pub fn is_unsent(&self) -> bool {
         matches!(self, WireError::Connect { .. })
--- a/src/cmd/agent.rs
+++ b/src/cmd/agent.rs
@@ -42,7 +42,7 @@
         client.clone(),
         clock,
     ));
-    let inbound = Arc::new(Inbound::new(&settings, client, metrics));
+    let inbound = Arc::new(Inbound::new(&settings, metrics));
     let mut kernel = Kernel::default();
     kernel.add(config)?;
     // Services stop in reverse order. The HTTP interface stops after the admission
--- a/stand-ins/tests/silent_upstreams.rs
+++ b/stand-ins/tests/silent_upstreams.rs
@@ -150,6 +150,7 @@
                 revision: 1,
                 progress: None,
                 crashes: Vec::new(),
+                retry_after: None,
             });
         }
         Timer::after(self.pause).await;
