Log why a request at the entry is interrupted

What operators saw: nothing told that a request had ended because its caller had closed its connection or because the entry stopped.

--- a/components/entry/src/dispatcher.rs
+++ b/components/entry/src/dispatcher.rs
@@ -64,6 +64,8 @@
     request: &'a CallerRequest,
     interrupt: &'a Interrupt,
     id: u64,
+    /// Id with which the ids of its runs begin.
+    name: CompactString,
     /// Hash of the request's content.
     fingerprint: u64,
     deadline: Duration,
@@ -103,8 +105,6 @@
             client: parts.client,
             clock: parts.clock,
             vm: parts.vm,
-            // Distinguishes the run ids of this process from those of an earlier one on
-            // the VM.
             incarnation: fastrand::u64(..),
             next_id: AtomicU64::new(1),
         }
@@ -118,12 +118,15 @@
         interrupt: &Interrupt,
     ) -> Response {
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
-        let mut log = AnswerLog::new(self.request_id(id));
+        // The incarnation distinguishes it from those of an earlier process on the VM.
+        let name = CompactString::from(format!("{}-{:x}-{id}", self.vm, self.incarnation));
+        let mut log = AnswerLog::new(name.clone());
         let job = Job {
             scheduler,
             request,
             interrupt,
             id,
+            name,
             fingerprint: request.fingerprint(),
             deadline: self.clock.now() + request.timeout,
         };
@@ -225,7 +228,7 @@
             let ended = async { Ok(SentRun::first_end(&mut kept).await) };
             match interrupted.or(ended).await {
                 Err(interruption) => {
-                    failures.record(None, interruption.unknown());
+                    failures.record(None, interruption.unknown(&job.name));
                     break;
                 }
                 Ok((run, result)) => match self.conclude(job, run, result) {
@@ -277,7 +280,8 @@
             placement.unwrap_or_else(|_| Placement::Refused(service_removed()))
         };
         // The interrupt goes first: after it, no upstream gets the request.
-        let interrupted = async { Placement::Refused(job.interrupt.raised().await.not_run()) };
+        let interrupted =
+            async { Placement::Refused(job.interrupt.raised().await.not_run(&job.name)) };
         interrupted.or(placed).await
     }
 
@@ -320,9 +324,10 @@
         let ended = async { RunEvent::Ended((&mut sent.task).await) };
         match ended.or(interrupted).or(agent_silent).await {
             RunEvent::Ended(result) => self.conclude(job, sent, result),
-            RunEvent::Interrupted(interruption) => {
-                NextStep::Respond(Box::new(finish(interruption.unknown(), job.request)))
-            }
+            RunEvent::Interrupted(interruption) => NextStep::Respond(Box::new(finish(
+                interruption.unknown(&job.name),
+                job.request,
+            ))),
             RunEvent::Silent => {
                 lock(job.scheduler).record_failure(self.clock.now(), sent.target.key);
                 NextStep::Keep(Box::new(sent))
@@ -421,7 +426,7 @@
                 ))));
             }
             Ok(step) => claim_problem(&step),
-            Err(interruption) => interruption.not_run(),
+            Err(interruption) => interruption.not_run(&job.name),
         };
         self.claims.void(claim.clone());
         Some(NextStep::Respond(Box::new(problem.into())))
@@ -461,7 +466,7 @@
     ) -> RunRequest {
         let request = job.request;
         RunRequest {
-            id: RunId::from(format!("{}-{}", self.request_id(job.id), attempt.sent)),
+            id: RunId::from(format!("{}-{}", job.name, attempt.sent)),
             ticket: target.ticket,
             method: request.method.clone(),
             path: request.path.clone(),
@@ -475,11 +480,6 @@
             body: request.body.clone(),
         }
     }
-
-    /// Id of a request, with which the ids of its runs begin.
-    fn request_id(&self, id: u64) -> CompactString {
-        format!("{}-{:x}-{id}", self.vm, self.incarnation).into()
-    }
 }
 
 /// What happens first to a run that was sent.
--- a/components/entry/src/interrupt.rs
+++ b/components/entry/src/interrupt.rs
@@ -4,7 +4,9 @@
 use async_channel::Receiver;
 use derive_more::Display;
 use futures_lite::FutureExt;
+use serde_json::json;
 use smol::Timer;
+use telemetry::{Outcome, decision};
 use wire::{Caller, Problem};
 
 /// Time for which a request goes on after its caller has closed its sending side. With the
@@ -26,17 +28,24 @@
 }
 
 impl Interruption {
-    /// The problem of a request that was not sent to an upstream.
-    pub fn not_run(self) -> Problem {
+    /// Logs the end of a request that was not sent to an upstream, and returns its problem.
+    pub fn not_run(self, request: &str) -> Problem {
+        self.log(request, "not-run");
         let detail = format!("{self}; the request was not run, send it again");
         Problem::not_run(503, "interrupted", detail).retry_after(STOPPED_RETRY)
     }
 
-    /// The problem of a request that was sent to an upstream.
-    pub fn unknown(self) -> Problem {
+    /// Logs the end of a request that was sent to an upstream, and returns its problem.
+    pub fn unknown(self, request: &str) -> Problem {
+        self.log(request, "unknown");
         let detail = format!("{self} before the upstream responded; the request may have run");
         Problem::unknown(502, "interrupted", detail)
     }
+
+    fn log(self, request: &str, outcome: &str) {
+        let fields = json!({ "request": request, "why": self.to_string(), "outcome": outcome });
+        decision("dispatch", "interrupted", Outcome::Failure, fields);
+    }
 }
 
 /// Signals that end a request before its answer.
