Tell at the end of entry and agent whether they had drained

What operators saw: no line told whether a process that stopped had completed its work.

Entry and agent write the lines of decisions to standard output, like gateway and loader.

--- a/components/agent/src/admission_controller.rs
+++ b/components/agent/src/admission_controller.rs
@@ -7,7 +7,7 @@
 use config::{AgentSettings, ConfigCell, CrashReport, Digest, Record};
 use event_listener::Event;
 use futures_lite::FutureExt;
-use kernel::{BoxFuture, Clock, Registry, Service};
+use kernel::{BoxFuture, Clock, Drain, Registry, Service};
 use platform::{LogClient, streams};
 use protocol::{Availability, Crash, Load, Progress, Refusal, RunId, RunRequest, Ticket};
 use requests::{
@@ -473,16 +473,15 @@
     }
 
     /// Accepts no more runs and waits for those in flight.
-    fn stop(&self, timeout: Duration) -> BoxFuture<'_, ()> {
+    fn stop(&self, timeout: Duration) -> BoxFuture<'_, Drain> {
         self.leaving.store(true, Ordering::Relaxed);
         Box::pin(async move {
-            if wire::with_timeout(timeout, self.wait_idle())
-                .await
-                .is_none()
-            {
+            let idle = wire::with_timeout(timeout, self.wait_idle()).await;
+            if idle.is_none() {
                 log::warn!("admission: runs were still in flight when the drain timeout expired");
             }
             self.stopping.notify(usize::MAX);
+            Drain::from_complete(idle.is_some())
         })
     }
 }
--- a/components/agent/src/config_follower.rs
+++ b/components/agent/src/config_follower.rs
@@ -5,7 +5,7 @@
 
 use config::{ConfigCell, Snapshot};
 use http_types::Method;
-use kernel::{BoxFuture, Registry, Service};
+use kernel::{BoxFuture, Drain, Registry, Service};
 use protocol::{Heartbeat, paths};
 use wire::{Call, Client, WireError};
 
@@ -79,7 +79,7 @@
         Ok(())
     }
 
-    fn stop(&self, _timeout: Duration) -> BoxFuture<'_, ()> {
-        Box::pin(std::future::ready(()))
+    fn stop(&self, _timeout: Duration) -> BoxFuture<'_, Drain> {
+        Box::pin(std::future::ready(Drain::Complete))
     }
 }
--- a/components/agent/src/inbound.rs
+++ b/components/agent/src/inbound.rs
@@ -5,7 +5,7 @@
 use anyhow::Context;
 use config::{AgentSettings, Digest};
 use http_types::{Body, Method, Request, Response, StatusCode};
-use kernel::{BoxFuture, Registry, Service};
+use kernel::{BoxFuture, Drain, Registry, Service};
 use protocol::{Availability, Heartbeat, HeartbeatReply, RunRequest, Settle, SettleReply, paths};
 use requests::Settled;
 use serde::de::DeserializeOwned;
@@ -65,11 +65,13 @@
         Ok(())
     }
 
-    fn stop(&self, timeout: Duration) -> BoxFuture<'_, ()> {
+    fn stop(&self, timeout: Duration) -> BoxFuture<'_, Drain> {
         Box::pin(async move {
-            if !self.server.stop(timeout).await {
+            let is_complete = self.server.stop(timeout).await;
+            if !is_complete {
                 log::warn!("inbound: requests were still in flight when the drain timeout expired");
             }
+            Drain::from_complete(is_complete)
         })
     }
 }
--- a/components/agent/src/weights_service.rs
+++ b/components/agent/src/weights_service.rs
@@ -7,7 +7,7 @@
 use fleet::Role;
 use futures_lite::FutureExt;
 use http_types::Method;
-use kernel::{BoxFuture, Clock, Registry, Service};
+use kernel::{BoxFuture, Clock, Drain, Registry, Service};
 use platform::{LogClient, OriginClient, VmListClient, streams};
 use protocol::{Progress, paths};
 use serde_json::json;
@@ -417,8 +417,8 @@
         Ok(())
     }
 
-    fn stop(&self, _timeout: Duration) -> BoxFuture<'_, ()> {
+    fn stop(&self, _timeout: Duration) -> BoxFuture<'_, Drain> {
         self.stopping.notify(usize::MAX);
-        Box::pin(std::future::ready(()))
+        Box::pin(std::future::ready(Drain::Complete))
     }
 }
--- a/components/entry/src/config_service.rs
+++ b/components/entry/src/config_service.rs
@@ -9,7 +9,7 @@
 use event_listener::Event;
 use futures_lite::FutureExt;
 use http_types::Method;
-use kernel::{BoxFuture, Clock, Registry, Service};
+use kernel::{BoxFuture, Clock, Drain, Registry, Service};
 use platform::{LogClient, Page, PlatformError, VmListClient, streams};
 use protocol::paths;
 use smol::Timer;
@@ -259,8 +259,8 @@
         Ok(())
     }
 
-    fn stop(&self, _timeout: Duration) -> BoxFuture<'_, ()> {
+    fn stop(&self, _timeout: Duration) -> BoxFuture<'_, Drain> {
         self.stopping.notify(usize::MAX);
-        Box::pin(std::future::ready(()))
+        Box::pin(std::future::ready(Drain::Complete))
     }
 }
--- a/components/entry/src/directory.rs
+++ b/components/entry/src/directory.rs
@@ -5,7 +5,7 @@
 use event_listener::Event;
 use fleet::{HeartbeatTiming, Member, Role, subset};
 use futures_lite::FutureExt;
-use kernel::{BoxFuture, Clock, Registry, Service};
+use kernel::{BoxFuture, Clock, Drain, Registry, Service};
 use platform::{VmListClient, VmListing};
 use protocol::{Heartbeat, HeartbeatReply, paths};
 use smol::Timer;
@@ -194,8 +194,8 @@
         Ok(())
     }
 
-    fn stop(&self, _timeout: Duration) -> BoxFuture<'_, ()> {
+    fn stop(&self, _timeout: Duration) -> BoxFuture<'_, Drain> {
         self.stopping.notify(usize::MAX);
-        Box::pin(std::future::ready(()))
+        Box::pin(std::future::ready(Drain::Complete))
     }
 }
--- a/components/entry/src/front.rs
+++ b/components/entry/src/front.rs
@@ -7,7 +7,7 @@
 use async_channel::{Receiver, Sender};
 use config::{ConfigCell, NodeSettings};
 use http_types::{Method, Request, Response, StatusCode};
-use kernel::{BoxFuture, Clock, Registry, Service};
+use kernel::{BoxFuture, Clock, Drain, Registry, Service};
 use protocol::paths;
 use smol::Timer;
 use telemetry::MetricsPage;
@@ -92,7 +92,7 @@
         Ok(())
     }
 
-    fn stop(&self, timeout: Duration) -> BoxFuture<'_, ()> {
+    fn stop(&self, timeout: Duration) -> BoxFuture<'_, Drain> {
         self.stopping.store(true, Ordering::Relaxed);
         let end = self.end.0.clone();
         smol::spawn(async move {
@@ -101,9 +101,11 @@
         })
         .detach();
         Box::pin(async move {
-            if !self.server.stop(timeout).await {
+            let is_complete = self.server.stop(timeout).await;
+            if !is_complete {
                 log::warn!("front: requests were still in flight when the drain timeout expired");
             }
+            Drain::from_complete(is_complete)
         })
     }
 }
--- a/components/kernel/src/kernel.rs
+++ b/components/kernel/src/kernel.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crate::{KernelError, Registry, Service};
+use crate::{Drain, KernelError, Registry, Service};
 
 /// Starts services in the order in which they were added and stops them in reverse.
 #[derive(Default)]
@@ -30,17 +30,23 @@
         Ok(())
     }
 
-    /// Stops all services in reverse order, within `timeout` for all of them together.
-    pub async fn stop(&self, timeout: Duration) {
-        self.stop_first(self.services.len(), timeout).await;
+    /// Stops all services in reverse order, within `timeout` for all of them together;
+    /// incomplete if one of them is.
+    pub async fn stop(&self, timeout: Duration) -> Drain {
+        self.stop_first(self.services.len(), timeout).await
     }
 
-    async fn stop_first(&self, count: usize, timeout: Duration) {
+    async fn stop_first(&self, count: usize, timeout: Duration) -> Drain {
         let start = Instant::now();
+        let mut all = Drain::Complete;
         for s in self.services[..count].iter().rev() {
             let remaining = timeout.saturating_sub(start.elapsed());
-            s.stop(remaining).await;
-            log::info!("kernel: stopped {}", s.name());
+            let drain = s.stop(remaining).await;
+            log::info!("kernel: stopped {}: {drain:?}", s.name());
+            if drain == Drain::Incomplete {
+                all = drain;
+            }
         }
+        all
     }
 }
--- a/components/kernel/src/lib.rs
+++ b/components/kernel/src/lib.rs
@@ -10,4 +10,4 @@
 pub use error::KernelError;
 pub use kernel::Kernel;
 pub use registry::Registry;
-pub use service::{BoxFuture, Service};
+pub use service::{BoxFuture, Drain, Service};
--- a/src/cmd/agent.rs
+++ b/src/cmd/agent.rs
@@ -26,6 +26,7 @@
         .map_err(UsageError::from)?;
     finish(args)?;
     let settings = AgentSettings::load(&path)?;
+    telemetry::init_decisions(&settings.node.vm)?;
     let (client, clock) = (Client::default(), Clock::default());
     let metrics = Arc::new(MetricsPage::install()?);
     let config = Arc::new(ConfigFollower::new(client.clone()));
--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -27,6 +27,7 @@
     finish(args)?;
     let settings = EntrySettings::load(&path)?;
     let node = &settings.node;
+    telemetry::init_decisions(&node.vm)?;
     let (client, clock) = (Client::default(), Clock::default());
     let metrics = Arc::new(MetricsPage::install()?);
     let config = Arc::new(ConfigService::new(node, client.clone(), clock));
