--- a/components/agent/src/runner.rs
+++ b/components/agent/src/runner.rs
@@ -1,21 +1,21 @@
 use std::io;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use futures_lite::io::BufReader;
 use http_types::{Body, Method, Response, StatusCode};
 use protocol::{Refusal, RunId, RunRequest, UpstreamResponse, headers};
 use requests::{Begin, RunEnd};
-use wire::{BodyObserver, Call, CallResponse, Client, ObservedBody, WireError};
+use wire::{BodyObserver, Call, CallResponse, ObservedBody, WireError};
 
 use crate::admission_controller::AdmissionController;
+use crate::engine::RunCall;
+use crate::engine_notice::RETRY_AFTER;
 
 /// Longest response to a request that may not be retried, which is buffered, in bytes.
 const MAX_BUFFERED_BYTES: usize = 1 << 20;
 /// Longest response that is buffered although the request may be retried, in bytes.
 const MAX_SHORT_BYTES: u64 = 64 << 10;
-/// Longest wait between two bytes of a response of the upstream.
-const UPSTREAM_READ_TIMEOUT: Duration = Duration::from_secs(10);
 /// Response header of an engine: the digest of the weights that it used.
 const MODEL_DIGEST: &str = "model-digest";
 
@@ -23,8 +23,6 @@
 #[derive(Clone)]
 pub struct Runner {
     admission: Arc<AdmissionController>,
-    client: Client,
-    upstream: std::net::SocketAddr,
 }
 
 /// A run in flight; its end is recorded when the guard is dropped.
@@ -33,6 +31,7 @@
     id: RunId,
     fingerprint: u64,
     started_at: Instant,
+    deadline: Instant,
     end: RunEnd,
 }
 
@@ -60,29 +59,22 @@
 
 impl Drop for RunGuard {
     fn drop(&mut self) {
+        self.admission.with_runs(|r| r.end(&self.id));
         self.admission.record_end(&self.id, self.end);
     }
 }
 
 impl Runner {
-    /// Runs requests at `upstream` that `admission` admits.
-    pub fn new(
-        admission: Arc<AdmissionController>,
-        client: Client,
-        upstream: std::net::SocketAddr,
-    ) -> Self {
-        Runner {
-            admission,
-            client,
-            upstream,
-        }
+    /// Runs requests that `admission` admits.
+    pub fn new(admission: Arc<AdmissionController>) -> Self {
+        Runner { admission }
     }
 
     /// Runs one request; a header of the response names the run.
     pub async fn run(&self, request: RunRequest) -> Response {
         let id = request.id.clone();
         let mut res = match self.admission.admit(&request).await {
-            Begin::Refuse(refusal) => refusal_response(refusal),
+            Begin::Refuse(refusal) => self.refuse(refusal),
             // The first copy is running or has ended; the entry requests its outcome.
             Begin::Duplicate => Response::new(StatusCode::Conflict),
             // Continues if the entry disconnects, because the request may not be retried.
@@ -102,32 +94,48 @@
     }
 
     async fn execute(&self, request: RunRequest) -> Response {
+        let started_at = Instant::now();
         let run = RunGuard {
             admission: self.admission.clone(),
             id: request.id.clone(),
             fingerprint: request.fingerprint,
-            started_at: Instant::now(),
+            started_at,
+            deadline: started_at + request.remaining,
             end: RunEnd::Cancelled,
         };
         let sent = match self.call(&request) {
-            Ok(call) => self.client.send(call).await,
+            Ok(call) => self.admission.engine().run(call).await,
             Err(e) => Err(e),
         };
         match sent {
             Err(e) if e.is_unsent() => {
                 self.admission.with_runs(|r| r.void(&run.id));
                 self.admission.record_unreachable();
-                refusal_response(Refusal::Unreachable)
+                self.refuse(Refusal::Unreachable)
+            }
+            Ok(RunCall::Held(_)) => {
+                self.admission.with_runs(|r| r.void(&run.id));
+                self.refuse(Refusal::Closed)
             }
             Err(WireError::Timeout { .. }) => time_out_run(run),
             Err(e) => fail_run(run, &e).await,
-            Ok(response) if request.idempotent && !is_short(&response) => {
-                stream_response(run, response)
+            Ok(RunCall::Response(response)) if request.idempotent && !is_short(&response) => {
+                stream_response(run, *response)
             }
-            Ok(response) => buffer_response(run, response).await,
+            Ok(RunCall::Response(response)) => buffer_response(run, *response).await,
         }
     }
 
+    /// The response to a run that does not start.
+    fn refuse(&self, refusal: Refusal) -> Response {
+        let mut res = Response::new(StatusCode::ServiceUnavailable);
+        res.set_body(wire::encode(&refusal).unwrap_or_default());
+        if let Some(wait) = self.admission.engine().retry_after() {
+            res.insert_header(headers::RETRY_MS, wait.as_millis().to_string());
+        }
+        res
+    }
+
     fn call(&self, request: &RunRequest) -> Result<Call, WireError> {
         let method = request
             .method
@@ -135,13 +143,14 @@
             .map_err(|e| WireError::Decode {
                 reason: e.to_string(),
             })?;
-        let call = Call::new(method, self.upstream, &request.path)?
+        let call = Call::new(method, self.admission.engine().addr(), &request.path)?
             .header("request-id", &request.id)
             .header("client-account", &request.account)
             .header("priority", &request.priority.to_string())
             .header("content-type", &request.media_type)
             .head_timeout(request.remaining)
-            .read_timeout(UPSTREAM_READ_TIMEOUT)
+            // A silent upstream may go on until the deadline.
+            .read_timeout(request.remaining)
             .total_timeout(request.remaining)
             .body(request.body.clone());
         // The upstream may have closed an idle connection already, which would leave it
@@ -208,6 +217,7 @@
     let status = u16::from(response.status());
     let media_type = response.header("content-type").unwrap_or_default().into();
     match response.bytes(MAX_BUFFERED_BYTES).await {
+        Err(_) if Instant::now() >= run.deadline => time_out_run(run),
         Err(e) => fail_run(run, &e).await,
         Ok(body) => {
             run.complete();
@@ -225,12 +235,6 @@
     }
 }
 
-fn refusal_response(refusal: Refusal) -> Response {
-    let mut res = Response::new(StatusCode::ServiceUnavailable);
-    res.set_body(wire::encode(&refusal).unwrap_or_default());
-    res
-}
-
 fn response_head(response: &CallResponse) -> Response {
     let mut res = Response::new(StatusCode::Ok);
     res.insert_header(
@@ -240,6 +244,9 @@
     if let Some(t) = response.header("content-type") {
         res.insert_header("upstream-type", t);
     }
+    if let Some(wait) = response.header(RETRY_AFTER) {
+        res.insert_header(headers::RETRY_AFTER, wait);
+    }
     if let Some(d) = response.header(MODEL_DIGEST) {
         res.insert_header(headers::MODEL_VERSION, d);
     }
--- a/components/agent/src/weights_service.rs
+++ b/components/agent/src/weights_service.rs
@@ -7,7 +7,7 @@
 use fleet::Role;
 use futures_lite::FutureExt;
 use http_types::Method;
-use kernel::{BoxFuture, Clock, Registry, Service};
+use kernel::{BoxFuture, Clock, Drain, Registry, Service};
 use platform::{LogClient, OriginClient, VmListClient, streams};
 use protocol::{Progress, paths};
 use serde_json::json;
@@ -73,9 +73,9 @@
         WeightsService {
             settings: settings.clone(),
             cell: config.cell().clone(),
+            engine: admission.engine().clone(),
             admission,
             clock,
-            engine: Engine::new(settings.upstream, client.clone()),
             origin: OriginClient::new(platform.origin, client.clone()),
             vm_list: VmListClient::new(platform.vms, client.clone()),
             log: LogClient::new(platform.log, client.clone()),
@@ -326,6 +326,10 @@
         model: &Model,
         manifest: &Manifest,
     ) -> anyhow::Result<()> {
+        // Checked again soon.
+        if self.engine.held().is_some() {
+            return Ok(());
+        }
         let fence = self.fence().await?;
         self.admission.drain_for_switch().await;
         let order = LoadOrder {
@@ -413,8 +417,8 @@
         Ok(())
     }
 
-    fn stop(&self, _timeout: Duration) -> BoxFuture<'_, ()> {
+    fn stop(&self, _timeout: Duration) -> BoxFuture<'_, Drain> {
         self.stopping.notify(usize::MAX);
-        Box::pin(std::future::ready(()))
+        Box::pin(std::future::ready(Drain::Complete))
     }
 }
--- a/src/cmd/agent.rs
+++ b/src/cmd/agent.rs
@@ -26,6 +26,7 @@
         .map_err(UsageError::from)?;
     finish(args)?;
     let settings = AgentSettings::load(&path)?;
+    telemetry::init_decisions(&settings.node.vm)?;
     let (client, clock) = (Client::default(), Clock::default());
     let metrics = Arc::new(MetricsPage::install()?);
     let config = Arc::new(ConfigFollower::new(client.clone()));
@@ -42,7 +43,7 @@
         client.clone(),
         clock,
     ));
-    let inbound = Arc::new(Inbound::new(&settings, client, metrics));
+    let inbound = Arc::new(Inbound::new(&settings, metrics));
     let mut kernel = Kernel::default();
     kernel.add(config)?;
     // Services stop in reverse order. The HTTP interface stops after the admission
