Answer requests that are under way when a listener is closed

When the drain began, hyper closed idle connections at once, also one with the beginning of a request in its buffer or in the receive buffer; the first request of a connection that had just been accepted met a closed connection; and the close of the socket reset the connections in its backlog.

The backlog is accepted before the socket is closed. A connection on which input is unanswered, or which has served no request yet, is closed once a request has begun, or after 1 s. Answers after the close say Connection: close.

--- a/components/transport/src/close_signal.rs
+++ b/components/transport/src/close_signal.rs
@@ -15,10 +15,14 @@
         self.event.notify(usize::MAX);
     }
 
+    pub(crate) fn is_set(&self) -> bool {
+        self.is_set.load(Ordering::SeqCst)
+    }
+
     pub(crate) async fn wait(&self) {
         // Listening begins before the check, so that no signal falls between the two.
         let event = self.event.listen();
-        if !self.is_set.load(Ordering::SeqCst) {
+        if !self.is_set() {
             event.await;
         }
     }
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -18,6 +18,8 @@
 mod pool;
 mod runtime;
 mod served_connection;
+mod served_stream;
+mod socket_state;
 mod timeout;
 mod tracked_body;
 mod write_limit;
--- a/components/transport/src/listener.rs
+++ b/components/transport/src/listener.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use futures_lite::FutureExt;
+use futures_lite::future::poll_once;
 use http::{Request, Response};
 use http_body::Body;
 use hyper::body::Incoming;
@@ -87,7 +88,7 @@
                 None
             });
             match next.await {
-                None => return,
+                None => return self.serve_backlog(&socket).await,
                 Some(Ok((stream, peer))) => self.serve(stream, peer),
                 Some(Err(e)) => {
                     log::warn!("transport: accept failed: {e}");
@@ -97,8 +98,16 @@
         }
     }
 
-    /// Starts a graceful shutdown: stops accepting, closes idle connections, and
-    /// closes each other connection after its current response.
+    /// Serves the clients that are connected already: the close of the socket would reset
+    /// their connections.
+    async fn serve_backlog(&self, socket: &TcpListener) {
+        while let Some(Ok((stream, peer))) = poll_once(socket.accept()).await {
+            self.serve(stream, peer);
+        }
+    }
+
+    /// Starts a graceful shutdown: stops accepting, closes idle connections, and closes
+    /// each other connection after its current response or that to a request under way.
     pub fn close(&self) {
         self.closing.set();
     }
--- a/components/transport/src/peer_watch.rs
+++ b/components/transport/src/peer_watch.rs
@@ -1,28 +1,16 @@
-use std::io;
 use std::time::Duration;
 
 use futures_lite::FutureExt;
-use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use smol::Timer;
 use smol::net::TcpStream;
 
 use crate::in_flight::InFlight;
+use crate::socket_state::PeerState;
 
 /// Interval between checks of a connection whose next event would not be noticed: bytes
 /// that are not read yet, or the end of the input, hide a reset.
 const CHECK_INTERVAL: Duration = Duration::from_millis(40);
 
-/// What the peer has done to its connection.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum PeerState {
-    /// It may still send.
-    Open,
-    /// It has closed its sending side.
-    InputEnded,
-    /// It has reset the connection.
-    Reset,
-}
-
 /// Watches the connection of a server while a request is in flight: hyper does not read
 /// from it then.
 pub(crate) struct PeerWatch<'a> {
@@ -56,7 +44,7 @@
             if self.stream.peek(&mut [0; 1]).await.is_err() {
                 return;
             }
-            match self.peer_state() {
+            match PeerState::of(&self.stream) {
                 Ok(PeerState::Open) => {}
                 Ok(PeerState::InputEnded) => input_ended(),
                 Ok(PeerState::Reset) => return,
@@ -65,17 +53,4 @@
             Timer::after(CHECK_INTERVAL).await;
         }
     }
-
-    fn peer_state(&self) -> io::Result<PeerState> {
-        let mut fds = [PollFd::new(&self.stream, PollFlags::RDHUP)];
-        poll(&mut fds, Some(&Timespec::default()))?;
-        let events = fds[0].revents();
-        if events.intersects(PollFlags::ERR | PollFlags::HUP) {
-            return Ok(PeerState::Reset);
-        }
-        Ok(match events.contains(PollFlags::RDHUP) {
-            true => PeerState::InputEnded,
-            false => PeerState::Open,
-        })
-    }
 }
--- a/components/transport/src/served_connection.rs
+++ b/components/transport/src/served_connection.rs
@@ -1,23 +1,29 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use futures_lite::FutureExt;
-use http::Request;
+use http::{HeaderValue, Request, header};
 use hyper::body::Incoming;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
+use smol::Timer;
 use smol::net::TcpStream;
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use crate::close_signal::CloseSignal;
 use crate::in_flight::InFlight;
 use crate::peer_watch::PeerWatch;
+use crate::served_stream::{ServedStream, UnansweredInput};
+use crate::socket_state::has_unread_input;
 use crate::tracked_body::TrackedBody;
 use crate::{Handler, InputEnd, ListenerLimits};
 
 /// Shortest limit on request heads that hyper accepts, in bytes.
 const MIN_HEAD: usize = 8192;
+/// Longest wait for a request that may be under way when the listener is closed.
+const REQUEST_WAIT: Duration = Duration::from_secs(1);
 
 /// A client's connection, whose requests are passed to a handler.
 pub(crate) struct ServedConnection<H> {
@@ -60,28 +66,40 @@
         requests: &Arc<InFlight>,
         half_close: bool,
     ) -> Result<(), hyper::Error> {
+        let input = UnansweredInput::new();
         let service = service_fn(|mut request: Request<Incoming>| {
             let input_end = InputEnd::default();
             request.extensions_mut().insert(input_end.clone());
             let in_flight = requests.begin(input_end);
+            let input = input.clone();
             async move {
-                let response = self.handler.handle(request).await;
+                let mut response = self.handler.handle(request).await;
+                if self.closing.is_set() {
+                    let close = HeaderValue::from_static("close");
+                    response.headers_mut().insert(header::CONNECTION, close);
+                }
+                input.answered();
                 Ok::<_, Infallible>(response.map(|body| TrackedBody {
                     body,
                     _request: in_flight,
                 }))
             }
         });
+        let stream = ServedStream {
+            stream: self.stream.clone(),
+            input: input.clone(),
+        };
         let connection = Builder::new()
             .timer(SmolTimer::new())
             .half_close(half_close)
             .header_read_timeout(self.limits.idle_timeout)
             .max_buf_size(self.limits.head_bytes.max(MIN_HEAD))
-            .serve_connection(FuturesIo::new(self.stream.clone()), service);
+            .serve_connection(FuturesIo::new(stream), service);
         let mut connection = std::pin::pin!(connection);
         let finished = async { Some(connection.as_mut().await) }
             .or(async {
                 self.closing.wait().await;
+                self.until_closable(requests, &input).await;
                 None
             })
             .await;
@@ -93,4 +111,23 @@
             }
         }
     }
+
+    /// Waits until the connection may be closed after its current response, or at once if
+    /// no request can be under way. hyper would drop one that it has read in part.
+    async fn until_closable(&self, requests: &InFlight, input: &UnansweredInput) {
+        let unread = has_unread_input(&self.stream).unwrap_or_else(|e| {
+            log::warn!("transport: cannot check a connection: {e}");
+            false
+        });
+        if requests.current().is_some() || !(unread || input.is_set()) {
+            return;
+        }
+        let began = async {
+            requests.until_begin().await;
+        };
+        let waited = async {
+            Timer::after(REQUEST_WAIT).await;
+        };
+        began.or(waited).await;
+    }
 }
