Announce the close of callers' connections, and answer what is in flight at the end

A caller that used its connection while the process closed it sent a request into the close: 10 and 12 of some 750 requests of 24 callers that pause for 40 ms at most. And a request that needed longer than the process lived ended without a byte after 7.3 s.

In the second before the close, each answer says Connection: close, so that callers in use of their connections open another one elsewhere. When the time is up, requests in flight get their final refusals, 504 or 503, and 200 ms are left for them, of the 700 ms before SIGKILL. The line of the end says how many connections stayed open.

--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -10,7 +10,7 @@
 use http::{Response, header};
 use serde_json::json;
 use telemetry::{Outcome, decision, due, write};
-use transport::{Connection, Exchange, Pool, spawn, with_timeout};
+use transport::{CloseSignal, Connection, Exchange, Pool, spawn, with_timeout};
 
 use crate::ResponseBody;
 use crate::body_buffers::BodyBuffers;
@@ -42,6 +42,8 @@
     pub(crate) scheduler: Arc<Scheduler<P>>,
     pub(crate) connections: Pool,
     pub(crate) body_buffers: BodyBuffers,
+    /// Set when the process ends: requests in flight get their final responses.
+    pub(crate) ending: CloseSignal,
 }
 
 /// What follows an attempt.
@@ -85,12 +87,17 @@
 }
 
 impl<P: Platform> Dispatcher<P> {
-    /// Processes a request until its response or its deadline.
+    /// Processes a request until its response, its deadline, or the end of the process.
     pub async fn dispatch(self: &Arc<Self>, request: CallerRequest) -> Response<ResponseBody> {
         let request = Arc::new(request);
         let mut progress = Progress::default();
         let remaining = request.remaining(now());
-        let response = with_timeout(remaining, self.run_attempts(&request, &mut progress)).await;
+        let attempts = with_timeout(remaining, self.run_attempts(&request, &mut progress));
+        let ending = async {
+            self.ending.wait().await;
+            None
+        };
+        let response = attempts.or(ending).await;
         response.unwrap_or_else(|| {
             // The attempt in flight was cancelled when its future was dropped.
             let refusal = match progress.may_have_run {
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -11,7 +11,7 @@
 use smol::Timer;
 use smol::net::TcpListener;
 use telemetry::{Outcome, decision};
-use transport::{Listener, ListenerLimits, Pool, spawn, with_timeout};
+use transport::{CloseSignal, Listener, ListenerLimits, Pool, spawn, with_timeout};
 
 use crate::body_buffers::BodyBuffers;
 use crate::dispatcher::Dispatcher;
@@ -29,6 +29,10 @@
 /// Time until the load balancer takes an entry that is not ready out of rotation:
 /// two checks one second apart.
 const BALANCER_LAG: Duration = Duration::from_millis(2200);
+/// Time before the close of callers' connections in which their next response announces it.
+const CLOSE_NOTICE: Duration = Duration::from_secs(1);
+/// Time for the last responses, to requests that are still in flight at the end.
+const LAST_RESPONSES: Duration = Duration::from_millis(200);
 /// Time left before SIGKILL when the process ends.
 const GRACE_MARGIN: Duration = Duration::from_millis(700);
 /// Longest head of a request in bytes; the configuration allows 16 KiB.
@@ -91,6 +95,7 @@
             scheduler: scheduler.clone(),
             connections: Pool::default(),
             body_buffers: BodyBuffers::default(),
+            ending: CloseSignal::default(),
         });
         let readiness = Arc::new(Readiness::new(feed.clone()));
         let caller_limits = ListenerLimits {
@@ -173,7 +178,9 @@
         drop(prefetching);
         drop(announcing);
         let withdrawal = spawn(withdraw(feed.clone()));
-        Timer::after(BALANCER_LAG).await;
+        Timer::after(BALANCER_LAG.saturating_sub(CLOSE_NOTICE)).await;
+        caller_listener.end_keep_alive();
+        Timer::after(CLOSE_NOTICE).await;
         caller_listener.close();
         let limit = node
             .bounds
@@ -182,11 +189,15 @@
         let drained = with_timeout(limit, caller_listener.wait_closed())
             .await
             .is_some();
+        if !drained {
+            dispatcher.ending.set();
+            with_timeout(LAST_RESPONSES, caller_listener.wait_closed()).await;
+        }
         decision(
             "gateway",
             "stopped",
             Outcome::Change,
-            json!({ "drained": drained }),
+            json!({ "drained": drained, "open": caller_listener.open_connections() }),
         );
         drop(withdrawal);
         drop(tasks);
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -25,6 +25,7 @@
 mod write_limit;
 
 pub use abort_cause::AbortCause;
+pub use close_signal::CloseSignal;
 pub use connection::Connection;
 pub use error::TransportError;
 pub use exchange::{Exchange, ExchangeTimeouts, UpstreamBody, reason_of};
--- a/components/transport/src/listener.rs
+++ b/components/transport/src/listener.rs
@@ -65,6 +65,8 @@
     limits: ListenerLimits,
     open_connections: Arc<AtomicUsize>,
     closing: Arc<CloseSignal>,
+    /// Set when connections end with their next response.
+    last_responses: Arc<CloseSignal>,
 }
 
 impl<H: Handler> Listener<H> {
@@ -75,6 +77,7 @@
             limits,
             open_connections: Arc::default(),
             closing: Arc::default(),
+            last_responses: Arc::default(),
         }
     }
 
@@ -109,9 +112,16 @@
     /// Starts a graceful shutdown: stops accepting, closes idle connections, and closes
     /// each other connection after its current response or that to a request under way.
     pub fn close(&self) {
+        self.end_keep_alive();
         self.closing.set();
     }
 
+    /// Announces the close: each connection ends with its next response, so that clients in
+    /// use of theirs do not send a request while it is closed.
+    pub fn end_keep_alive(&self) {
+        self.last_responses.set();
+    }
+
     /// Number of open connections.
     pub fn open_connections(&self) -> usize {
         self.open_connections.load(Ordering::Relaxed)
@@ -140,6 +150,7 @@
             handler: self.handler.clone(),
             limits: self.limits,
             closing: self.closing.clone(),
+            last_responses: self.last_responses.clone(),
         };
         let open_connections = self.open_connections.clone();
         spawn(async move {
--- a/components/transport/src/served_connection.rs
+++ b/components/transport/src/served_connection.rs
@@ -32,6 +32,7 @@
     pub(crate) handler: Arc<H>,
     pub(crate) limits: ListenerLimits,
     pub(crate) closing: Arc<CloseSignal>,
+    pub(crate) last_responses: Arc<CloseSignal>,
 }
 
 impl<H: Handler> ServedConnection<H> {
@@ -74,7 +75,7 @@
             let input = input.clone();
             async move {
                 let mut response = self.handler.handle(request).await;
-                if self.closing.is_set() {
+                if self.last_responses.is_set() {
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(header::CONNECTION, close);
                 }
