Log answers to callers that had closed their sending side

A caller that closes its connection before the answer to a request that must not run twice is no longer told from one that only waits: its request is answered.

A refusal of a request with a body announces the close of its connection, as the rest of the body is not read.

--- a/components/gateway/src/answer_log.rs
+++ b/components/gateway/src/answer_log.rs
@@ -1,6 +1,9 @@
 use domain::{AttemptId, Moment, millis, now};
 use serde_json::json;
 use telemetry::{Outcome, decision};
+use transport::InputEnd;
+
+use crate::caller_request::CallerRequest;
 
 /// How far the answer to a request has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -16,20 +19,23 @@
 }
 
 /// Logs when the answer to a request that was read whole ends early, and which end of the
-/// caller's connection ended it.
+/// caller's connection ended it; also an answer to a caller that had closed its sending side
+/// and may have left.
 #[derive(Debug)]
 pub struct AnswerLog {
     request: AttemptId,
     arrived: Moment,
+    input_end: InputEnd,
     stage: Stage,
 }
 
 impl AnswerLog {
-    /// A log for the answer to `request`, whose head arrived at `arrived`.
-    pub fn new(request: AttemptId, arrived: Moment) -> Self {
+    /// A log for the answer to `request`.
+    pub fn new(request: &CallerRequest) -> Self {
         AnswerLog {
-            request,
-            arrived,
+            request: request.head.attempt.clone(),
+            arrived: request.arrived,
+            input_end: request.input_end.clone(),
             stage: Stage::Waiting,
         }
     }
@@ -58,9 +64,12 @@
             Stage::Waiting => ("no answer", "caller"),
             Stage::Started => ("answer cut", "caller"),
             Stage::CutByEntry => ("answer cut", "entry"),
+            Stage::Complete if self.input_end.since().is_some() => ("half-closed", "caller"),
             Stage::Complete => return,
         };
-        metrics::counter!("turmerichold_answers_cut_total", "by" => by).increment(1);
+        if self.stage != Stage::Complete {
+            metrics::counter!("turmerichold_answers_cut_total", "by" => by).increment(1);
+        }
         let fields = json!({
             "request": self.request,
             "by": by,
--- a/components/gateway/src/front.rs
+++ b/components/gateway/src/front.rs
@@ -6,7 +6,8 @@
 use bytes::Bytes;
 use dispatch::ConfigStatus;
 use domain::{Account, Dialect, FleetConfig, Platform, RequestHead, Route, ServiceId, now};
-use http::{Request, Response, request};
+use http::{HeaderValue, Request, Response, header, request};
+use http_body::Body;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use serde_json::json;
@@ -124,16 +125,23 @@
     async fn handle(&self, request: Request<Incoming>) -> Response<ResponseBody> {
         let (parts, body) = request.into_parts();
         let path = parts.uri.path().to_owned();
+        let has_body = !body.is_end_stream();
         match self.admit(parts, body).await {
             Ok(request) => {
-                let log = AnswerLog::new(request.head.attempt.clone(), request.arrived);
+                let log = AnswerLog::new(&request);
                 let response = self.dispatcher.dispatch(request).await;
                 response.map(|body| body.logged(log))
             }
             Err(refusal) => {
                 let fields = json!({ "path": path, "status": refusal.status().as_u16() });
                 decision("front", refusal.name(), Outcome::Failure, fields);
-                refusal.response(self.dispatcher.platform.dialect())
+                let mut response = refusal.response(self.dispatcher.platform.dialect());
+                if has_body {
+                    // The rest of the body is not read.
+                    let close = HeaderValue::from_static("close");
+                    response.headers_mut().insert(header::CONNECTION, close);
+                }
+                response
             }
         }
     }
