Read what a caller still sends after the last response, and refuse above the limit

A refusal before the body was read was followed by the close of the connection, which resets it when input is unread: the caller's next write failed, and the refusal may be lost. A connection above the limit was reset.

After the last response, input is read and discarded until the caller closes, for 1 s and 4 MiB at most. On up to 64 connections above the limit the request is answered 503.

--- a/components/transport/src/listener.rs
+++ b/components/transport/src/listener.rs
@@ -16,9 +16,13 @@
 use crate::connection::set_socket_options;
 use crate::served_connection::ServedConnection;
 use crate::spawn;
+use crate::surplus_connection::refuse;
 
 /// Pause after a failed accept, for example when too many files are open.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// Most connections above the limit on which requests are refused; further ones are closed
+/// at once.
+const MAX_SURPLUS: usize = 64;
 /// Interval between checks whether all connections are closed.
 const CLOSE_CHECK: Duration = Duration::from_millis(20);
 
@@ -51,7 +55,7 @@
 /// Limits on connections and request heads.
 #[derive(Debug, Clone, Copy)]
 pub struct ListenerLimits {
-    /// Most open connections; further ones are closed at once.
+    /// Most open connections; on further ones, requests are refused.
     pub connections: usize,
     /// Longest request head in bytes; values below 8192 count as 8192.
     pub head_bytes: usize,
@@ -64,6 +68,7 @@
     handler: Arc<H>,
     limits: ListenerLimits,
     open_connections: Arc<AtomicUsize>,
+    surplus_connections: Arc<AtomicUsize>,
     closing: Arc<CloseSignal>,
     /// Set when connections end with their next response.
     last_responses: Arc<CloseSignal>,
@@ -76,6 +81,7 @@
             handler,
             limits,
             open_connections: Arc::default(),
+            surplus_connections: Arc::default(),
             closing: Arc::default(),
             last_responses: Arc::default(),
         }
@@ -134,10 +140,24 @@
         }
     }
 
+    /// Refuses the request on a connection above the limit.
+    fn refuse(&self, stream: TcpStream, peer: SocketAddr) {
+        log::warn!("transport: connection from {peer} refused: too many connections");
+        let surplus = self.surplus_connections.clone();
+        if surplus.load(Ordering::Relaxed) >= MAX_SURPLUS {
+            return;
+        }
+        surplus.fetch_add(1, Ordering::Relaxed);
+        spawn(async move {
+            refuse(stream).await;
+            surplus.fetch_sub(1, Ordering::Relaxed);
+        })
+        .detach();
+    }
+
     fn serve(&self, stream: TcpStream, peer: SocketAddr) {
         if self.open_connections.load(Ordering::Relaxed) >= self.limits.connections {
-            log::warn!("transport: connection from {peer} closed: too many connections");
-            return;
+            return self.refuse(stream, peer);
         }
         if let Err(e) = set_socket_options(&stream) {
             log::debug!("transport: connection from {peer} closed: {e}");
--- a/components/transport/src/served_connection.rs
+++ b/components/transport/src/served_connection.rs
@@ -14,6 +14,7 @@
 
 use crate::close_signal::CloseSignal;
 use crate::in_flight::InFlight;
+use crate::linger::linger;
 use crate::peer_watch::PeerWatch;
 use crate::served_stream::{ServedStream, UnansweredInput};
 use crate::socket_state::has_unread_input;
@@ -25,6 +26,14 @@
 /// Longest wait for a request that may be under way when the listener is closed.
 const REQUEST_WAIT: Duration = Duration::from_secs(1);
 
+/// How a connection ended without an error.
+enum End {
+    /// After its last response, or by its client.
+    Served,
+    /// The listener was closed while no request was in flight.
+    Idle,
+}
+
 /// A client's connection, whose requests are passed to a handler.
 pub(crate) struct ServedConnection<H> {
     pub(crate) stream: TcpStream,
@@ -55,8 +64,15 @@
         };
         let handling = async { Some(self.handle_requests(&requests, half_close).await) };
         match handling.or(reset).await {
-            Some(Ok(())) => {}
-            Some(Err(e)) => self.handler.connection_failed(self.peer, &e),
+            Some(Ok(End::Served)) => linger(self.stream).await,
+            Some(Ok(End::Idle)) => {}
+            Some(Err(e)) => {
+                self.handler.connection_failed(self.peer, &e);
+                // Such a request was answered.
+                if e.is_parse() {
+                    linger(self.stream).await;
+                }
+            }
             None => log::debug!("transport: connection from {} was reset", self.peer),
         }
     }
@@ -66,7 +82,7 @@
         &self,
         requests: &Arc<InFlight>,
         half_close: bool,
-    ) -> Result<(), hyper::Error> {
+    ) -> Result<End, hyper::Error> {
         let input = UnansweredInput::new();
         let service = service_fn(|mut request: Request<Incoming>| {
             let input_end = InputEnd::default();
@@ -105,10 +121,14 @@
             })
             .await;
         match finished {
-            Some(result) => result,
+            Some(result) => result.map(|()| End::Served),
             None => {
+                let end = match requests.current() {
+                    Some(_) => End::Served,
+                    None => End::Idle,
+                };
                 connection.as_mut().graceful_shutdown();
-                connection.await
+                connection.await.map(|()| end)
             }
         }
     }
