--- a/components/gateway/src/front.rs
+++ b/components/gateway/src/front.rs
@@ -6,12 +6,13 @@
 use bytes::Bytes;
 use dispatch::ConfigStatus;
 use domain::{Account, Dialect, FleetConfig, Platform, RequestHead, Route, ServiceId, now};
-use http::{Request, Response, request};
+use http::{HeaderValue, Request, Response, header, request};
+use http_body::Body;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use serde_json::json;
 use telemetry::{Outcome, decision};
-use transport::{Handler, with_timeout};
+use transport::{Handler, InputEnd, with_timeout};
 
 use crate::answer_log::AnswerLog;
 use crate::caller_request::{CallerRequest, features, fingerprint};
@@ -61,6 +62,7 @@
             None => return Err(Refusal::OutOfTime),
         };
         let service = choose_service(&route, &head);
+        let input_end = parts.extensions.get::<InputEnd>().cloned();
         Ok(CallerRequest {
             id: self.next_id.fetch_add(1, Ordering::Relaxed),
             features: features(&head, &body),
@@ -76,6 +78,7 @@
             account,
             arrived,
             deadline,
+            input_end: input_end.unwrap_or_default(),
         })
     }
 
@@ -110,6 +113,10 @@
     type Body = ResponseBody;
     type Error = ResponseAborted;
 
+    fn serves_half_closed(&self) -> bool {
+        true
+    }
+
     fn connection_failed(&self, peer: SocketAddr, error: &hyper::Error) {
         let fields = json!({ "caller": peer, "why": transport::reason_of(error) });
         decision("front", "connection failed", Outcome::Failure, fields);
@@ -118,16 +125,23 @@
     async fn handle(&self, request: Request<Incoming>) -> Response<ResponseBody> {
         let (parts, body) = request.into_parts();
         let path = parts.uri.path().to_owned();
+        let has_body = !body.is_end_stream();
         match self.admit(parts, body).await {
             Ok(request) => {
-                let log = AnswerLog::new(request.head.attempt.clone(), request.arrived);
+                let log = AnswerLog::new(&request);
                 let response = self.dispatcher.dispatch(request).await;
                 response.map(|body| body.logged(log))
             }
             Err(refusal) => {
                 let fields = json!({ "path": path, "status": refusal.status().as_u16() });
                 decision("front", refusal.name(), Outcome::Failure, fields);
-                refusal.response(self.dispatcher.platform.dialect())
+                let mut response = refusal.response(self.dispatcher.platform.dialect());
+                if has_body {
+                    // The rest of the body is not read.
+                    let close = HeaderValue::from_static("close");
+                    response.headers_mut().insert(header::CONNECTION, close);
+                }
+                response
             }
         }
     }
--- a/components/transport/src/listener.rs
+++ b/components/transport/src/listener.rs
@@ -5,28 +5,31 @@
 use std::time::Duration;
 
 use futures_lite::FutureExt;
+use futures_lite::future::poll_once;
 use http::{Request, Response};
 use http_body::Body;
 use hyper::body::Incoming;
-use hyper::server::conn::http1::Builder;
-use hyper::service::service_fn;
 use smol::Timer;
 use smol::net::{TcpListener, TcpStream};
-use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use crate::close_signal::CloseSignal;
 use crate::connection::set_socket_options;
+use crate::served_connection::ServedConnection;
 use crate::spawn;
+use crate::surplus_connection::refuse;
 
 /// Pause after a failed accept, for example when too many files are open.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// Most connections above the limit on which requests are refused; further ones are closed
+/// at once.
+const MAX_SURPLUS: usize = 64;
 /// Interval between checks whether all connections are closed.
 const CLOSE_CHECK: Duration = Duration::from_millis(20);
 
 /// Handles the requests of one listener.
 pub trait Handler: Send + Sync + 'static {
     /// Body of the responses.
-    type Body: Body<Data = bytes::Bytes, Error = Self::Error> + Send + 'static;
+    type Body: Body<Data = bytes::Bytes, Error = Self::Error> + Send + Unpin + 'static;
     /// Error that ends a body early; the connection is then reset.
     type Error: std::error::Error + Send + Sync + 'static;
 
@@ -36,6 +39,13 @@
         request: Request<Incoming>,
     ) -> impl Future<Output = Response<Self::Body>> + Send;
 
+    /// Whether a client that has closed its sending side gets a response. The handler then
+    /// decides with [`InputEnd`] for how long it works for a client that may have left;
+    /// otherwise its request is dropped.
+    fn serves_half_closed(&self) -> bool {
+        false
+    }
+
     /// Is told of a connection that failed, also after a response was passed to it.
     fn connection_failed(&self, peer: SocketAddr, error: &hyper::Error) {
         log::debug!("transport: connection from {peer} failed: {error}");
@@ -45,7 +55,7 @@
 /// Limits on connections and request heads.
 #[derive(Debug, Clone, Copy)]
 pub struct ListenerLimits {
-    /// Most open connections; further ones are closed at once.
+    /// Most open connections; on further ones, requests are refused.
     pub connections: usize,
     /// Longest request head in bytes; values below 8192 count as 8192.
     pub head_bytes: usize,
@@ -58,7 +68,10 @@
     handler: Arc<H>,
     limits: ListenerLimits,
     open_connections: Arc<AtomicUsize>,
+    surplus_connections: Arc<AtomicUsize>,
     closing: Arc<CloseSignal>,
+    /// Set when connections end with their next response.
+    last_responses: Arc<CloseSignal>,
 }
 
 impl<H: Handler> Listener<H> {
@@ -68,7 +81,9 @@
             handler,
             limits,
             open_connections: Arc::default(),
+            surplus_connections: Arc::default(),
             closing: Arc::default(),
+            last_responses: Arc::default(),
         }
     }
 
@@ -82,7 +97,7 @@
                 None
             });
             match next.await {
-                None => return,
+                None => return self.serve_backlog(&socket).await,
                 Some(Ok((stream, peer))) => self.serve(stream, peer),
                 Some(Err(e)) => {
                     log::warn!("transport: accept failed: {e}");
@@ -92,12 +107,27 @@
         }
     }
 
-    /// Starts a graceful shutdown: stops accepting, closes idle connections, and
-    /// closes each other connection after its current response.
+    /// Serves the clients that are connected already: the close of the socket would reset
+    /// their connections.
+    async fn serve_backlog(&self, socket: &TcpListener) {
+        while let Some(Ok((stream, peer))) = poll_once(socket.accept()).await {
+            self.serve(stream, peer);
+        }
+    }
+
+    /// Starts a graceful shutdown: stops accepting, closes idle connections, and closes
+    /// each other connection after its current response or that to a request under way.
     pub fn close(&self) {
+        self.end_keep_alive();
         self.closing.set();
     }
 
+    /// Announces the close: each connection ends with its next response, so that clients in
+    /// use of theirs do not send a request while it is closed.
+    pub fn end_keep_alive(&self) {
+        self.last_responses.set();
+    }
+
     /// Number of open connections.
     pub fn open_connections(&self) -> usize {
         self.open_connections.load(Ordering::Relaxed)
@@ -110,50 +140,41 @@
         }
     }
 
+    /// Refuses the request on a connection above the limit.
+    fn refuse(&self, stream: TcpStream, peer: SocketAddr) {
+        log::warn!("transport: connection from {peer} refused: too many connections");
+        let surplus = self.surplus_connections.clone();
+        if surplus.load(Ordering::Relaxed) >= MAX_SURPLUS {
+            return;
+        }
+        surplus.fetch_add(1, Ordering::Relaxed);
+        spawn(async move {
+            refuse(stream).await;
+            surplus.fetch_sub(1, Ordering::Relaxed);
+        })
+        .detach();
+    }
+
     fn serve(&self, stream: TcpStream, peer: SocketAddr) {
         if self.open_connections.load(Ordering::Relaxed) >= self.limits.connections {
-            log::warn!("transport: connection from {peer} closed: too many connections");
-            return;
+            return self.refuse(stream, peer);
         }
         if let Err(e) = set_socket_options(&stream) {
             log::debug!("transport: connection from {peer} closed: {e}");
             return;
         }
         self.open_connections.fetch_add(1, Ordering::Relaxed);
-        let (handler, open_connections, limits) = (
-            self.handler.clone(),
-            self.open_connections.clone(),
-            self.limits,
-        );
-        let closing = self.closing.clone();
+        let connection = ServedConnection {
+            stream,
+            peer,
+            handler: self.handler.clone(),
+            limits: self.limits,
+            closing: self.closing.clone(),
+            last_responses: self.last_responses.clone(),
+        };
+        let open_connections = self.open_connections.clone();
         spawn(async move {
-            let requests = handler.clone();
-            let service = service_fn(move |request| {
-                let handler = requests.clone();
-                async move { Ok::<_, std::convert::Infallible>(handler.handle(request).await) }
-            });
-            let connection = Builder::new()
-                .timer(SmolTimer::new())
-                .header_read_timeout(limits.idle_timeout)
-                .max_buf_size(limits.head_bytes.max(8192))
-                .serve_connection(FuturesIo::new(stream), service);
-            let mut connection = std::pin::pin!(connection);
-            let finished = async { Some(connection.as_mut().await) }
-                .or(async {
-                    closing.wait().await;
-                    None
-                })
-                .await;
-            let result = match finished {
-                Some(result) => result,
-                None => {
-                    connection.as_mut().graceful_shutdown();
-                    connection.await
-                }
-            };
-            if let Err(e) = result {
-                handler.connection_failed(peer, &e);
-            }
+            connection.serve().await;
             open_connections.fetch_sub(1, Ordering::Relaxed);
         })
         .detach();
--- /dev/null
+++ b/components/transport/src/served_connection.rs
@@ -0,0 +1,154 @@
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_lite::FutureExt;
+use http::{HeaderValue, Request, header};
+use hyper::body::Incoming;
+use hyper::server::conn::http1::Builder;
+use hyper::service::service_fn;
+use smol::Timer;
+use smol::net::TcpStream;
+use smol_hyper::rt::{FuturesIo, SmolTimer};
+
+use crate::close_signal::CloseSignal;
+use crate::in_flight::InFlight;
+use crate::linger::linger;
+use crate::peer_watch::PeerWatch;
+use crate::served_stream::{ServedStream, UnansweredInput};
+use crate::socket_state::has_unread_input;
+use crate::tracked_body::TrackedBody;
+use crate::{Handler, InputEnd, ListenerLimits};
+
+/// Shortest limit on request heads that hyper accepts, in bytes.
+const MIN_HEAD: usize = 8192;
+/// Longest wait for a request that may be under way when the listener is closed.
+const REQUEST_WAIT: Duration = Duration::from_secs(1);
+
+/// How a connection ended without an error.
+enum End {
+    /// After its last response, or by its client.
+    Served,
+    /// The listener was closed while no request was in flight.
+    Idle,
+}
+
+/// A client's connection, whose requests are passed to a handler.
+pub(crate) struct ServedConnection<H> {
+    pub(crate) stream: TcpStream,
+    pub(crate) peer: SocketAddr,
+    pub(crate) handler: Arc<H>,
+    pub(crate) limits: ListenerLimits,
+    pub(crate) closing: Arc<CloseSignal>,
+    pub(crate) last_responses: Arc<CloseSignal>,
+}
+
+impl<H: Handler> ServedConnection<H> {
+    /// Serves requests until the connection ends, or the listener is closed and no request
+    /// is in flight.
+    pub(crate) async fn serve(self) {
+        let requests = Arc::new(InFlight::default());
+        let half_close = self.handler.serves_half_closed();
+        let watch = PeerWatch {
+            stream: self.stream.clone(),
+            requests: &requests,
+        };
+        let reset = async {
+            match half_close {
+                true => watch.until_reset().await,
+                // hyper notices it.
+                false => std::future::pending().await,
+            }
+            None
+        };
+        let handling = async { Some(self.handle_requests(&requests, half_close).await) };
+        match handling.or(reset).await {
+            Some(Ok(End::Served)) => linger(self.stream).await,
+            Some(Ok(End::Idle)) => {}
+            Some(Err(e)) => {
+                self.handler.connection_failed(self.peer, &e);
+                // Such a request was answered.
+                if e.is_parse() {
+                    linger(self.stream).await;
+                }
+            }
+            None => log::debug!("transport: connection from {} was reset", self.peer),
+        }
+    }
+
+    /// Lets hyper serve the connection until its end.
+    async fn handle_requests(
+        &self,
+        requests: &Arc<InFlight>,
+        half_close: bool,
+    ) -> Result<End, hyper::Error> {
+        let input = UnansweredInput::new();
+        let service = service_fn(|mut request: Request<Incoming>| {
+            let input_end = InputEnd::default();
+            request.extensions_mut().insert(input_end.clone());
+            let in_flight = requests.begin(input_end);
+            let input = input.clone();
+            async move {
+                let mut response = self.handler.handle(request).await;
+                if self.last_responses.is_set() {
+                    let close = HeaderValue::from_static("close");
+                    response.headers_mut().insert(header::CONNECTION, close);
+                }
+                input.answered();
+                Ok::<_, Infallible>(response.map(|body| TrackedBody {
+                    body,
+                    _request: in_flight,
+                }))
+            }
+        });
+        let stream = ServedStream {
+            stream: self.stream.clone(),
+            input: input.clone(),
+        };
+        let connection = Builder::new()
+            .timer(SmolTimer::new())
+            .half_close(half_close)
+            .header_read_timeout(self.limits.idle_timeout)
+            .max_buf_size(self.limits.head_bytes.max(MIN_HEAD))
+            .serve_connection(FuturesIo::new(stream), service);
+        let mut connection = std::pin::pin!(connection);
+        let finished = async { Some(connection.as_mut().await) }
+            .or(async {
+                self.closing.wait().await;
+                self.until_closable(requests, &input).await;
+                None
+            })
+            .await;
+        match finished {
+            Some(result) => result.map(|()| End::Served),
+            None => {
+                let end = match requests.current() {
+                    Some(_) => End::Served,
+                    None => End::Idle,
+                };
+                connection.as_mut().graceful_shutdown();
+                connection.await.map(|()| end)
+            }
+        }
+    }
+
+    /// Waits until the connection may be closed after its current response, or at once if
+    /// no request can be under way. hyper would drop one that it has read in part.
+    async fn until_closable(&self, requests: &InFlight, input: &UnansweredInput) {
+        let unread = has_unread_input(&self.stream).unwrap_or_else(|e| {
+            log::warn!("transport: cannot check a connection: {e}");
+            false
+        });
+        if requests.current().is_some() || !(unread || input.is_set()) {
+            return;
+        }
+        let began = async {
+            requests.until_begin().await;
+        };
+        let waited = async {
+            Timer::after(REQUEST_WAIT).await;
+        };
+        began.or(waited).await;
+    }
+}
