Send nothing to an upstream that announces its end

What callers and upstreams saw: an upstream that had said in an answer that it leaves got requests as before, until the store listed it as draining or gone; not at all while the store was down.

Cause: no header of an answer was read for it.

Fix: each start of an upstream has a gate, which its leases, retries, resumed streams and connections share. An announcement in any answer from that start closes it for good, also in refusals and in answers that are invalid otherwise. The gate is checked when an upstream is chosen, before the connection opens and when the first byte is written; what was not written goes elsewhere. Gates are kept by start, in bounded memory, so they outlive the record; a new start has its own. Requests that only such upstreams could serve leave the queue at once with a refusal. The other entries learn of it by a notice, repeated for 1 s and then once a second; older processes skip the kind they do not know.

Without the check at the write, transport's new test waits for an answer to a request that should not have been written.

--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Each type takes the current moment and an event and returns what to do next.
 
+mod acceptance;
 mod config_freshness;
 mod connection_budget;
 mod crash_evidence;
@@ -22,6 +23,7 @@
 mod rate_share;
 mod request_queue;
 mod retry_budget;
+mod send_gates;
 mod service_scheduler;
 mod swarm;
 mod switch_plan;
@@ -30,6 +32,7 @@
 mod window_budget;
 mod write_time;
 
+pub use acceptance::Acceptance;
 pub use config_freshness::{ConfigFreshness, ConfigStatus, ReadTiming};
 pub use connection_budget::ConnectionBudget;
 pub use crash_watch::{ConnectionEnd, CrashWatch, NextCheck, Verdict};
@@ -49,6 +52,7 @@
 pub use rate_share::RateShare;
 pub use request_queue::{EnqueueResult, QueueLimits, QueuedRequest, RequestQueue};
 pub use retry_budget::RetryBudget;
+pub use send_gates::SendGates;
 pub use service_scheduler::{
     Assignment, IncomingRequest, NO_MATCH_RETRY, Placement, ServiceScheduler,
 };
--- a/components/dispatch/src/pooled_upstream.rs
+++ b/components/dispatch/src/pooled_upstream.rs
@@ -1,7 +1,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use domain::{HeldModel, Moment, Upstream, UpstreamState};
+use domain::{HeldModel, Moment, SendGate, Upstream, UpstreamState};
 
 use crate::{LimitStatement, Ownership, RateLimit};
 
@@ -60,6 +60,8 @@
     pub failure_rate: f64,
     /// Limit on the requests of all entries that it names, if any.
     pub rate_limit: Option<RateLimit>,
+    /// Whether it accepts requests, by its own statements.
+    pub gate: SendGate,
     /// When its agent last sent a notice.
     noticed_at: Option<Moment>,
     paused_until: Moment,
@@ -84,6 +86,7 @@
             closes_at: None,
             failure_rate: 0.0,
             rate_limit: None,
+            gate: SendGate::default(),
             noticed_at: None,
             paused_until: Duration::ZERO,
             failure_pause: FIRST_PAUSE,
@@ -140,7 +143,8 @@
     /// Whether it takes new requests now.
     pub fn is_open(&self, now: Moment) -> bool {
         let switching = self.switching && !self.is_agent_silent(now);
-        self.upstream.state == UpstreamState::Ready && !switching && self.paused_until <= now
+        let ready = self.upstream.state == UpstreamState::Ready && self.gate.is_open(now);
+        ready && !switching && self.paused_until <= now
     }
 
     /// Whether a request that ends at `end` is done when the upstream closes.
--- a/components/dispatch/src/service_scheduler.rs
+++ b/components/dispatch/src/service_scheduler.rs
@@ -2,7 +2,9 @@
 
 use domain::{Moment, UpstreamId, WeightVersion};
 
-use crate::{Choice, EnqueueResult, QueuedRequest, RequestQueue, Requirements, UpstreamPool};
+use crate::{
+    Acceptance, Choice, EnqueueResult, QueuedRequest, RequestQueue, Requirements, UpstreamPool,
+};
 
 /// Longest wait of a late request, one that can no longer be on time.
 const LATE_WAIT: Duration = Duration::from_millis(500);
@@ -110,7 +112,7 @@
         needs.due = on_time.then_some(due);
         let served = on_time || !self.has_shortage(now);
         if self.queue.is_empty() && served {
-            match self.upstreams.choose(now, &needs, evacuated) {
+            match self.upstreams.choose(now, &needs, &evacuated) {
                 Choice::Send(upstream) => {
                     self.queue.record_start(now);
                     return Placement::Assigned(self.assign(now, id, upstream, needs));
@@ -120,13 +122,18 @@
             }
         }
         let time_left = deadline.saturating_sub(now);
+        let start_by = match on_time {
+            true => start_by,
+            false => now + LATE_WAIT.min(time_left / LATE_DIVISOR),
+        };
+        let acceptance = self.upstreams.acceptance(now, &needs, &evacuated);
+        if !accepts_by(acceptance, start_by) {
+            return Placement::Refused(NO_MATCH_RETRY);
+        }
         let queued = QueuedRequest {
             id,
             priority,
-            start_by: match on_time {
-                true => start_by,
-                false => now + LATE_WAIT.min(time_left / LATE_DIVISOR),
-            },
+            start_by,
             on_time,
             needs,
         };
@@ -175,7 +182,7 @@
     }
 
     /// Removes the requests that no upstream may serve any longer, as a newer version
-    /// has come into force; returns their ids.
+    /// has come into force, or that none accepts in time; returns their ids.
     pub fn remove_unmatched(
         &mut self,
         now: Moment,
@@ -184,9 +191,10 @@
     ) -> Vec<u64> {
         let mut unmatched = Vec::new();
         for queued in self.queue.iter_mut() {
-            if queued.needs.raise_version(&in_force)
-                && self.upstreams.choose(now, &queued.needs, &evacuated) == Choice::NoMatch
-            {
+            let raised = queued.needs.raise_version(&in_force);
+            let acceptance = self.upstreams.acceptance(now, &queued.needs, &evacuated);
+            let is_unmatched = raised && acceptance == Acceptance::NoMatch;
+            if is_unmatched || !accepts_by(acceptance, queued.start_by) {
                 unmatched.push(queued.id);
             }
         }
@@ -232,3 +240,13 @@
         }
     }
 }
+
+/// Whether upstreams accept a request by `start_by`. One that meets its requirements may
+/// still be listed.
+fn accepts_by(acceptance: Acceptance, start_by: Moment) -> bool {
+    match acceptance {
+        Acceptance::Now | Acceptance::NoMatch => true,
+        Acceptance::From(at) => at <= start_by,
+        Acceptance::Never => false,
+    }
+}
--- a/components/dispatch/src/upstream_pool.rs
+++ b/components/dispatch/src/upstream_pool.rs
@@ -2,12 +2,13 @@
 use std::time::Duration;
 
 use domain::{
-    FailureDomainId, ModelId, Moment, RegionId, ServiceId, Upstream, UpstreamId, WeightVersion,
+    FailureDomainId, GateStatus, ModelId, Moment, RegionId, ServiceId, Upstream, UpstreamId,
+    WeightVersion,
 };
 
 use crate::{
-    ConnectionBudget, LatencyModel, Ownership, PooledUpstream, UpstreamLoad, UpstreamOwners,
-    WindowBudget,
+    Acceptance, ConnectionBudget, LatencyModel, Ownership, PooledUpstream, UpstreamLoad,
+    UpstreamOwners, WindowBudget,
 };
 
 /// Penalty of an upstream in another region, as a fraction of its slots. Links
@@ -217,6 +218,32 @@
         self.best(now, needs, &evacuated, self.upstreams.iter())
     }
 
+    /// When the upstreams that meet the requirements accept a request. `evacuated` returns
+    /// whether a failure domain is out of service.
+    pub fn acceptance(
+        &self,
+        now: Moment,
+        needs: &Requirements,
+        evacuated: impl Fn(&str) -> bool,
+    ) -> Acceptance {
+        let mut acceptance = Acceptance::NoMatch;
+        for pooled in &self.upstreams {
+            if evacuated(&pooled.upstream.failure_domain) || !self.meets_needs(pooled, needs) {
+                continue;
+            }
+            acceptance = match (pooled.gate.status(now), acceptance) {
+                (GateStatus::Open, _) => return Acceptance::Now,
+                (GateStatus::ClosedUntil(at), Acceptance::From(first)) => {
+                    Acceptance::From(at.min(first))
+                }
+                (GateStatus::ClosedUntil(at), _) => Acceptance::From(at),
+                (GateStatus::Closed, Acceptance::NoMatch) => Acceptance::Never,
+                (GateStatus::Closed, known) => known,
+            };
+        }
+        acceptance
+    }
+
     fn best<'a>(
         &self,
         now: Moment,
@@ -230,6 +257,9 @@
             if evacuated(&pooled.upstream.failure_domain) || !self.meets_needs(pooled, needs) {
                 continue;
             }
+            if pooled.gate.is_closed() {
+                continue;
+            }
             matched = true;
             if let Some(score) = self.score_in_time(now, pooled, needs)
                 && best.is_none_or(|(lowest, _)| score < lowest)
--- a/components/dispatch/tests/service_scheduler.rs
+++ b/components/dispatch/tests/service_scheduler.rs
@@ -65,3 +65,16 @@
     assert_eq!(unmatched, [1]);
     assert!(scheduler.queue.is_empty());
 }
+
+/// A request whose only upstream had announced its end waited until it was too late.
+#[test]
+fn queued_request_waits_for_an_upstream_that_leaves() {
+    let mut scheduler = scheduler_with_queued_request(1);
+    scheduler.upstreams.get_mut("u").unwrap().gate.close();
+
+    let assigned = scheduler.assign_queued(start() + ms(50), |_| Some(1), |_| false);
+    let unmatched = scheduler.remove_unmatched(start() + ms(50), |_| Some(1), |_| false);
+
+    assert!(assigned.is_empty());
+    assert_eq!(unmatched, [1]);
+}
--- a/components/domain/src/lib.rs
+++ b/components/domain/src/lib.rs
@@ -8,6 +8,7 @@
 mod platform;
 mod record_store;
 mod route;
+mod send_gate;
 mod service_spec;
 mod settings;
 mod upstream;
@@ -23,6 +24,7 @@
 };
 pub use record_store::{ReadOutcome, Record, RecordBatch, RecordStore, StoreError};
 pub use route::{RequestKind, Route};
+pub use send_gate::{GateStatus, SendGate};
 pub use service_spec::{EngineSpec, PieceSpec, ServiceSpec};
 pub use settings::{AgentSettings, Bounds, EntrySettings, NodeSettings};
 pub use upstream::{EngineStatus, HeldModel, Upstream, UpstreamState};
--- a/components/domain/src/message_head.rs
+++ b/components/domain/src/message_head.rs
@@ -78,6 +78,8 @@
     pub keep_alive: Option<Duration>,
     /// Requests a second that the upstream accepts from all entries together.
     pub rate_limit: StatedLimit,
+    /// The upstream is about to end and accepts no further requests.
+    pub leaving: bool,
     /// The body has a content encoding, although callers request none.
     pub encoded: bool,
 }
--- a/components/feed/src/notice.rs
+++ b/components/feed/src/notice.rs
@@ -11,6 +11,8 @@
     Crashes(EvidenceReport),
     /// From an entry to the other entries: limits that upstreams stated to it.
     Limits(Vec<LimitNotice>),
+    /// From an entry or an agent to the entries: upstreams that stated that they leave.
+    Leaving(Vec<StartId>),
     /// From an agent to the entries: the state of its engine.
     Engine(EngineNotice),
     /// From an agent to its peers: the pieces that it holds.
--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -219,6 +219,11 @@
                 self.scheduler.with_upstream(lease, |u| u.record_full(now));
                 progress.attempts -= 1;
             }
+            NotRun::Closed => {
+                // It may accept the request while there is still time.
+                progress.tried.pop();
+                progress.attempts -= 1;
+            }
             NotRun::Refused => {
                 self.scheduler.with_upstream(lease, |u| u.record_full(now));
             }
@@ -392,6 +397,7 @@
                     self.scheduler
                         .connection_refused(start_id(&lease), &lease.target.id);
                 }
+                SendOutcome::NotRun(NotRun::Closed) => {}
                 SendOutcome::NotRun(_) => {
                     self.scheduler
                         .with_upstream(&lease, |u| u.record_full(now()));
@@ -506,7 +512,7 @@
             };
             let shortage = progress.shortage.map(|s| {
                 json!({
-                    "waiting": s.waiting, "listed": s.listed, "open": s.open,
+                    "waiting": s.waiting, "listed": s.listed, "closed": s.closed, "open": s.open,
                     "in_flight": s.load.0, "slots": s.load.1, "weights": s.min_weight_version,
                 })
             });
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -253,6 +253,9 @@
         if !limits.is_empty() {
             notice_socket.send(&Notice::Limits(limits), &to).await;
         }
+        if let Some(starts) = scheduler.leaving_report() {
+            notice_socket.send(&Notice::Leaving(starts), &to).await;
+        }
         if let Some(report) = scheduler.crash_report() {
             notice_socket.send(&Notice::Crashes(report), &to).await;
         }
@@ -270,6 +273,7 @@
             Notice::Entry(notice) => scheduler.apply_entry_notice(notice),
             Notice::Crashes(report) => scheduler.apply_crash_report(report),
             Notice::Limits(limits) => scheduler.apply_limits(limits),
+            Notice::Leaving(starts) => scheduler.apply_leaving(&starts),
             Notice::Engine(notice) => scheduler.apply_engine_notice(notice),
             Notice::Pieces(notice) => piece_peers.record_notice(notice),
         }
--- a/components/gateway/src/lease.rs
+++ b/components/gateway/src/lease.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use domain::{Platform, ServiceId, Target, WeightVersion};
+use domain::{Platform, SendGate, ServiceId, Target, WeightVersion};
 
 use crate::scheduler::Scheduler;
 
@@ -16,6 +16,8 @@
     /// Start time of the upstream; distinguishes it from an earlier process with the
     /// same id.
     pub started_ms: u64,
+    /// Whether the upstream accepts requests, by its own statements.
+    pub gate: SendGate,
     /// Weight version of the upstream, which it must still have when it begins;
     /// `None` if any version will do.
     pub weight_version: Option<WeightVersion>,
--- /dev/null
+++ b/components/gateway/src/scheduler/gates.rs
@@ -0,0 +1,73 @@
+use std::time::Duration;
+
+use dispatch::StartId;
+use domain::{Platform, ResponseHead, now};
+use serde_json::json;
+use telemetry::{Outcome, decision};
+
+use super::Scheduler;
+use super::crashes::upstream_start;
+use super::state::SchedulerState;
+use crate::lease::Lease;
+
+/// Time for which a change is repeated in each round of notices, since datagrams may be
+/// lost.
+const REPEAT_TIME: Duration = Duration::from_secs(1);
+/// Interval between reports afterwards, from which new entries learn.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// Most upstreams in a notice to the other entries.
+const MAX_STARTS: usize = 1024;
+
+/// Statements of upstreams on whether they accept requests.
+impl<P: Platform> Scheduler<P> {
+    /// Records what a response of the leased upstream states.
+    pub fn record_statements(&self, lease: &Lease<P>, head: &ResponseHead) {
+        if head.leaving && lease.gate.close() {
+            let mut state = self.lock();
+            log_leaving(&lease.target.id, "response");
+            state.leaving_changed();
+        }
+    }
+
+    /// Starts of listed upstreams that are leaving, if the other entries have to learn of
+    /// them in this round of notices.
+    pub fn leaving_report(&self) -> Option<Vec<StartId>> {
+        let now = now();
+        let mut state = self.lock();
+        let changed = now.saturating_sub(state.leaving_changed) < REPEAT_TIME;
+        if !changed && now.saturating_sub(state.leaving_reported) < REPORT_INTERVAL {
+            return None;
+        }
+        state.leaving_reported = now;
+        let pools = state.services.values().map(|s| &s.scheduler.upstreams);
+        let leaving = pools.flat_map(|p| p.iter().filter(|u| u.gate.is_closed()));
+        let starts = leaving.map(|u| upstream_start(u.tag, u.upstream.started_ms));
+        let starts: Vec<StartId> = starts.take(MAX_STARTS).collect();
+        (!starts.is_empty()).then_some(starts)
+    }
+
+    /// Applies the report of another process on upstreams that are leaving. They may be
+    /// listed later.
+    pub fn apply_leaving(&self, starts: &[StartId]) {
+        let mut state = self.lock();
+        for start in starts.iter().take(MAX_STARTS) {
+            if state.gates.gate(now(), *start).close() {
+                log_leaving(&format!("{start:x}"), "notice");
+                state.leaving_changed();
+            }
+        }
+    }
+}
+
+impl<P: Platform> SchedulerState<P> {
+    /// Records that an upstream has become known to be leaving.
+    fn leaving_changed(&mut self) {
+        self.leaving_changed = now();
+        self.owners_stale = true;
+    }
+}
+
+fn log_leaving(upstream: &str, source: &'static str) {
+    let fields = json!({ "upstream": upstream, "source": source });
+    decision("desk", "upstream leaving", Outcome::Change, fields);
+}
--- a/components/gateway/src/scheduler/mod.rs
+++ b/components/gateway/src/scheduler/mod.rs
@@ -1,4 +1,5 @@
 mod crashes;
+mod gates;
 mod limits;
 mod notices;
 mod state;
@@ -11,10 +12,12 @@
 use async_channel::{Receiver, bounded};
 use dispatch::{
     Assignment, ConnectionBudget, CrashWatch, Demand, FirstAttemptEstimator, FleetView,
-    IncomingRequest, LatencyModel, NO_MATCH_RETRY, Ownership, Placement, Requirements, ViewChange,
-    WindowBudget,
+    IncomingRequest, LatencyModel, NO_MATCH_RETRY, Ownership, Placement, Requirements, SendGates,
+    ViewChange, WindowBudget,
+};
+use domain::{
+    Moment, NodeSettings, Platform, SendGate, ServiceId, Target, UpstreamId, WeightVersion, now,
 };
-use domain::{Moment, NodeSettings, Platform, ServiceId, Target, UpstreamId, WeightVersion, now};
 use feed::{Feed, Member};
 use transport::{MAX_IDLE, Pool};
 
@@ -23,6 +26,7 @@
 use crate::lease::Lease;
 use crate::shortage::Shortage;
 pub use crashes::start_id;
+use crashes::upstream_start;
 use state::{SchedulerState, ServiceState};
 
 /// Time before the deadline of a new weight version from which upstreams with
@@ -68,6 +72,9 @@
                 announced: Vec::new(),
                 entry_count: None,
                 shares_stale: false,
+                gates: SendGates::default(),
+                leaving_changed: Moment::ZERO,
+                leaving_reported: Moment::ZERO,
             }),
         }
     }
@@ -106,7 +113,11 @@
         });
         let budget = self.connection_budget(&upstream.service);
         let region = self.node.region_of(&upstream.failure_domain).to_owned();
+        let (now, tag) = (now(), tag_of(id));
         let mut state = self.lock();
+        let gate = state
+            .gates
+            .gate(now, upstream_start(tag, upstream.started_ms));
         let service = state.service(&upstream.service, &self.node);
         service.scheduler.upstreams.set_cold_budget(cold_budget);
         service.scheduler.upstreams.set_connection_budget(budget);
@@ -117,7 +128,10 @@
         service
             .scheduler
             .upstreams
-            .upsert(now(), &upstream, &region, tag_of(id));
+            .upsert(now, &upstream, &region, tag);
+        if let Some(pooled) = service.scheduler.upstreams.get_mut(id) {
+            pooled.gate = gate;
+        }
         state.update_peer_loads();
     }
 
@@ -185,9 +199,12 @@
             } else {
                 Ownership::Foreign
             };
-            budget.idle(ownership, u.upstream.slots)
+            match u.gate.is_closed() {
+                true => 0,
+                false => budget.idle(ownership, u.upstream.slots),
+            }
         });
-        // Nothing is kept to an upstream that has been removed or has restarted.
+        // Nothing is kept to an upstream that has been removed, has restarted or leaves.
         share.unwrap_or(0).min(MAX_IDLE)
     }
 
@@ -336,6 +353,7 @@
             },
             tag: 0,
             started_ms: 0,
+            gate: SendGate::default(),
             weight_version: None,
             begin_by: None,
             prefill_tokens: needs.prompt_tokens,
@@ -346,6 +364,7 @@
             lease.target.addr = upstream.upstream.addr;
             lease.tag = upstream.tag;
             lease.started_ms = upstream.upstream.started_ms;
+            lease.gate = upstream.gate.clone();
             let mut models = upstream.upstream.models.iter();
             let held = models.find(|h| Some(&h.model) == needs.model.as_ref());
             if let Some(held) = held {
@@ -442,7 +461,9 @@
             return shortage;
         };
         shortage.waiting = service.scheduler.queue.len();
-        shortage.listed = service.scheduler.upstreams.iter().count();
+        let upstreams = &service.scheduler.upstreams;
+        shortage.listed = upstreams.iter().count();
+        shortage.closed = upstreams.iter().filter(|u| !u.gate.is_open(now)).count();
         for upstream in service
             .scheduler
             .upstreams
--- a/components/gateway/src/scheduler/state.rs
+++ b/components/gateway/src/scheduler/state.rs
@@ -4,7 +4,8 @@
 use async_channel::Sender;
 use dispatch::{
     ConnectionBudget, CrashWatch, Demand, EntryDemand, Feature, FirstAttemptEstimator, QueueLimits,
-    RequestQueue, RetryBudget, ServiceScheduler, UpstreamLoad, UpstreamOwners, UpstreamPool,
+    RequestQueue, RetryBudget, SendGates, ServiceScheduler, UpstreamLoad, UpstreamOwners,
+    UpstreamPool,
 };
 use domain::{FailureDomainId, Moment, NodeSettings, Platform, RegionId, ServiceId, VmId};
 use serde_json::json;
@@ -60,6 +61,11 @@
     pub(super) owners_stale: bool,
     /// Entries or limits have changed since limits were last shared out.
     pub(super) shares_stale: bool,
+    /// Gates of all starts of upstreams.
+    pub(super) gates: SendGates,
+    /// When an upstream was last found to be leaving; the others have to learn of it.
+    pub(super) leaving_changed: Moment,
+    pub(super) leaving_reported: Moment,
 }
 
 impl<P: Platform> SchedulerState<P> {
@@ -163,7 +169,7 @@
             let pool = &mut service.scheduler.upstreams;
             let usable = pool
                 .iter()
-                .filter(|u| !evacuated(&u.upstream.failure_domain));
+                .filter(|u| !evacuated(&u.upstream.failure_domain) && !u.gate.is_closed());
             let upstreams: Vec<(u32, RegionId)> =
                 usable.map(|u| (u.tag, u.region.clone())).collect();
             pool.set_owners(&UpstreamOwners::new(&entries, &upstreams), &node.vm);
--- a/components/gateway/src/send.rs
+++ b/components/gateway/src/send.rs
@@ -6,7 +6,7 @@
 use http_body_util::Full;
 use serde_json::json;
 use telemetry::{Outcome, decision};
-use transport::{Connection, Exchange, ExchangeTimeouts, Pool, TransportError};
+use transport::{Connection, Exchange, ExchangeTimeouts, Pool, TransportError, WriteTerms};
 
 use crate::caller_request::CallerRequest;
 use crate::failed_exchange::FailedExchange;
@@ -65,6 +65,8 @@
     Late,
     /// The weights of the upstream would be too old when it begins.
     Outdated,
+    /// The upstream stated that it accepts no requests.
+    Closed,
 }
 
 /// Sends a request to the leased upstream; `resume` is the id of the event after
@@ -81,6 +83,9 @@
     if remaining < MIN_REMAINING {
         return SendOutcome::NotRun(NotRun::Late);
     }
+    if !lease.gate.is_open(now()) {
+        return SendOutcome::NotRun(NotRun::Closed);
+    }
     // A request that must not run twice gets a new connection: on a stale one its
     // outcome would be unknown.
     let idle = match retryable {
@@ -128,8 +133,11 @@
     // The clock is read before the remaining time, so that a pause between them only
     // shortens it.
     let clock = Instant::now();
-    let latest = clock + write_by.saturating_sub(now());
-    match Exchange::begin_by(connection, outbound, timeouts, latest).await {
+    let terms = WriteTerms {
+        latest: Some(clock + write_by.saturating_sub(now())),
+        gate: Some(lease.gate.clone()),
+    };
+    match Exchange::begin_by(connection, outbound, timeouts, terms).await {
         Ok(exchange) => classify(platform, request, lease, exchange, reused)
             .unwrap_or_else(|why| SendOutcome::Unknown(FailedExchange::invalid(reused, why))),
         Err(TransportError::Timeout { .. }) if request.remaining(now()) < MIN_REMAINING => {
@@ -143,7 +151,10 @@
         }
         Err(e) if e.is_unsent() => {
             log::debug!("gateway: {e}");
-            SendOutcome::NotRun(NotRun::Unsent)
+            SendOutcome::NotRun(match lease.gate.is_open(now()) {
+                true => NotRun::Unsent,
+                false => NotRun::Closed,
+            })
         }
         Err(e) => SendOutcome::Unknown(FailedExchange::new(&e, reused)),
     }
@@ -212,6 +223,14 @@
 ) -> Result<SendOutcome, String> {
     let response_head = platform.dialect().response_head(&exchange.head);
     let status = exchange.head.status;
+    // A 421 may come from another upstream at the same address.
+    let is_target = match &response_head.upstream {
+        Some(upstream) => *upstream == lease.target.id,
+        None => status != 421,
+    };
+    if is_target {
+        lease.scheduler.record_statements(lease, &response_head);
+    }
     let same_attempt = response_head
         .attempt
         .as_ref()
--- a/components/gateway/src/shortage.rs
+++ b/components/gateway/src/shortage.rs
@@ -11,6 +11,8 @@
     pub waiting: usize,
     /// Listed upstreams of the service.
     pub listed: usize,
+    /// Those of them that stated that they accept no requests.
+    pub closed: usize,
     /// Upstreams that accepted requests.
     pub open: usize,
     /// Requests of all entries in flight at the open upstreams, and their slots.
--- a/components/transport/src/exchange.rs
+++ b/components/transport/src/exchange.rs
@@ -6,7 +6,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 
-use crate::{AbortCause, Connection, Pool, TransportError, with_timeout};
+use crate::{AbortCause, Connection, Pool, TransportError, WriteTerms, with_timeout};
 
 /// Timeouts of an exchange.
 #[derive(Debug, Clone, Copy)]
@@ -32,29 +32,29 @@
         request: Request<Full<Bytes>>,
         timeouts: ExchangeTimeouts,
     ) -> Result<Self, TransportError> {
-        Exchange::start(connection, request, timeouts, None).await
+        Exchange::start(connection, request, timeouts, WriteTerms::default()).await
     }
 
-    /// The same for a request that is written by `latest` or not at all. A request of
-    /// which only a part was written by then stays incomplete.
+    /// The same for a request that is written under `terms` or not at all. A request of
+    /// which only a part was written by the latest moment stays incomplete.
     pub async fn begin_by(
         connection: Connection,
         request: Request<Full<Bytes>>,
         timeouts: ExchangeTimeouts,
-        latest: Instant,
+        terms: impl Into<WriteTerms>,
     ) -> Result<Self, TransportError> {
-        Exchange::start(connection, request, timeouts, Some(latest)).await
+        Exchange::start(connection, request, timeouts, terms.into()).await
     }
 
     async fn start(
         mut connection: Connection,
         request: Request<Full<Bytes>>,
         timeouts: ExchangeTimeouts,
-        latest: Option<Instant>,
+        terms: WriteTerms,
     ) -> Result<Self, TransportError> {
         let addr = connection.addr;
         connection.allowance.renew();
-        connection.write_limit.start(latest);
+        connection.write_limit.start(terms);
         let response = with_timeout(timeouts.head, connection.sender.try_send_request(request))
             .await
             .ok_or_else(|| no_head(&connection, timeouts.head))?
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -16,6 +16,7 @@
 mod runtime;
 mod timeout;
 mod write_limit;
+mod write_terms;
 
 pub use abort_cause::AbortCause;
 pub use connection::Connection;
@@ -26,3 +27,4 @@
 pub use pool::{MAX_IDLE, Pool};
 pub use runtime::{block_on, spawn};
 pub use timeout::with_timeout;
+pub use write_terms::WriteTerms;
--- a/components/transport/src/write_limit.rs
+++ b/components/transport/src/write_limit.rs
@@ -2,33 +2,44 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
-/// Latest moment for writing to a connection, which each request sets anew.
+use crate::WriteTerms;
+
+/// Terms for writing to a connection, which each request sets anew.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct WriteLimit(Arc<Mutex<State>>);
 
 #[derive(Debug, Default)]
 struct State {
-    latest: Option<Instant>,
+    terms: WriteTerms,
     /// Bytes of the request that were written.
     written: usize,
 }
 
 impl WriteLimit {
-    /// Starts a request that is written by `latest` or not at all.
-    pub(crate) fn start(&self, latest: Option<Instant>) {
-        *self.lock() = State { latest, written: 0 };
+    /// Starts a request that is written under these terms or not at all.
+    pub(crate) fn start(&self, terms: WriteTerms) {
+        *self.lock() = State { terms, written: 0 };
     }
 
-    /// Fails after the latest moment. It is checked before each write: between the start
+    /// Fails if the terms do not hold. It is checked before each write: between the start
     /// of a request and the write the process may have stood still.
     pub(crate) fn check(&self) -> io::Result<()> {
-        match self.lock().latest {
-            Some(latest) if Instant::now() > latest => Err(io::Error::new(
+        let state = self.lock();
+        let State { terms, written } = &*state;
+        if terms.latest.is_some_and(|latest| Instant::now() > latest) {
+            return Err(io::Error::new(
                 io::ErrorKind::TimedOut,
                 "the request is too late to be written",
-            )),
-            _ => Ok(()),
+            ));
+        }
+        let gate = terms.gate.as_ref().filter(|_| *written == 0);
+        if gate.is_some_and(|g| !g.is_open(domain::now())) {
+            return Err(io::Error::new(
+                io::ErrorKind::ConnectionRefused,
+                "the peer accepts no further requests",
+            ));
         }
+        Ok(())
     }
 
     pub(crate) fn record(&self, bytes: usize) {
--- a/components/transport/tests/late_writes.rs
+++ b/components/transport/tests/late_writes.rs
@@ -7,10 +7,11 @@
 
 use async_channel::{Receiver, bounded};
 use bytes::Bytes;
+use domain::SendGate;
 use futures_lite::future::poll_once;
 use http::Request;
 use http_body_util::Full;
-use transport::{Connection, Exchange, ExchangeTimeouts, TransportError, block_on};
+use transport::{Connection, Exchange, ExchangeTimeouts, TransportError, WriteTerms, block_on};
 
 /// Timeout of each step.
 const LIMIT: Duration = Duration::from_secs(5);
@@ -104,3 +105,34 @@
     assert!(!error.is_unsent(), "{error}");
     assert!(received < LONG_BODY, "{received} bytes arrived");
 }
+
+/// A request whose peer had closed its gate after the decision to send it was written.
+#[test]
+fn request_passes_a_gate_that_closes_before_the_write() {
+    let _alone = ALONE.lock();
+    let (start, started) = bounded(1);
+    let (addr, received) = server(started);
+    start.send_blocking(()).unwrap();
+    let gate = SendGate::default();
+
+    let (error, received) = block_on(async {
+        let connection = Connection::open(addr, LIMIT).await.unwrap();
+        let timeouts = ExchangeTimeouts {
+            head: LIMIT,
+            read_timeout: LIMIT,
+        };
+        let terms = WriteTerms {
+            latest: None,
+            gate: Some(gate.clone()),
+        };
+        let begin = Exchange::begin_by(connection, request(0), timeouts, terms);
+        let mut exchange = Box::pin(begin);
+        assert!(poll_once(&mut exchange).await.is_none());
+        gate.close();
+        let error = exchange.await.err().unwrap();
+        (error, received.recv().await.unwrap())
+    });
+
+    assert!(error.is_unsent(), "{error}");
+    assert_eq!(received, 0);
+}
