Keep the pause that an upstream's 503 asks for

What callers and upstreams saw: an upstream that had refused a request with 503 and `Retry-After` was offered another one after each usual pause of up to 0.5 s, and callers that only it could serve were told to return after 1.2 s.

Cause: the header of an upstream's answer was not read.

Fix: the gate of the upstream's start is closed until the time is over, counted from the answer's arrival, with or without the mark that the request was not run. The latest end holds.

--- a/components/dispatch/src/request_queue.rs
+++ b/components/dispatch/src/request_queue.rs
@@ -156,9 +156,7 @@
 
     /// Time after which a refused caller should retry.
     pub fn retry_after(&self, now: Moment) -> Duration {
-        let wait = self.expected_wait(now, self.waiting.len());
-        let spread = Duration::from_millis(fastrand::u64(0..500));
-        (wait + MIN_RETRY + spread).min(MAX_RETRY)
+        spread_retry(self.expected_wait(now, self.waiting.len()) + MIN_RETRY)
     }
 
     fn expected_wait(&self, now: Moment, ahead: usize) -> Duration {
@@ -175,6 +173,13 @@
     }
 }
 
+/// Time after which a caller should retry that must not do so before `wait`, so that not
+/// all callers return at once.
+pub(crate) fn spread_retry(wait: Duration) -> Duration {
+    let spread = Duration::from_millis(fastrand::u64(0..500));
+    wait.max(MIN_RETRY).saturating_add(spread).min(MAX_RETRY)
+}
+
 fn goes_before(a: &QueuedRequest, b: &QueuedRequest) -> bool {
     (!a.on_time, a.priority, a.start_by) <= (!b.on_time, b.priority, b.start_by)
 }
--- a/components/dispatch/src/service_scheduler.rs
+++ b/components/dispatch/src/service_scheduler.rs
@@ -2,6 +2,7 @@
 
 use domain::{Moment, UpstreamId, WeightVersion};
 
+use crate::request_queue::spread_retry;
 use crate::{
     Acceptance, Choice, EnqueueResult, QueuedRequest, RequestQueue, Requirements, UpstreamPool,
 };
@@ -117,7 +118,10 @@
                     self.queue.record_start(now);
                     return Placement::Assigned(self.assign(now, id, upstream, needs));
                 }
-                Choice::NoMatch => return Placement::Refused(NO_MATCH_RETRY),
+                Choice::NoMatch => {
+                    let wait = self.no_match_retry(now, &needs, &evacuated);
+                    return Placement::Refused(wait);
+                }
                 Choice::Full => {}
             }
         }
@@ -128,7 +132,7 @@
         };
         let acceptance = self.upstreams.acceptance(now, &needs, &evacuated);
         if !accepts_by(acceptance, start_by) {
-            return Placement::Refused(NO_MATCH_RETRY);
+            return Placement::Refused(self.no_match_retry(now, &needs, &evacuated));
         }
         let queued = QueuedRequest {
             id,
@@ -204,6 +208,37 @@
         unmatched
     }
 
+    /// Time after which the caller of a refused request should retry.
+    pub fn retry_after(
+        &self,
+        now: Moment,
+        needs: &Requirements,
+        evacuated: impl Fn(&str) -> bool,
+    ) -> Duration {
+        match self.upstreams.acceptance(now, needs, &evacuated) {
+            Acceptance::Now => self.queue.retry_after(now),
+            _ => self.no_match_retry(now, needs, evacuated),
+        }
+    }
+
+    /// The same for a request that no upstream accepts now. A retry may go to upstreams
+    /// that were tried.
+    fn no_match_retry(
+        &self,
+        now: Moment,
+        needs: &Requirements,
+        evacuated: impl Fn(&str) -> bool,
+    ) -> Duration {
+        let untried = Requirements {
+            tried: Vec::new(),
+            ..needs.clone()
+        };
+        match self.upstreams.acceptance(now, &untried, evacuated) {
+            Acceptance::From(at) => spread_retry(at.saturating_sub(now)),
+            Acceptance::Now | Acceptance::Never | Acceptance::NoMatch => NO_MATCH_RETRY,
+        }
+    }
+
     /// Removes the requests that waited for too long; returns their ids.
     pub fn expire(&mut self, now: Moment) -> Vec<u64> {
         let expired = self.queue.expire(now);
--- a/components/dispatch/tests/service_scheduler.rs
+++ b/components/dispatch/tests/service_scheduler.rs
@@ -66,6 +66,31 @@
     assert!(scheduler.queue.is_empty());
 }
 
+/// Requests waited for an upstream that accepted none before they would be too late, and
+/// their callers were told to return before its time was over.
+#[test]
+fn request_waits_for_an_upstream_that_accepts_it_too_late() {
+    let mut scheduler = scheduler_with_queued_request(1);
+    let gate = scheduler.upstreams.get_mut("u").unwrap().gate.clone();
+    gate.close_until(start() + ms(200));
+    let soon = scheduler.remove_unmatched(start(), |_| Some(1), |_| false);
+    gate.close_until(start() + ms(1500));
+
+    let unmatched = scheduler.remove_unmatched(start(), |_| Some(1), |_| false);
+    let tried = Requirements {
+        tried: vec!["u".into()],
+        ..needs(start())
+    };
+    let waits = [needs(start()), tried].map(|n| scheduler.retry_after(start(), &n, |_| false));
+
+    assert!(soon.is_empty());
+    assert_eq!(unmatched, [1]);
+    assert!(
+        waits.iter().all(|w| (ms(1500)..ms(2000)).contains(w)),
+        "{waits:?}"
+    );
+}
+
 /// A request whose only upstream had announced its end waited until it was too late.
 #[test]
 fn queued_request_waits_for_an_upstream_that_leaves() {
--- a/components/domain/src/message_head.rs
+++ b/components/domain/src/message_head.rs
@@ -80,6 +80,9 @@
     pub rate_limit: StatedLimit,
     /// The upstream is about to end and accepts no further requests.
     pub leaving: bool,
+    /// Time for which the upstream wants no requests from this VM, counted from its
+    /// response.
+    pub wanted_pause: Option<Duration>,
     /// The body has a content encoding, although callers request none.
     pub encoded: bool,
 }
--- a/components/gateway/src/scheduler/gates.rs
+++ b/components/gateway/src/scheduler/gates.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use dispatch::StartId;
-use domain::{Platform, ResponseHead, now};
+use domain::{Platform, ResponseHead, millis, now};
 use serde_json::json;
 use telemetry::{Outcome, decision};
 
@@ -27,6 +27,13 @@
             log_leaving(&lease.target.id, "response");
             state.leaving_changed();
         }
+        let Some(pause) = head.wanted_pause else {
+            return;
+        };
+        if lease.gate.close_until(now().saturating_add(pause)) {
+            let fields = json!({ "upstream": lease.target.id, "for_ms": millis(pause) });
+            decision("desk", "upstream wants a pause", Outcome::Change, fields);
+        }
     }
 
     /// Starts of listed upstreams that are leaving, if the other entries have to learn of
--- a/components/gateway/src/scheduler/mod.rs
+++ b/components/gateway/src/scheduler/mod.rs
@@ -269,7 +269,7 @@
         match receiver.recv().await {
             Ok(lease) => AcquireOutcome::Leased(lease),
             Err(_) => {
-                let wait = self.retry_after(&request.service);
+                let wait = self.retry_after(request, tried);
                 AcquireOutcome::Refused(self.shortage(request, min_weight_version, wait))
             }
         }
@@ -478,10 +478,17 @@
     }
 
     /// Advised wait before a refused request is sent again.
-    fn retry_after(&self, service: &ServiceId) -> Duration {
+    fn retry_after(&self, request: &CallerRequest, tried: &[UpstreamId]) -> Duration {
+        let needs = self.requirements(request, tried);
         let state = self.lock();
-        let queue = state.services.get(service).map(|s| &s.scheduler.queue);
-        queue.map_or(Duration::from_secs(1), |q| q.retry_after(now()))
+        let service = state.services.get(&request.service);
+        let Some((service, needs)) = service.zip(needs) else {
+            return NO_MATCH_RETRY;
+        };
+        self.feed.view(|v| {
+            let evacuated = |d: &str| v.is_evacuated(d);
+            service.scheduler.retry_after(now(), &needs, evacuated)
+        })
     }
 
     /// Connections to the leased upstream, `idle` of which this entry keeps idle.
