Tell entries what an engine announces to its agent

What callers and upstreams saw: an engine whose end only its agent had been told of, in the answer to a status call, got requests until an entry heard of it too.

Cause: the headers of an engine's report were not read.

Fix: the report, and the refusal of one, tell whether the engine announces its end. The agent then sends the entries the notice that they send each other, at once and with its usual interval, for the start that the store records.

--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -29,6 +29,7 @@
 mod switch_plan;
 mod upstream_owners;
 mod upstream_pool;
+mod upstream_start;
 mod window_budget;
 mod write_time;
 
@@ -60,5 +61,6 @@
 pub use switch_plan::{SwitchPlan, SwitchStep, VersionCandidate};
 pub use upstream_owners::{EntryDemand, Ownership, UpstreamOwners};
 pub use upstream_pool::{Choice, Requirements, UpstreamPool};
+pub use upstream_start::{upstream_start, upstream_tag};
 pub use window_budget::WindowBudget;
 pub use write_time::{WriteBasis, WriteTime};
--- a/components/domain/src/platform.rs
+++ b/components/domain/src/platform.rs
@@ -102,6 +102,8 @@
         call: &'static str,
         /// HTTP status.
         status: u16,
+        /// The engine is about to end.
+        leaving: bool,
     },
     /// The call was not sent and has no effect.
     #[display("{call} was not sent: {reason}; read the engine's report again")]
--- a/components/domain/src/upstream.rs
+++ b/components/domain/src/upstream.rs
@@ -62,4 +62,6 @@
     pub running: u32,
     /// Start of the engine in milliseconds of Unix time.
     pub started_ms: u64,
+    /// It is about to end and accepts no further requests.
+    pub leaving: bool,
 }
--- a/components/gateway/src/scheduler/crashes.rs
+++ b/components/gateway/src/scheduler/crashes.rs
@@ -1,6 +1,8 @@
 use std::time::Duration;
 
-use dispatch::{ConnectionEnd, EvidenceReport, Feature, NextCheck, StartId, Verdict};
+use dispatch::{
+    ConnectionEnd, EvidenceReport, Feature, NextCheck, StartId, Verdict, upstream_start,
+};
 use domain::{Platform, now};
 use serde_json::json;
 use telemetry::{Outcome, decision};
@@ -90,9 +92,3 @@
 pub fn start_id<P: Platform>(lease: &Lease<P>) -> StartId {
     upstream_start(lease.tag, lease.started_ms)
 }
-
-/// Identifies a start of the upstream with this tag at all entries.
-pub(super) fn upstream_start(tag: u32, started_ms: u64) -> StartId {
-    // The multiplier spreads the tag over all bits.
-    u64::from(tag).wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ started_ms
-}
--- a/components/gateway/src/scheduler/gates.rs
+++ b/components/gateway/src/scheduler/gates.rs
@@ -1,12 +1,11 @@
 use std::time::Duration;
 
-use dispatch::StartId;
+use dispatch::{StartId, upstream_start};
 use domain::{Platform, ResponseHead, millis, now};
 use serde_json::json;
 use telemetry::{Outcome, decision};
 
 use super::Scheduler;
-use super::crashes::upstream_start;
 use super::state::SchedulerState;
 use crate::lease::Lease;
 
--- a/components/gateway/src/scheduler/limits.rs
+++ b/components/gateway/src/scheduler/limits.rs
@@ -1,14 +1,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dispatch::{LimitStatement, PooledUpstream, RateLimit, RateShare, StartId};
+use dispatch::{LimitStatement, PooledUpstream, RateLimit, RateShare, StartId, upstream_start};
 use domain::{Moment, Platform, StatedLimit, millis, now};
 use feed::LimitNotice;
 use serde_json::json;
 use telemetry::{Outcome, decision};
 
 use super::Scheduler;
-use super::crashes::upstream_start;
 use super::state::SchedulerState;
 use crate::lease::Lease;
 
--- a/components/gateway/src/scheduler/mod.rs
+++ b/components/gateway/src/scheduler/mod.rs
@@ -13,7 +13,7 @@
 use dispatch::{
     Assignment, ConnectionBudget, CrashWatch, Demand, FirstAttemptEstimator, FleetView,
     IncomingRequest, LatencyModel, NO_MATCH_RETRY, Ownership, Placement, Requirements, SendGates,
-    ViewChange, WindowBudget,
+    ViewChange, WindowBudget, upstream_start, upstream_tag,
 };
 use domain::{
     Moment, NodeSettings, Platform, SendGate, ServiceId, Target, UpstreamId, WeightVersion, now,
@@ -26,7 +26,6 @@
 use crate::lease::Lease;
 use crate::shortage::Shortage;
 pub use crashes::start_id;
-use crashes::upstream_start;
 use state::{SchedulerState, ServiceState};
 
 /// Time before the deadline of a new weight version from which upstreams with
@@ -113,7 +112,7 @@
         });
         let budget = self.connection_budget(&upstream.service);
         let region = self.node.region_of(&upstream.failure_domain).to_owned();
-        let (now, tag) = (now(), tag_of(id));
+        let (now, tag) = (now(), upstream_tag(id));
         let mut state = self.lock();
         let gate = state
             .gates
@@ -587,11 +586,3 @@
         self.scheduler.cancel_wait(&self.service, self.id);
     }
 }
-
-/// Number that identifies an upstream in notices between entries.
-fn tag_of(id: &str) -> u32 {
-    // FNV-1a: the same in every process.
-    id.bytes().fold(0x811c_9dc5, |h: u32, b| {
-        (h ^ u32::from(b)).wrapping_mul(0x0100_0193)
-    })
-}
--- a/components/loader/src/agent.rs
+++ b/components/loader/src/agent.rs
@@ -2,6 +2,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use dispatch::{StartId, upstream_start, upstream_tag};
 use domain::{
     AgentSettings, EngineApi, EngineError, EngineStatus, Moment, Platform, Upstream, UpstreamId,
     WeightVersion, now,
@@ -38,6 +39,12 @@
     report: Option<EngineStatus>,
     /// Start of the engine in its last report, also while it does not respond.
     started_ms: Option<u64>,
+    /// Id of the start of the engine that was last recorded in the store.
+    recorded: Option<(u64, UpstreamId)>,
+    /// Start of the engine that has announced its end, if one has.
+    leaving: Option<u64>,
+    /// When the entries were last told of it.
+    leaving_sent: Option<Moment>,
     /// The engine is closed for a switch.
     switching: bool,
     /// When the engine will be closed for a switch.
@@ -46,6 +53,17 @@
     last_notice: Option<(EngineNotice, Moment)>,
 }
 
+impl Status {
+    /// Records that the engine with this start has announced its end.
+    fn record_leaving(&mut self, started_ms: u64) {
+        if self.leaving.replace(started_ms) != Some(started_ms) {
+            self.leaving_sent = None;
+            let fields = json!({ "born": started_ms });
+            decision("loader", "engine leaving", Outcome::Change, fields);
+        }
+    }
+}
+
 impl<P: Platform> Agent<P> {
     /// An agent with `settings`.
     pub fn new(
@@ -94,9 +112,15 @@
 
     /// Records the engine's report, or that it did not respond.
     pub(crate) fn record_report(&self, report: Result<EngineStatus, EngineError>) {
+        let started_ms = report.as_ref().ok().map(|r| r.started_ms);
+        let id = started_ms.and_then(|s| self.engine_id(s).map(|id| (s, id)));
         let mut status = self.status();
+        status.recorded = id.or(status.recorded.take());
         match report {
             Ok(report) => {
+                if report.leaving {
+                    status.record_leaving(report.started_ms);
+                }
                 self.local.doubts.settle(&report);
                 let previous_start = status.started_ms.replace(report.started_ms);
                 if previous_start.is_some_and(|p| p != report.started_ms) {
@@ -108,6 +132,11 @@
                 status.report = Some(report);
             }
             Err(e) => {
+                if let (EngineError::Refused { leaving: true, .. }, Some(started_ms)) =
+                    (&e, status.started_ms)
+                {
+                    status.record_leaving(started_ms);
+                }
                 if status.report.take().is_some() {
                     let fields = json!({ "error": e.to_string() });
                     decision("loader", "engine lost", Outcome::Change, fields);
@@ -152,11 +181,32 @@
     /// Sends the entries a notice of what the engine holds and whether it accepts
     /// requests, if one is due.
     async fn notify_entries(&self) {
-        let Some(notice) = self.due_notice() else {
-            return;
-        };
-        let to: Vec<SocketAddr> = self.feed.members().iter().map(|m| m.addr).collect();
-        self.notice_socket.send(&Notice::Engine(notice), &to).await;
+        let leaving = self.due_leaving().map(|start| Notice::Leaving(vec![start]));
+        let notices = leaving
+            .into_iter()
+            .chain(self.due_notice().map(Notice::Engine));
+        let to = || -> Vec<SocketAddr> { self.feed.members().iter().map(|m| m.addr).collect() };
+        for notice in notices {
+            self.notice_socket.send(&notice, &to()).await;
+        }
+    }
+
+    /// The start of the engine, if it has announced its end and the entries have to be
+    /// told now.
+    fn due_leaving(&self) -> Option<StartId> {
+        let mut status = self.status();
+        let leaving = status.leaving?;
+        let (_, id) = status.recorded.as_ref().filter(|(s, _)| *s == leaving)?;
+        let start = upstream_start(upstream_tag(id), leaving);
+        let now = now();
+        if status
+            .leaving_sent
+            .is_some_and(|at| now < at + NOTICE_INTERVAL)
+        {
+            return None;
+        }
+        status.leaving_sent = Some(now);
+        Some(start)
     }
 
     fn due_notice(&self) -> Option<EngineNotice> {
