--- a/components/dispatch/src/service_scheduler.rs
+++ b/components/dispatch/src/service_scheduler.rs
@@ -2,7 +2,10 @@
 
 use domain::{Moment, UpstreamId, WeightVersion};
 
-use crate::{Choice, EnqueueResult, QueuedRequest, RequestQueue, Requirements, UpstreamPool};
+use crate::request_queue::spread_retry;
+use crate::{
+    Acceptance, Choice, EnqueueResult, QueuedRequest, RequestQueue, Requirements, UpstreamPool,
+};
 
 /// Longest wait of a late request, one that can no longer be on time.
 const LATE_WAIT: Duration = Duration::from_millis(500);
@@ -110,23 +113,31 @@
         needs.due = on_time.then_some(due);
         let served = on_time || !self.has_shortage(now);
         if self.queue.is_empty() && served {
-            match self.upstreams.choose(now, &needs, evacuated) {
+            match self.upstreams.choose(now, &needs, &evacuated) {
                 Choice::Send(upstream) => {
                     self.queue.record_start(now);
                     return Placement::Assigned(self.assign(now, id, upstream, needs));
                 }
-                Choice::NoMatch => return Placement::Refused(NO_MATCH_RETRY),
+                Choice::NoMatch => {
+                    let wait = self.no_match_retry(now, &needs, &evacuated);
+                    return Placement::Refused(wait);
+                }
                 Choice::Full => {}
             }
         }
         let time_left = deadline.saturating_sub(now);
+        let start_by = match on_time {
+            true => start_by,
+            false => now + LATE_WAIT.min(time_left / LATE_DIVISOR),
+        };
+        let acceptance = self.upstreams.acceptance(now, &needs, &evacuated);
+        if !accepts_by(acceptance, start_by) {
+            return Placement::Refused(self.no_match_retry(now, &needs, &evacuated));
+        }
         let queued = QueuedRequest {
             id,
             priority,
-            start_by: match on_time {
-                true => start_by,
-                false => now + LATE_WAIT.min(time_left / LATE_DIVISOR),
-            },
+            start_by,
             on_time,
             needs,
         };
@@ -175,7 +186,7 @@
     }
 
     /// Removes the requests that no upstream may serve any longer, as a newer version
-    /// has come into force; returns their ids.
+    /// has come into force, or that none accepts in time; returns their ids.
     pub fn remove_unmatched(
         &mut self,
         now: Moment,
@@ -184,9 +195,10 @@
     ) -> Vec<u64> {
         let mut unmatched = Vec::new();
         for queued in self.queue.iter_mut() {
-            if queued.needs.raise_version(&in_force)
-                && self.upstreams.choose(now, &queued.needs, &evacuated) == Choice::NoMatch
-            {
+            let raised = queued.needs.raise_version(&in_force);
+            let acceptance = self.upstreams.acceptance(now, &queued.needs, &evacuated);
+            let is_unmatched = raised && acceptance == Acceptance::NoMatch;
+            if is_unmatched || !accepts_by(acceptance, queued.start_by) {
                 unmatched.push(queued.id);
             }
         }
@@ -196,6 +208,37 @@
         unmatched
     }
 
+    /// Time after which the caller of a refused request should retry.
+    pub fn retry_after(
+        &self,
+        now: Moment,
+        needs: &Requirements,
+        evacuated: impl Fn(&str) -> bool,
+    ) -> Duration {
+        match self.upstreams.acceptance(now, needs, &evacuated) {
+            Acceptance::Now => self.queue.retry_after(now),
+            _ => self.no_match_retry(now, needs, evacuated),
+        }
+    }
+
+    /// The same for a request that no upstream accepts now. A retry may go to upstreams
+    /// that were tried.
+    fn no_match_retry(
+        &self,
+        now: Moment,
+        needs: &Requirements,
+        evacuated: impl Fn(&str) -> bool,
+    ) -> Duration {
+        let untried = Requirements {
+            tried: Vec::new(),
+            ..needs.clone()
+        };
+        match self.upstreams.acceptance(now, &untried, evacuated) {
+            Acceptance::From(at) => spread_retry(at.saturating_sub(now)),
+            Acceptance::Now | Acceptance::Never | Acceptance::NoMatch => NO_MATCH_RETRY,
+        }
+    }
+
     /// Removes the requests that waited for too long; returns their ids.
     pub fn expire(&mut self, now: Moment) -> Vec<u64> {
         let expired = self.queue.expire(now);
@@ -232,3 +275,13 @@
         }
     }
 }
+
+/// Whether upstreams accept a request by `start_by`. One that meets its requirements may
+/// still be listed.
+fn accepts_by(acceptance: Acceptance, start_by: Moment) -> bool {
+    match acceptance {
+        Acceptance::Now | Acceptance::NoMatch => true,
+        Acceptance::From(at) => at <= start_by,
+        Acceptance::Never => false,
+    }
+}
--- a/components/domain/src/message_head.rs
+++ b/components/domain/src/message_head.rs
@@ -78,6 +78,11 @@
     pub keep_alive: Option<Duration>,
     /// Requests a second that the upstream accepts from all entries together.
     pub rate_limit: StatedLimit,
+    /// The upstream is about to end and accepts no further requests.
+    pub leaving: bool,
+    /// Time for which the upstream wants no requests from this VM, counted from its
+    /// response.
+    pub wanted_pause: Option<Duration>,
     /// The body has a content encoding, although callers request none.
     pub encoded: bool,
 }
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -25,6 +25,7 @@
 mod timeout;
 mod tracked_body;
 mod write_limit;
+mod write_terms;
 
 pub use abort_cause::AbortCause;
 pub use close_signal::CloseSignal;
@@ -37,3 +38,4 @@
 pub use pool::{MAX_IDLE, Pool};
 pub use runtime::{block_on, spawn};
 pub use timeout::with_timeout;
+pub use write_terms::WriteTerms;
