Keep a silent exchange while another upstream is tried beside it

Callers saw a stream end in its middle, or 502 with seconds left before their deadline, when a sound upstream paused for a second or so and went on.

Cause: silence was taken for the end of an exchange. send.rs gave up the head of a retryable request after 0.45 s (streams 1.5 s), relay.rs a stream after 1.5 s, before another upstream had answered. With the attempts, the retry budget or the places used up, or on a route that cannot be resumed, nothing was left of the request.

Now the limits of silence start another attempt, within the attempts, the retry budget and the checks of any retry, while the first keeps its connection and its lease. Dispatcher::step (heads) and Relay::race_step (streams) wait for all of them and for a slot; the first valid head or complete event is used and the others are dropped, which closes their connections. A run that broke or was refused leaves the others waiting; a search without a result is repeated after another limit. The deadline ends the wait: 504 if an attempt may have run. All runs in a race go on after the same event, the last that was passed on, so that no event is lost, doubled or joined from two runs. Attempts, a type without I/O, counts those in flight as runs, so that a refusal that claims 'not run' and the limit on runs hold with several at once.

A silence pauses the upstream for other requests; when it goes on, the pause ends (record_silence, record_recovery). A broken run is closed at once, not when its stream is resumed.

--- a/components/dispatch/src/event_splitter.rs
+++ b/components/dispatch/src/event_splitter.rs
@@ -16,6 +16,14 @@
 }
 
 impl EventSplitter {
+    /// A splitter for a stream that goes on after the event `last_id`.
+    pub fn after(last_id: Option<CompactString>) -> Self {
+        EventSplitter {
+            last_id,
+            ..EventSplitter::default()
+        }
+    }
+
     /// Adds bytes and returns the events that are now complete. Returns nothing more
     /// once the stream is malformed.
     pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
@@ -50,12 +58,6 @@
         self.buffer.split().freeze()
     }
 
-    /// Drops the bytes after the last complete event, before another stream continues.
-    pub fn discard(&mut self) {
-        self.buffer.clear();
-        self.is_malformed = false;
-    }
-
     /// Id of the last complete event that has one.
     pub fn last_id(&self) -> Option<&str> {
         self.last_id.as_deref()
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Each type takes the current moment and an event and returns what to do next.
 
+mod attempts;
 mod config_freshness;
 mod connection_budget;
 mod crash_evidence;
@@ -30,6 +31,7 @@
 mod window_budget;
 mod write_time;
 
+pub use attempts::{AttemptEnd, Attempts};
 pub use config_freshness::{ConfigFreshness, ConfigStatus, ReadTiming};
 pub use connection_budget::ConnectionBudget;
 pub use crash_watch::{ConnectionEnd, CrashWatch, NextCheck, Verdict};
--- a/components/dispatch/src/pooled_upstream.rs
+++ b/components/dispatch/src/pooled_upstream.rs
@@ -63,6 +63,8 @@
     /// When its agent last sent a notice.
     noticed_at: Option<Moment>,
     paused_until: Moment,
+    /// Until when it gets no requests because it is silent.
+    silent_until: Moment,
     failure_pause: Duration,
     full_pause: Duration,
     cold_until: Moment,
@@ -86,6 +88,7 @@
             rate_limit: None,
             noticed_at: None,
             paused_until: Duration::ZERO,
+            silent_until: Duration::ZERO,
             failure_pause: FIRST_PAUSE,
             full_pause: FULL_PAUSE,
             sent: VecDeque::new(),
@@ -140,7 +143,8 @@
     /// Whether it takes new requests now.
     pub fn is_open(&self, now: Moment) -> bool {
         let switching = self.switching && !self.is_agent_silent(now);
-        self.upstream.state == UpstreamState::Ready && !switching && self.paused_until <= now
+        let paused = self.paused_until.max(self.silent_until) > now;
+        self.upstream.state == UpstreamState::Ready && !switching && !paused
     }
 
     /// Whether a request that ends at `end` is done when the upstream closes.
@@ -235,9 +239,26 @@
 
     /// Records a failed exchange and pauses the upstream.
     pub fn record_failure(&mut self, now: Moment) {
+        self.paused_until = now + self.next_pause();
+    }
+
+    /// Records that an exchange is silent, and pauses the upstream until it goes on.
+    pub fn record_silence(&mut self, now: Moment) {
+        self.silent_until = now + self.next_pause();
+    }
+
+    /// Records that a silent exchange has gone on.
+    pub fn record_recovery(&mut self) {
+        self.silent_until = Duration::ZERO;
+        self.failure_pause = FIRST_PAUSE;
+    }
+
+    /// Counts a failure and returns the pause after it.
+    fn next_pause(&mut self) -> Duration {
         self.failure_rate = self.failure_rate * (1.0 - FAILURE_WEIGHT) + FAILURE_WEIGHT;
-        self.paused_until = now + self.failure_pause;
-        self.failure_pause = (self.failure_pause * 2).min(MAX_PAUSE);
+        let pause = self.failure_pause;
+        self.failure_pause = (pause * 2).min(MAX_PAUSE);
+        pause
     }
 
     /// Records a refusal by the full upstream and pauses it.
--- /dev/null
+++ b/components/gateway/src/attempt.rs
@@ -0,0 +1,161 @@
+use std::future::{Future, pending};
+use std::sync::Arc;
+
+use compact_str::CompactString;
+use dispatch::{AttemptEnd, Attempts, ConnectionEnd};
+use domain::{Platform, millis, now};
+use serde_json::json;
+use smol::Timer;
+use telemetry::{Outcome, decision};
+
+use crate::caller_request::CallerRequest;
+use crate::dispatcher::Dispatcher;
+use crate::failed_exchange::FailedExchange;
+use crate::lease::Lease;
+use crate::scheduler::start_id;
+use crate::send::{NotRun, SendOutcome, send};
+use crate::silence::silence_limit;
+
+/// An attempt that has ended, or whose response has begun.
+pub struct Attempt<P: Platform> {
+    /// Slot at the upstream.
+    pub lease: Lease<P>,
+    /// What came of it.
+    pub outcome: SendOutcome,
+}
+
+/// Attempts at upstreams and what they show.
+impl<P: Platform> Dispatcher<P> {
+    /// Sends the request to the leased upstream; a stream goes on after the event `last_id`.
+    pub async fn attempt(
+        self: Arc<Self>,
+        request: Arc<CallerRequest>,
+        lease: Lease<P>,
+        last_id: Option<CompactString>,
+    ) -> Attempt<P> {
+        let last_id = last_id.as_deref();
+        let sent = send(&self.platform, &self.connections, &request, &lease, last_id);
+        let outcome = self.watch(&request, &lease, sent).await;
+        Attempt { lease, outcome }
+    }
+
+    /// Waits for the response, and records when its upstream is silent for too long.
+    async fn watch(
+        &self,
+        request: &CallerRequest,
+        lease: &Lease<P>,
+        sent: impl Future<Output = SendOutcome>,
+    ) -> SendOutcome {
+        let mut is_silent = false;
+        let silence = async {
+            match silence_limit(request.route.kind) {
+                Some(limit) => Timer::after(limit).await,
+                None => pending().await,
+            };
+            self.record_silence(request, lease);
+            is_silent = true;
+            pending().await
+        };
+        let outcome = futures_lite::future::or(sent, silence).await;
+        if is_silent && matches!(outcome, SendOutcome::Response(_)) {
+            self.record_recovery(request, lease);
+        }
+        outcome
+    }
+
+    /// Records that the upstream is silent, so that other requests avoid it.
+    pub fn record_silence(&self, request: &CallerRequest, lease: &Lease<P>) {
+        self.scheduler
+            .with_upstream(lease, |u| u.record_silence(now()));
+        self.log_silence("silent", request, lease);
+    }
+
+    /// Records that a silent upstream went on.
+    pub fn record_recovery(&self, request: &CallerRequest, lease: &Lease<P>) {
+        self.scheduler.with_upstream(lease, |u| u.record_recovery());
+        self.scheduler.serve_queue(&lease.service);
+        self.log_silence("silence over", request, lease);
+    }
+
+    fn log_silence(&self, what: &'static str, request: &CallerRequest, lease: &Lease<P>) {
+        let now = now();
+        let fields = json!({
+            "request": request.head.attempt,
+            "upstream": lease.target.id,
+            "age_ms": millis(now.saturating_sub(request.arrived)),
+            "leased_ms_ago": millis(now.saturating_sub(lease.leased_at)),
+            "left_ms": millis(request.remaining(now)),
+        });
+        decision("dispatch", what, Outcome::Change, fields);
+    }
+
+    /// Records an attempt that did not run.
+    pub fn record_not_run(
+        &self,
+        request: &CallerRequest,
+        lease: &Lease<P>,
+        why: NotRun,
+        attempts: &mut Attempts,
+    ) {
+        let now = now();
+        let end = match why {
+            // A reset of one connection, or an entry that was too slow, does not show that
+            // the upstream is down.
+            NotRun::Unreachable | NotRun::Unsent | NotRun::Outdated | NotRun::Late => {
+                AttemptEnd::Unsent
+            }
+            NotRun::Refused | NotRun::Misdirected => AttemptEnd::Refused,
+        };
+        attempts.did_not_run(&lease.target.id, end);
+        self.scheduler.with_upstream(lease, |u| match why {
+            NotRun::Unreachable | NotRun::Misdirected => u.record_failure(now),
+            NotRun::Unsent | NotRun::Outdated | NotRun::Refused => u.record_full(now),
+            NotRun::Late => {}
+        });
+        if why == NotRun::Unreachable {
+            self.scheduler
+                .connection_refused(start_id(lease), &lease.target.id);
+        }
+        let fields = json!({
+            "request": request.head.attempt,
+            "upstream": lease.target.id,
+            "why": format!("{why:?}"),
+            "connections": self.connection_use(lease).fields(),
+        });
+        decision("dispatch", "not run", Outcome::Failure, fields);
+    }
+
+    /// Records an attempt that broke off.
+    pub fn record_broken(
+        self: &Arc<Self>,
+        request: &CallerRequest,
+        lease: &Lease<P>,
+        failed: &FailedExchange,
+    ) {
+        self.exchange_ended(request, lease, ConnectionEnd::Broken);
+        self.record_unknown(request, lease, failed);
+    }
+
+    /// Records an attempt that may have run.
+    pub fn record_unknown(
+        &self,
+        request: &CallerRequest,
+        lease: &Lease<P>,
+        failed: &FailedExchange,
+    ) {
+        failed.count();
+        self.scheduler
+            .with_upstream(lease, |u| u.record_failure(now()));
+        let fields = json!({
+            "request": request.head.attempt,
+            "upstream": lease.target.id,
+            "parts": request.part_ids(),
+            "age_ms": millis(now().saturating_sub(request.arrived)),
+            "cause": failed.cause,
+            "reused": failed.reused,
+            "connections": self.connection_use(lease).fields(),
+            "why": failed.why,
+        });
+        decision("dispatch", "outcome unknown", Outcome::Failure, fields);
+    }
+}
--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -1,32 +1,38 @@
+use std::future::{Future, pending};
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_channel::bounded;
 use bytes::Bytes;
-use dispatch::{ConfigStatus, ConnectionEnd, EventSplitter, NextCheck, StartId, Verdict};
-use domain::{Dialect, Platform, RequestKind, Target, UpstreamId, millis, now};
+use dispatch::{Attempts, ConfigStatus, ConnectionEnd, EventSplitter, NextCheck, StartId, Verdict};
+use domain::{Dialect, Platform, RequestKind, Target, millis, now};
 use feed::Feed;
+use futures_lite::FutureExt;
 use http::{Response, header};
 use serde_json::json;
+use smol::Timer;
 use telemetry::{Outcome, decision, due, write};
 use transport::{Connection, Exchange, Pool, spawn, with_timeout};
 
 use crate::ResponseBody;
+use crate::attempt::Attempt;
 use crate::body_buffers::BodyBuffers;
 use crate::caller_request::CallerRequest;
 use crate::connection_use::ConnectionUse;
 use crate::failed_exchange::FailedExchange;
 use crate::lease::Lease;
+use crate::progress::Progress;
+use crate::race::Race;
 use crate::refusal::Refusal;
 use crate::relay::Relay;
+use crate::run::Run;
 use crate::scheduler::{AcquireOutcome, Scheduler, start_id};
-use crate::send::{CONNECT_TIMEOUT, NotRun, STREAM_TIMEOUT, SendOutcome, UnreadResponse, send};
+use crate::send::{CONNECT_TIMEOUT, NotRun, SendOutcome, UnreadResponse};
 use crate::shortage::Shortage;
+use crate::silence::silence_limit;
 
 /// Longest response that is buffered before it is passed on, in bytes.
 const MAX_RESPONSE: usize = 8 << 20;
-/// Most attempts to send one request, including those that upstreams refuse.
-const MAX_ATTEMPTS: usize = 4;
 /// Advised wait when it does not follow from the queue.
 const DEFAULT_BUSY_WAIT: Duration = Duration::from_millis(900);
 /// Chunks of a stream that are buffered for a slow caller.
@@ -53,32 +59,29 @@
     Refuse(Refusal),
 }
 
-/// Attempts at a request so far.
-#[derive(Default)]
-struct Progress {
-    /// Upstreams that were tried, including unreachable ones.
-    tried: Vec<UpstreamId>,
-    /// Attempts that may have run.
-    runs: u32,
-    /// Attempts that reached an upstream.
-    attempts: usize,
-    /// The request may be running or may have run.
-    may_have_run: bool,
-    /// Final response if no further attempt succeeds.
-    refusal: Option<Refusal>,
-    /// Response with status 5xx, returned if no further attempt succeeds.
-    server_error: Option<Response<ResponseBody>>,
+/// What happens while a request waits for its response.
+enum Step<P: Platform> {
+    /// An attempt has ended, or its response has begun.
+    Ended(Attempt<P>),
+    /// A slot for another attempt.
+    Placed(Lease<P>),
+    /// No other attempt may start now.
+    NotPlaced(NoPlace),
+}
+
+/// Why no attempt may start.
+pub struct NoPlace {
+    /// Final response if no attempt is in flight.
+    refusal: Refusal,
     /// Why no upstream had a free slot.
     shortage: Option<Shortage>,
 }
 
-impl Progress {
-    /// Records why an attempt failed. A refusal for a request that may have run is not
-    /// replaced.
-    fn record_failure(&mut self, refusal: Refusal) {
-        match self.refusal {
-            Some(Refusal::Broken | Refusal::TimedOut) => {}
-            _ => self.refusal = Some(refusal),
+impl From<Refusal> for NoPlace {
+    fn from(refusal: Refusal) -> Self {
+        NoPlace {
+            refusal,
+            shortage: None,
         }
     }
 }
@@ -87,45 +90,46 @@
     /// Processes a request until its response or its deadline.
     pub async fn dispatch(self: &Arc<Self>, request: CallerRequest) -> Response<ResponseBody> {
         let request = Arc::new(request);
-        let mut progress = Progress::default();
+        let mut progress = Progress::new(request.route.max_attempts);
         let remaining = request.remaining(now());
         let response = with_timeout(remaining, self.run_attempts(&request, &mut progress)).await;
-        response.unwrap_or_else(|| {
-            // The attempt in flight was cancelled when its future was dropped.
-            let refusal = match progress.may_have_run {
-                true => Refusal::TimedOut,
-                false => Refusal::OutOfTime,
-            };
-            self.refuse(&request, refusal, &progress)
-        })
+        // The attempts in flight were cancelled when their future was dropped.
+        let late = response.or_else(|| progress.server_error.take());
+        late.unwrap_or_else(|| self.refuse(&request, progress.late_refusal(), &progress))
     }
 
-    /// Tries upstreams until one responds or a limit is reached.
+    /// Tries upstreams until one responds or a limit is reached. A silent attempt is kept
+    /// while others run beside it.
     async fn run_attempts(
         self: &Arc<Self>,
         request: &Arc<CallerRequest>,
         progress: &mut Progress,
     ) -> Response<ResponseBody> {
         self.scheduler.count_request(&request.service);
+        let mut running = Race::default();
         let refusal = loop {
-            if let Some(refusal) = self.refusal_before_send(request, progress) {
-                break refusal;
-            }
-            let lease = match self.scheduler.acquire(request, &progress.tried).await {
-                AcquireOutcome::Leased(lease) => lease,
-                AcquireOutcome::Refused(shortage) => {
-                    progress.shortage = Some(shortage);
-                    break Refusal::Busy(shortage.retry_after);
+            let attempt = match self.step(request, &mut running, progress).await {
+                Step::Placed(lease) => {
+                    progress.attempts.start(lease.target.id.clone());
+                    let attempt = self.clone().attempt(request.clone(), lease, None);
+                    running.push(now(), attempt);
+                    continue;
+                }
+                Step::NotPlaced(none) if running.is_empty() => {
+                    progress.shortage = none.shortage;
+                    break none.refusal;
                 }
+                Step::NotPlaced(_) => {
+                    let pause = silence_limit(request.route.kind).unwrap_or(DEFAULT_BUSY_WAIT);
+                    progress.defer_search(now() + pause);
+                    continue;
+                }
+                Step::Ended(attempt) => attempt,
             };
-            // The verdict may have changed while the request was queued.
-            if self.scheduler.verdict(&request.features) == Verdict::Refuse {
-                break Refusal::Quarantined;
-            }
-            if progress.attempts > 0 && !self.scheduler.take_retry(&request.service) {
-                break Refusal::Busy(DEFAULT_BUSY_WAIT);
+            if is_final(request, &attempt.outcome) {
+                running.cancel();
             }
-            match self.attempt(request, lease, progress).await {
+            match self.handle(request, attempt, progress).await {
                 AttemptOutcome::Respond(response) => return response,
                 AttemptOutcome::Refuse(refusal) => break refusal,
                 AttemptOutcome::Retry(refusal) => progress.record_failure(refusal),
@@ -135,57 +139,107 @@
         if let Some(response) = progress.server_error.take() {
             return response;
         }
-        self.refuse(request, progress.refusal.unwrap_or(refusal), progress)
+        self.refuse(request, progress.final_refusal(refusal), progress)
+    }
+
+    /// Waits until an attempt ends, or until another one may start.
+    async fn step<F>(
+        self: &Arc<Self>,
+        request: &CallerRequest,
+        running: &mut Race<F>,
+        progress: &Progress,
+    ) -> Step<P>
+    where
+        F: Future<Output = Attempt<P>>,
+    {
+        let limit = silence_limit(request.route.kind).filter(|_| request.route.kind.is_retryable());
+        let search_at = running
+            .last_start()
+            .map(|started| Some((started + limit?).max(progress.search_at)));
+        let search = async {
+            match search_at {
+                Some(Some(at)) => drop(Timer::after(at.saturating_sub(now())).await),
+                // The only run is waited for.
+                Some(None) => pending().await,
+                None => {}
+            }
+            let placed = self.place(request, &progress.attempts).await;
+            placed.map_or_else(Step::NotPlaced, Step::Placed)
+        };
+        let ended = async { Step::Ended(running.next().await) };
+        ended.or(search).await
+    }
+
+    /// Reserves a slot for an attempt.
+    pub async fn place(
+        self: &Arc<Self>,
+        request: &CallerRequest,
+        attempts: &Attempts,
+    ) -> Result<Lease<P>, NoPlace> {
+        if !attempts.allows_another() {
+            return Err(Refusal::Busy(DEFAULT_BUSY_WAIT).into());
+        }
+        self.check_admission(request)?;
+        let lease = match self.scheduler.acquire(request, &attempts.excluded()).await {
+            AcquireOutcome::Leased(lease) => lease,
+            AcquireOutcome::Refused(shortage) => {
+                return Err(NoPlace {
+                    refusal: Refusal::Busy(shortage.retry_after),
+                    shortage: Some(shortage),
+                });
+            }
+        };
+        // The verdict may have changed while the request was queued.
+        self.check_admission(request)?;
+        if attempts.is_retry() && !self.scheduler.take_retry(&request.service) {
+            return Err(Refusal::Busy(DEFAULT_BUSY_WAIT).into());
+        }
+        Ok(lease)
     }
 
-    /// Reason not to send the request, if there is one.
-    fn refusal_before_send(&self, request: &CallerRequest, progress: &Progress) -> Option<Refusal> {
+    /// Fails if the key may have been revoked or the request is quarantined.
+    fn check_admission(&self, request: &CallerRequest) -> Result<(), Refusal> {
         if request.head.api_key.is_some() && self.feed.config_status() == ConfigStatus::Expired {
-            return Some(Refusal::NotReady);
+            return Err(Refusal::NotReady);
         }
-        if self.scheduler.verdict(&request.features) == Verdict::Refuse {
-            return Some(Refusal::Quarantined);
+        match self.scheduler.verdict(&request.features) {
+            Verdict::Refuse => Err(Refusal::Quarantined),
+            _ => Ok(()),
         }
-        let exhausted =
-            progress.runs >= request.route.max_attempts || progress.attempts >= MAX_ATTEMPTS;
-        exhausted.then_some(Refusal::Busy(DEFAULT_BUSY_WAIT))
     }
 
-    /// Sends the request to the leased upstream.
-    async fn attempt(
+    /// Handles an attempt that has ended, or whose response has begun.
+    async fn handle(
         self: &Arc<Self>,
         request: &Arc<CallerRequest>,
-        lease: Lease<P>,
+        attempt: Attempt<P>,
         progress: &mut Progress,
     ) -> AttemptOutcome {
-        progress.tried.push(lease.target.id.clone());
-        progress.attempts += 1;
-        // From here on the request may run unless the outcome proves that it did not.
-        let ran_before = std::mem::replace(&mut progress.may_have_run, true);
-        match send(&self.platform, &self.connections, request, &lease, None).await {
+        let Attempt { lease, outcome } = attempt;
+        match outcome {
             SendOutcome::Response(response) => {
-                progress.runs += 1;
                 let success = response.exchange.head.status.is_success();
                 if request.route.kind.is_stream() && success {
-                    let tried = std::mem::take(&mut progress.tried);
-                    let runs = progress.runs;
-                    let response = self.stream(request, response, lease, tried, runs);
+                    let attempts = progress.attempts.clone();
+                    let response = self.stream(request, response, lease, attempts);
                     return AttemptOutcome::Respond(response);
                 }
                 self.buffer(request, *response, lease, progress).await
             }
             SendOutcome::NotRun(why) => {
-                progress.may_have_run = ran_before;
-                self.handle_not_run(request, &lease, why, progress)
+                self.record_not_run(request, &lease, why, &mut progress.attempts);
+                match why {
+                    NotRun::Late => AttemptOutcome::Refuse(Refusal::OutOfTime),
+                    _ => AttemptOutcome::Retry(Refusal::Busy(DEFAULT_BUSY_WAIT)),
+                }
             }
             SendOutcome::Unknown(failed) => {
-                progress.runs += 1;
-                self.exchange_ended(request, &lease, ConnectionEnd::Broken);
-                self.handle_unknown(request, &lease, &failed)
+                self.record_broken(request, &lease, &failed);
+                after_unknown(request)
             }
-            SendOutcome::Silent(failed) => {
-                progress.runs += 1;
-                self.handle_unknown(request, &lease, &failed)
+            SendOutcome::Cancelled(failed) => {
+                self.record_unknown(request, &lease, &failed);
+                after_unknown(request)
             }
             SendOutcome::TimedOut => {
                 self.scheduler
@@ -195,78 +249,8 @@
         }
     }
 
-    /// Handles an attempt that did not run.
-    fn handle_not_run(
-        &self,
-        request: &CallerRequest,
-        lease: &Lease<P>,
-        why: NotRun,
-        progress: &mut Progress,
-    ) -> AttemptOutcome {
-        let now = now();
-        match why {
-            NotRun::Unreachable => {
-                self.scheduler
-                    .with_upstream(lease, |u| u.record_failure(now));
-                self.scheduler
-                    .connection_refused(start_id(lease), &lease.target.id);
-                // The upstream received nothing, so it does not count as an attempt.
-                progress.attempts -= 1;
-            }
-            // The upstream has received nothing. A reset of one connection, or an entry that
-            // was too slow, does not show that it is down.
-            NotRun::Unsent | NotRun::Outdated => {
-                self.scheduler.with_upstream(lease, |u| u.record_full(now));
-                progress.attempts -= 1;
-            }
-            NotRun::Refused => {
-                self.scheduler.with_upstream(lease, |u| u.record_full(now));
-            }
-            NotRun::Misdirected => {
-                self.scheduler
-                    .with_upstream(lease, |u| u.record_failure(now));
-            }
-            NotRun::Late => return AttemptOutcome::Refuse(Refusal::OutOfTime),
-        }
-        let fields = json!({
-            "request": request.head.attempt,
-            "upstream": lease.target.id,
-            "why": format!("{why:?}"),
-            "connections": self.connection_use(lease).fields(),
-        });
-        decision("dispatch", "not run", Outcome::Failure, fields);
-        if progress.tried.len() > 2 * MAX_ATTEMPTS {
-            return AttemptOutcome::Refuse(Refusal::Busy(DEFAULT_BUSY_WAIT));
-        }
-        AttemptOutcome::Retry(Refusal::Busy(DEFAULT_BUSY_WAIT))
-    }
-
-    /// Handles an attempt with unknown outcome.
-    fn handle_unknown(
-        &self,
-        request: &CallerRequest,
-        lease: &Lease<P>,
-        failed: &FailedExchange,
-    ) -> AttemptOutcome {
-        failed.count();
-        self.scheduler
-            .with_upstream(lease, |u| u.record_failure(now()));
-        let fields = json!({
-            "request": request.head.attempt,
-            "upstream": lease.target.id,
-            "parts": request.part_ids(),
-            "age_ms": millis(now().saturating_sub(request.arrived)),
-            "cause": failed.cause,
-            "reused": failed.reused,
-            "connections": self.connection_use(lease).fields(),
-            "why": failed.why,
-        });
-        decision("dispatch", "outcome unknown", Outcome::Failure, fields);
-        after_unknown(request)
-    }
-
     /// Connections to the leased upstream, for decision lines.
-    fn connection_use(&self, lease: &Lease<P>) -> ConnectionUse {
+    pub fn connection_use(&self, lease: &Lease<P>) -> ConnectionUse {
         let idle = self.connections.idle_count(lease.target.addr);
         self.scheduler.connection_use(lease, idle)
     }
@@ -304,9 +288,8 @@
                 return after_unknown(request);
             }
             Err(e) => {
-                self.exchange_ended(request, &lease, ConnectionEnd::Broken);
-                let failed = FailedExchange::new(&e, reused);
-                return self.handle_unknown(request, &lease, &failed);
+                self.record_broken(request, &lease, &FailedExchange::new(&e, reused));
+                return after_unknown(request);
             }
         };
         if !response_head.closing {
@@ -336,8 +319,7 @@
         request: &Arc<CallerRequest>,
         response: Box<UnreadResponse>,
         lease: Lease<P>,
-        tried: Vec<UpstreamId>,
-        runs: u32,
+        attempts: Attempts,
     ) -> Response<ResponseBody> {
         let head = response.exchange.head.clone();
         let mut headers = self.platform.dialect().caller_headers(&head);
@@ -346,77 +328,18 @@
         let relay = Relay {
             dispatcher: self.clone(),
             request: request.clone(),
-            response,
-            lease,
-            tried,
-            runs,
-            events: EventSplitter::default(),
-            event_due: now() + STREAM_TIMEOUT,
+            run: Some(Run {
+                response,
+                lease,
+                events: EventSplitter::default(),
+            }),
+            last_id: request.head.last_event.clone(),
+            attempts,
         };
         let body = ResponseBody::streamed(chunks, spawn(relay.run(sender)));
         assemble(&head, headers, body)
     }
 
-    /// Resumes a broken stream after the event `last_id` at another upstream; `None`
-    /// if no upstream takes it over. `runs` counts the upstreams that may have run the
-    /// request.
-    pub async fn resume(
-        self: &Arc<Self>,
-        request: &CallerRequest,
-        tried: &mut Vec<UpstreamId>,
-        runs: &mut u32,
-        last_id: Option<&str>,
-    ) -> Option<(Box<UnreadResponse>, Lease<P>)> {
-        for _ in 0..MAX_ATTEMPTS {
-            if *runs >= request.route.max_attempts {
-                return None;
-            }
-            let AcquireOutcome::Leased(lease) = self.scheduler.acquire(request, tried).await else {
-                return None;
-            };
-            if self.must_not_resume(request) {
-                return None;
-            }
-            if !self.scheduler.take_retry(&request.service) {
-                return None;
-            }
-            match send(&self.platform, &self.connections, request, &lease, last_id).await {
-                SendOutcome::Response(response) if response.exchange.head.status.is_success() => {
-                    *runs += 1;
-                    tried.push(lease.target.id.clone());
-                    return Some((response, lease));
-                }
-                SendOutcome::NotRun(NotRun::Unreachable) => {
-                    self.scheduler
-                        .with_upstream(&lease, |u| u.record_failure(now()));
-                    self.scheduler
-                        .connection_refused(start_id(&lease), &lease.target.id);
-                }
-                SendOutcome::NotRun(_) => {
-                    self.scheduler
-                        .with_upstream(&lease, |u| u.record_full(now()));
-                }
-                outcome => {
-                    *runs += 1;
-                    tried.push(lease.target.id.clone());
-                    self.scheduler
-                        .with_upstream(&lease, |u| u.record_failure(now()));
-                    if let SendOutcome::Unknown(_) = outcome {
-                        self.exchange_ended(request, &lease, ConnectionEnd::Broken);
-                    }
-                }
-            }
-        }
-        None
-    }
-
-    /// Whether the key may have been revoked or the request is quarantined.
-    fn must_not_resume(&self, request: &CallerRequest) -> bool {
-        let expired =
-            request.head.api_key.is_some() && self.feed.config_status() == ConfigStatus::Expired;
-        expired || self.scheduler.verdict(&request.features) == Verdict::Refuse
-    }
-
     /// Records that the connection of a request ended, and finds out whether its upstream
     /// crashed.
     pub fn exchange_ended(
@@ -518,7 +441,7 @@
                 "plan_age_ms": age.map(millis),
                 "shortage": shortage,
                 "status": refusal.status().as_u16(),
-                "tried": progress.tried,
+                "tried": progress.attempts.excluded(),
                 "age_ms": millis(now().saturating_sub(request.arrived)),
                 "left_ms": millis(request.remaining(now())),
                 "retry_after_ms": wait,
@@ -529,6 +452,15 @@
     }
 }
 
+/// Whether an attempt decides the response, so that no other one is needed.
+fn is_final(request: &CallerRequest, outcome: &SendOutcome) -> bool {
+    let SendOutcome::Response(response) = outcome else {
+        return false;
+    };
+    // After a server error another upstream may still succeed.
+    !response.exchange.head.status.is_server_error() || request.route.kind != RequestKind::Safe
+}
+
 /// What follows an attempt that may have run.
 fn after_unknown(request: &CallerRequest) -> AttemptOutcome {
     match request.route.kind.is_retryable() {
--- a/components/gateway/src/failed_exchange.rs
+++ b/components/gateway/src/failed_exchange.rs
@@ -30,6 +30,15 @@
         }
     }
 
+    /// An exchange that ended within its response.
+    pub fn truncated(reused: bool, why: String) -> Self {
+        FailedExchange {
+            cause: "truncated",
+            reused,
+            why,
+        }
+    }
+
     /// Counts the exchange in the metrics.
     pub fn count(&self) {
         let connection = if self.reused { "reused" } else { "new" };
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -2,6 +2,7 @@
 //! requests, schedules them onto upstreams and returns the responses.
 
 mod answer_log;
+mod attempt;
 mod body_buffers;
 mod caller_request;
 mod connection_use;
@@ -10,13 +11,18 @@
 mod front;
 mod gateway;
 mod lease;
+mod progress;
+mod race;
 mod readiness;
 mod refusal;
 mod relay;
 mod response_body;
+mod run;
 mod scheduler;
 mod send;
 mod shortage;
+mod silence;
+mod successor;
 mod weight_prefetcher;
 
 pub use gateway::Gateway;
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -1,45 +1,58 @@
+use std::future::{Future, pending};
 use std::sync::Arc;
 
 use async_channel::Sender;
 use bytes::Bytes;
-use dispatch::{ConnectionEnd, EventSplitter};
+use compact_str::CompactString;
+use dispatch::{Attempts, ConnectionEnd};
 use domain::{Moment, Platform, millis, now};
+use futures_lite::FutureExt;
 use serde_json::json;
+use smol::Timer;
 use telemetry::{Outcome, decision};
-use transport::{TransportError, with_timeout};
+use transport::with_timeout;
 
 use crate::ResponseAborted;
 use crate::caller_request::CallerRequest;
 use crate::dispatcher::Dispatcher;
 use crate::lease::Lease;
-use crate::send::{STREAM_TIMEOUT, UnreadResponse};
+use crate::race::Race;
+use crate::run::{ReadOutcome, Run};
+use crate::silence::STREAM_SILENCE;
+use crate::successor::Successor;
 
-/// Passes a stream from upstreams to its caller and resumes it when it breaks.
+/// Passes a stream from upstreams to its caller. While its upstream is silent, another one
+/// resumes it; the first of both that goes on is used.
 pub struct Relay<P: Platform> {
     pub(crate) dispatcher: Arc<Dispatcher<P>>,
     pub(crate) request: Arc<CallerRequest>,
-    pub(crate) response: Box<UnreadResponse>,
-    pub(crate) lease: Lease<P>,
-    pub(crate) tried: Vec<domain::UpstreamId>,
-    /// Number of upstreams that may have run the request.
-    pub(crate) runs: u32,
-    pub(crate) events: EventSplitter,
-    /// Latest moment for the next event; bytes that complete none do not extend it.
-    pub(crate) event_due: Moment,
+    /// The run that the last events came from; `None` once it broke.
+    pub(crate) run: Option<Run<P>>,
+    /// Id of the last event that was passed on.
+    pub(crate) last_id: Option<CompactString>,
+    pub(crate) attempts: Attempts,
 }
 
-/// Result of one read from the upstream.
-enum ReadOutcome {
-    /// Complete events.
-    Events(Bytes),
-    /// No complete event yet.
-    Incomplete,
-    /// Proper end of the stream.
-    End,
-    /// The stream broke off.
-    Broken(String),
-    /// The upstream was silent for too long.
-    Silent(String),
+/// What to do next.
+enum Step {
+    /// Pass on events.
+    Forward(Bytes),
+    /// End the response.
+    Finish,
+    /// Cut the response short.
+    Cut,
+}
+
+/// What happens while another run is looked for.
+enum RaceStep<P: Platform> {
+    /// The run that the last events came from went on or broke.
+    Kept(ReadOutcome),
+    /// Another run went on or failed.
+    Ended(Successor<P>),
+    /// A slot for another run.
+    Placed(Lease<P>),
+    /// No other run may start now.
+    NotPlaced,
 }
 
 impl<P: Platform> Relay<P> {
@@ -61,127 +74,166 @@
     /// short.
     async fn forward(&mut self, chunks: &Sender<Result<Bytes, ResponseAborted>>) -> bool {
         loop {
-            match self.read().await {
-                ReadOutcome::Events(bytes) => {
-                    if chunks.send(Ok(bytes)).await.is_err() {
+            match self.next().await {
+                Step::Forward(events) => {
+                    if chunks.send(Ok(events)).await.is_err() {
                         return false;
                     }
-                    // The wait for a slow caller does not count.
-                    self.event_due = now() + STREAM_TIMEOUT;
                 }
-                ReadOutcome::Incomplete => {}
-                ReadOutcome::End => return true,
-                ReadOutcome::Broken(why) => {
-                    self.log("stream broke", Outcome::Failure, &why);
-                    self.dispatcher.exchange_ended(
-                        &self.request,
-                        &self.lease,
-                        ConnectionEnd::Broken,
-                    );
-                    if !self.resume().await {
-                        return false;
-                    }
+                Step::Finish => return true,
+                Step::Cut => return false,
+            }
+            self.attempts.record_progress();
+        }
+    }
+
+    /// Waits for the next events. The wait for a slow caller does not count as silence.
+    async fn next(&mut self) -> Step {
+        let Some(run) = &mut self.run else {
+            return self.race().await;
+        };
+        match with_timeout(STREAM_SILENCE, run.read()).await {
+            Some(ReadOutcome::Broken(why)) => self.record_break(&why),
+            Some(outcome) => return self.step_after(outcome),
+            None => {
+                self.log("stream silent", Outcome::Failure, "no event");
+                self.with_run(|dispatcher, request, run| {
+                    dispatcher.record_silence(request, &run.lease)
+                });
+            }
+        }
+        self.race().await
+    }
+
+    /// Waits for the next events of the run, unless it broke, and of others that start after
+    /// the last event that was passed on. Only the first that goes on is used.
+    async fn race(&mut self) -> Step {
+        let mut successors = Race::default();
+        let mut search_at = now();
+        loop {
+            match self.race_step(&mut successors, search_at).await {
+                RaceStep::Kept(ReadOutcome::Broken(why)) => self.record_break(&why),
+                RaceStep::Kept(outcome) => {
+                    self.with_run(|dispatcher, request, run| {
+                        dispatcher.record_recovery(request, &run.lease)
+                    });
+                    return self.step_after(outcome);
                 }
-                ReadOutcome::Silent(why) => {
-                    self.log("stream silent", Outcome::Failure, &why);
-                    if !self.resume().await {
-                        return false;
-                    }
+                RaceStep::Ended(Successor::Resumed(run, outcome)) => {
+                    self.log("stream resumed", Outcome::Change, &run.lease.target.id);
+                    metrics::counter!("turmerichold_streams_resumed_total").increment(1);
+                    self.run = Some(*run);
+                    return self.step_after(outcome);
+                }
+                RaceStep::Ended(Successor::NotRun(lease, why)) => {
+                    self.dispatcher
+                        .record_not_run(&self.request, &lease, why, &mut self.attempts);
+                }
+                RaceStep::Ended(Successor::Failed) => {}
+                RaceStep::Placed(lease) => {
+                    self.attempts.start(lease.target.id.clone());
+                    let (dispatcher, request) = (self.dispatcher.clone(), self.request.clone());
+                    let last_id = self.last_id.clone();
+                    let successor = Successor::start(dispatcher, request, lease, last_id);
+                    successors.push(now(), successor);
+                }
+                RaceStep::NotPlaced if self.run.is_none() && successors.is_empty() => {
+                    return Step::Cut;
+                }
+                RaceStep::NotPlaced => {
+                    search_at = now() + STREAM_SILENCE;
+                    self.attempts.forget_refusals();
                 }
             }
         }
     }
 
-    async fn read(&mut self) -> ReadOutcome {
-        if self.events.is_malformed() {
-            return ReadOutcome::Broken("the stream contains bytes that are no event".to_owned());
+    async fn race_step<F>(&mut self, successors: &mut Race<F>, search_at: Moment) -> RaceStep<P>
+    where
+        F: Future<Output = Successor<P>>,
+    {
+        if self.run.is_none() && successors.is_empty() {
+            self.attempts.forget_refusals();
         }
-        let limit = self.event_due.saturating_sub(now());
-        let next = with_timeout(limit, self.response.exchange.body.next()).await;
-        let Some(next) = next else {
-            return ReadOutcome::Silent(format!("no event for {STREAM_TIMEOUT:?}"));
+        let search_at = match successors.last_start() {
+            None if self.run.is_none() => now(),
+            None => search_at,
+            // It is looked for another slot once the last run is silent too.
+            Some(started) => search_at.max(started + STREAM_SILENCE),
         };
-        match next {
-            Ok(Some(bytes)) => match self.events.push(&bytes) {
-                Some(events) => {
-                    self.lease.event_received();
-                    ReadOutcome::Events(events)
-                }
-                None => ReadOutcome::Incomplete,
-            },
-            Ok(None) => {
-                let rest = self.events.take_rest();
-                match rest.is_empty() {
-                    true => ReadOutcome::End,
-                    // An end within an event is a truncation.
-                    false => ReadOutcome::Broken("the stream ended within an event".to_owned()),
+        let run = self.run.as_mut();
+        let kept = async {
+            match run {
+                Some(run) => RaceStep::Kept(run.read().await),
+                None => pending().await,
+            }
+        };
+        let ended = async { RaceStep::Ended(successors.next().await) };
+        let (dispatcher, request) = (&self.dispatcher, &self.request);
+        let attempts = &self.attempts;
+        let search = async {
+            Timer::after(search_at.saturating_sub(now())).await;
+            if !request.route.kind.is_retryable() {
+                return RaceStep::NotPlaced;
+            }
+            let placed = dispatcher.place(request, attempts).await;
+            placed.map_or(RaceStep::NotPlaced, RaceStep::Placed)
+        };
+        kept.or(ended).or(search).await
+    }
+
+    /// The step after the run went on.
+    fn step_after(&mut self, outcome: ReadOutcome) -> Step {
+        match outcome {
+            ReadOutcome::Events(events) => {
+                let last_id = self.run.as_ref().and_then(|r| r.events.last_id());
+                if let Some(last_id) = last_id {
+                    self.last_id = Some(last_id.into());
                 }
+                Step::Forward(events)
             }
-            Err(e @ TransportError::Timeout { .. }) => ReadOutcome::Silent(e.to_string()),
-            Err(e) => ReadOutcome::Broken(e.to_string()),
+            ReadOutcome::End => Step::Finish,
+            ReadOutcome::Broken(_) => Step::Cut,
         }
     }
 
-    /// Continues after the last complete event at another upstream; false if that is
-    /// not possible.
-    async fn resume(&mut self) -> bool {
-        self.dispatcher
-            .scheduler
-            .with_upstream(&self.lease, |u| u.record_failure(now()));
-        if !self.request.route.kind.is_retryable() {
-            return false;
+    /// Records that the run broke, and closes its connection.
+    fn record_break(&mut self, why: &str) {
+        self.log("stream broke", Outcome::Failure, why);
+        self.with_run(|dispatcher, request, run| {
+            dispatcher.exchange_ended(request, &run.lease, ConnectionEnd::Broken);
+            dispatcher
+                .scheduler
+                .with_upstream(&run.lease, |u| u.record_failure(now()));
+        });
+        self.run = None;
+    }
+
+    fn with_run(&self, act: impl FnOnce(&Arc<Dispatcher<P>>, &CallerRequest, &Run<P>)) {
+        if let Some(run) = &self.run {
+            act(&self.dispatcher, &self.request, run);
         }
-        self.events.discard();
-        let last_id = self.events.last_id().map(str::to_owned);
-        let last_id =
-            last_id.or_else(|| self.request.head.last_event.as_deref().map(str::to_owned));
-        let next = self
-            .dispatcher
-            .resume(
-                &self.request,
-                &mut self.tried,
-                &mut self.runs,
-                last_id.as_deref(),
-            )
-            .await;
-        let Some((response, lease)) = next else {
-            return false;
-        };
-        metrics::counter!("turmerichold_streams_resumed_total").increment(1);
-        self.log("stream resumed", Outcome::Change, &lease.target.id);
-        self.response = response;
-        self.lease = lease;
-        self.event_due = now() + STREAM_TIMEOUT;
-        true
     }
 
     fn finish(self) {
         let took = now().saturating_sub(self.request.arrived);
-        self.dispatcher
-            .record_completion(&self.request, &self.lease, took);
-        self.dispatcher
-            .request_completed(&self.request, &self.lease, &self.response.exchange.head);
-        let UnreadResponse {
-            exchange,
-            response_head,
-            ..
-        } = *self.response;
-        if !response_head.closing {
-            let max_idle = self.dispatcher.scheduler.idle_share(&self.lease);
-            exchange.body.release(
-                &self.dispatcher.connections,
-                response_head.keep_alive,
-                max_idle,
-            );
-        }
+        let Some(run) = self.run else {
+            return;
+        };
+        let dispatcher = &self.dispatcher;
+        dispatcher.record_completion(&self.request, &run.lease, took);
+        let head = &run.response.exchange.head;
+        dispatcher.request_completed(&self.request, &run.lease, head);
+        let max_idle = dispatcher.scheduler.idle_share(&run.lease);
+        run.release(&dispatcher.connections, max_idle);
     }
 
     fn log(&self, what: &'static str, outcome: Outcome, why: &str) {
         let fields = json!({
             "request": self.request.head.attempt,
-            "upstream": self.lease.target.id,
+            "upstream": self.run.as_ref().map(|r| &r.lease.target.id),
             "parts": self.request.part_ids(),
-            "last_event": self.events.last_id(),
+            "last_event": self.last_id,
             "age_ms": millis(now().saturating_sub(self.request.arrived)),
             "why": why,
         });
--- a/components/gateway/src/send.rs
+++ b/components/gateway/src/send.rs
@@ -14,11 +14,6 @@
 
 /// Connect timeout; upstreams accept connections within milliseconds.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
-/// Wait for an event of a stream after which it is resumed at another upstream; callers give
-/// up after two seconds at the earliest.
-pub(crate) const STREAM_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Wait for a response after which a retryable request is sent to another upstream.
-const SAFE_TIMEOUT: Duration = Duration::from_millis(450);
 /// Least remaining time with which a request is still sent.
 const MIN_REMAINING: Duration = Duration::from_millis(20);
 /// Least time before `begin_by` with which a request is still sent: it has to arrive, and
@@ -43,9 +38,9 @@
     NotRun(NotRun),
     /// It may have run: the exchange broke off or the response is invalid.
     Unknown(FailedExchange),
-    /// It may have run: the upstream did not respond, because of a crash or of lost
-    /// packets.
-    Silent(FailedExchange),
+    /// It may have run: it was cancelled, as it had not begun before newer weights came into
+    /// force.
+    Cancelled(FailedExchange),
     /// It may have run: no response arrived before the deadline.
     TimedOut,
 }
@@ -111,19 +106,11 @@
         Ok(outbound) => outbound,
         Err(e) => return SendOutcome::Unknown(FailedExchange::invalid(reused, e.to_string())),
     };
-    let timeout = match request.route.kind {
-        kind if kind.is_stream() => STREAM_TIMEOUT,
-        kind if kind.is_retryable() => SAFE_TIMEOUT,
-        _ => remaining,
-    };
     let begin_within = lease.begin_by.map(|by| by.saturating_sub(now()));
     let begin_within = begin_within.unwrap_or(remaining);
     let timeouts = ExchangeTimeouts {
-        head: timeout.min(remaining).min(begin_within),
-        read_timeout: match request.route.kind.is_stream() {
-            true => STREAM_TIMEOUT,
-            false => remaining,
-        },
+        head: remaining.min(begin_within),
+        read_timeout: remaining,
     };
     // The clock is read before the remaining time, so that a pause between them only
     // shortens it.
@@ -139,7 +126,7 @@
             if let Some(by) = lease.begin_by.filter(|by| *by <= now()) {
                 log_late_begin(request, lease, by);
             }
-            SendOutcome::Silent(FailedExchange::new(&e, reused))
+            SendOutcome::Cancelled(FailedExchange::new(&e, reused))
         }
         Err(e) if e.is_unsent() => {
             log::debug!("gateway: {e}");
