Cancel a waiting request whose engine's weights become too old meanwhile

Engines could begin a request on weights that were no longer in force: the moment by which it must have begun was set when the slot was reserved, so that a version declared while it waited for its answer did not count.

Test: silent_request_begins_on_weights_that_are_too_old declares a version 2 while a request waits for the head of its answer (bound 3 s, pause 5.5 s). On the code before an unsafe request got 200 from the old weights at 5.5 s; now the connection closes and 502 comes before the bound, for all kinds.

Lease::until_outdated looks for newer versions for as long as the head is missing.

--- a/components/gateway/src/failed_exchange.rs
+++ b/components/gateway/src/failed_exchange.rs
@@ -39,6 +39,15 @@
         }
     }
 
+    /// An exchange that did not begin before newer weights came into force.
+    pub fn outdated(reused: bool) -> Self {
+        FailedExchange {
+            cause: "silent",
+            reused,
+            why: "not begun before newer weights came into force".to_owned(),
+        }
+    }
+
     /// Counts the exchange in the metrics.
     pub fn count(&self) {
         let connection = if self.reused { "reused" } else { "new" };
--- a/components/gateway/src/lease.rs
+++ b/components/gateway/src/lease.rs
@@ -1,9 +1,16 @@
+use std::future::pending;
 use std::sync::Arc;
+use std::time::Duration;
 
-use domain::{Platform, ServiceId, Target, WeightVersion};
+use domain::{HeldModel, Moment, Platform, ServiceId, Target, WeightVersion, now};
+use smol::Timer;
 
 use crate::scheduler::Scheduler;
 
+/// Interval between two looks for newer weights; they come into force seconds after they are
+/// declared.
+const VERSION_INTERVAL: Duration = Duration::from_millis(250);
+
 /// A request's slot at an upstream; released when dropped.
 pub struct Lease<P: Platform> {
     pub(crate) scheduler: Arc<Scheduler<P>>,
@@ -19,6 +26,8 @@
     /// Weight version of the upstream, which it must still have when it begins;
     /// `None` if any version will do.
     pub weight_version: Option<WeightVersion>,
+    /// Weights that the upstream held when the slot was reserved, if the request needs some.
+    pub held: Option<HeldModel>,
     /// Latest moment for the upstream to begin the request: after it, the weights of
     /// the upstream are too old.
     pub begin_by: Option<domain::Moment>,
@@ -31,6 +40,22 @@
 }
 
 impl<P: Platform> Lease<P> {
+    /// Waits until the weights of the upstream are too old to begin the request; also if
+    /// newer ones are declared only now. Returns since when they are.
+    pub async fn until_outdated(&self) -> Moment {
+        let Some(held) = &self.held else {
+            return pending().await;
+        };
+        loop {
+            let begin_by = self.scheduler.begin_by(held);
+            let left = begin_by.map(|by| by.saturating_sub(now()));
+            match begin_by.filter(|_| left == Some(Duration::ZERO)) {
+                Some(begin_by) => return begin_by,
+                None => Timer::after(left.unwrap_or(VERSION_INTERVAL).min(VERSION_INTERVAL)).await,
+            };
+        }
+    }
+
     /// Records that an event has arrived; the first one shows that the upstream
     /// has processed the prompt.
     pub fn event_received(&mut self) {
--- a/components/gateway/src/scheduler/mod.rs
+++ b/components/gateway/src/scheduler/mod.rs
@@ -14,7 +14,9 @@
     IncomingRequest, LatencyModel, NO_MATCH_RETRY, Ownership, Placement, Requirements, ViewChange,
     WindowBudget,
 };
-use domain::{Moment, NodeSettings, Platform, ServiceId, Target, UpstreamId, WeightVersion, now};
+use domain::{
+    HeldModel, Moment, NodeSettings, Platform, ServiceId, Target, UpstreamId, WeightVersion, now,
+};
 use feed::{Feed, Member};
 use transport::{MAX_IDLE, Pool};
 
@@ -337,6 +339,7 @@
             tag: 0,
             started_ms: 0,
             weight_version: None,
+            held: None,
             begin_by: None,
             prefill_tokens: needs.prompt_tokens,
             leased_at: now,
@@ -350,14 +353,20 @@
             let held = models.find(|h| Some(&h.model) == needs.model.as_ref());
             if let Some(held) = held {
                 lease.weight_version = needs.min_weight_version.map(|_| held.version);
-                let bound = self.node.bounds.weight_rollout.saturating_sub(BEGIN_MARGIN);
-                let expires = |v: &FleetView| v.expires_at(&held.model, held.version, bound);
-                lease.begin_by = self.feed.view(expires);
+                lease.begin_by = self.begin_by(held);
+                lease.held = Some(held.clone());
             }
         }
         lease
     }
 
+    /// Latest moment to begin a request on weights, as far as newer ones are declared.
+    pub fn begin_by(&self, held: &HeldModel) -> Option<Moment> {
+        let bound = self.node.bounds.weight_rollout.saturating_sub(BEGIN_MARGIN);
+        self.feed
+            .view(|v| v.expires_at(&held.model, held.version, bound))
+    }
+
     /// Assigns free slots to the queued requests of a service.
     pub(crate) fn serve_queue(self: &Arc<Self>, name: &ServiceId) {
         // Dropping a lease takes the lock, so unclaimed ones outlive the guard.
--- a/components/gateway/src/send.rs
+++ b/components/gateway/src/send.rs
@@ -116,7 +116,17 @@
     // shortens it.
     let clock = Instant::now();
     let latest = clock + write_by.saturating_sub(now());
-    match Exchange::begin_by(connection, outbound, timeouts, latest).await {
+    let begun = Exchange::begin_by(connection, outbound, timeouts, latest);
+    let begun = async { Ok(begun.await) };
+    let outdated = async { Err(lease.until_outdated().await) };
+    let begun = match futures_lite::future::or(begun, outdated).await {
+        Ok(begun) => begun,
+        Err(by) => {
+            log_late_begin(request, lease, by);
+            return SendOutcome::Cancelled(FailedExchange::outdated(reused));
+        }
+    };
+    match begun {
         Ok(exchange) => classify(platform, request, lease, exchange, reused)
             .unwrap_or_else(|why| SendOutcome::Unknown(FailedExchange::invalid(reused, why))),
         Err(TransportError::Timeout { .. }) if request.remaining(now()) < MIN_REMAINING => {
