--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each type takes the current moment and an event and returns what to do next.
 
 mod acceptance;
+mod attempts;
 mod config_freshness;
 mod connection_budget;
 mod crash_evidence;
@@ -34,6 +35,7 @@
 mod write_time;
 
 pub use acceptance::Acceptance;
+pub use attempts::{AttemptEnd, Attempts};
 pub use config_freshness::{ConfigFreshness, ConfigStatus, ReadTiming};
 pub use connection_budget::ConnectionBudget;
 pub use crash_watch::{ConnectionEnd, CrashWatch, NextCheck, Verdict};
