Date a record by the end of the read before, not by the course of its own

Cause: that a read is pending does not show that the store has not had the record. Its request may be on its way, its response too, or the store answers at the end of the wait. No time that a response may take bounds this.

Why this works: the read before did not return the record, and an empty response shows that nothing was written until the end of its wait, however late it is handled. This needs no assumption on delays. The beats are no longer needed for dates; what they vouched for, and the tests of that, go. The old expectations are those of a date that may be late; the new ones state the date exactly.

Cost: a version is dated up to a wait and a pause early (0.93 s of 8 s, before 30 ms), so older weights are refused earlier by that.

--- a/components/dispatch/src/config_freshness.rs
+++ b/components/dispatch/src/config_freshness.rs
@@ -9,18 +9,6 @@
 /// normally well below.
 const FRESH_AGE: Duration = Duration::from_millis(2400);
 
-/// Time beyond the wait of a read after which its response is late and may carry
-/// older records.
-const LATE_AFTER: Duration = Duration::from_millis(600);
-
-/// Time for which a response may be on its way: a read that has not returned for so long may
-/// have been answered before.
-const RESPONSE_TIME: Duration = Duration::from_millis(250);
-
-/// Longest time from the end of a read to the start of the next one after which records
-/// are dated by the course of the next one. It may return what was written between them.
-const MAX_READ_GAP: Duration = Duration::from_millis(100);
-
 /// What an entry may do with its configuration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConfigStatus {
@@ -44,19 +32,6 @@
     pub wait: Duration,
     /// Whether it came right after another read, not after failures.
     pub followed: bool,
-    /// Moment up to which the process had handled all input when the read returned, by
-    /// [`Pulse::settled`](crate::Pulse::settled).
-    pub settled: Moment,
-}
-
-impl ReadTiming {
-    /// Last moment at which the read was surely not answered yet. The store answers when
-    /// the wait is over, however late the response is handled.
-    fn pending_until(&self) -> Option<Moment> {
-        let unanswered = self.settled.saturating_sub(RESPONSE_TIME);
-        let unanswered = unanswered.min(self.sent + self.wait);
-        (unanswered > self.sent).then_some(unanswered)
-    }
 }
 
 /// Tracks when the store last confirmed the configuration.
@@ -117,36 +92,25 @@
     }
 
     /// Records a successful read: it returned all records written before. An empty one
-    /// was pending for its whole wait.
+    /// was pending for its whole wait. When another one was answered is not known: its
+    /// request or its response may have been on its way for long.
     pub fn record_read(&mut self, now: Moment, read: &ReadTiming, is_empty: bool) {
         self.confirm(read.sent);
         let complete_until = match is_empty {
             true => now.min(read.sent + read.wait),
-            false => read.pending_until().unwrap_or(read.sent),
+            false => read.sent,
         };
         self.complete_until = self.complete_until.max(Some(complete_until));
     }
 
-    /// Earliest moment at which a record of a read was written. A waiting read returns
-    /// a record as soon as it is written, so the record is newer than the last moment
-    /// at which the read was known to be pending. A read that returned at once, however
-    /// long its response took, may return what was written since the read before it.
-    pub fn earliest_write(&self, now: Moment, read: &ReadTiming) -> WriteTime {
-        if !read.followed {
-            return self.since_last_read(WriteBasis::AfterFailure);
-        }
-        if now.saturating_sub(read.sent) > read.wait + LATE_AFTER {
-            return self.since_last_read(WriteBasis::LateRead);
-        }
-        let previous = self.since_last_read(WriteBasis::PreviousRead);
-        let gap = read.sent.saturating_sub(previous.at);
-        match read.pending_until() {
-            Some(at) if gap <= MAX_READ_GAP => WriteTime {
-                at,
-                basis: WriteBasis::WaitingRead,
-            },
-            _ => previous,
-        }
+    /// Earliest moment at which a record of a read was written: the read before did not
+    /// return it. That this one was pending for a while says nothing, as it may have
+    /// reached the store late.
+    pub fn earliest_write(&self, read: &ReadTiming) -> WriteTime {
+        self.since_last_read(match read.followed {
+            true => WriteBasis::PreviousRead,
+            false => WriteBasis::AfterFailure,
+        })
     }
 
     /// Write time of a record that the last read or confirmation did not include.
--- a/components/dispatch/src/pulse.rs
+++ b/components/dispatch/src/pulse.rs
@@ -2,12 +2,6 @@
 
 use domain::Moment;
 
-/// Longest time between two beats of a process that was not held up between them.
-const MAX_GAP: Duration = Duration::from_millis(100);
-
-/// Time after a gap in which a task that waited in it may not have had its turn yet.
-const CATCH_UP_TIME: Duration = Duration::from_secs(1);
-
 /// Time between two beats after which the process counts as resumed: evidence about
 /// other processes starts anew.
 const RESUME_GAP: Duration = Duration::from_millis(500);
@@ -17,10 +11,6 @@
 #[derive(Debug, Clone, Default)]
 pub struct Pulse {
     last: Moment,
-    settled: Moment,
-    /// When the last gap ended, and what was settled before it and those shortly before.
-    gap_end: Moment,
-    settled_before_gap: Moment,
     resumed: Moment,
 }
 
@@ -30,14 +20,6 @@
 
     /// Records a beat.
     pub fn beat(&mut self, now: Moment) {
-        if now.saturating_sub(self.last) <= MAX_GAP {
-            self.settled = self.last;
-        } else {
-            if now.saturating_sub(self.gap_end) > CATCH_UP_TIME {
-                self.settled_before_gap = self.settled;
-            }
-            self.gap_end = now;
-        }
         self.resumed = self.resumed(now);
         self.last = now;
     }
@@ -50,14 +32,4 @@
             false => self.resumed,
         }
     }
-
-    /// Moment up to which all input that had arrived for a task has been handled. The
-    /// task waits since `since`: one that waited in a gap may get its turn late after
-    /// it, so beats after the gap show nothing.
-    pub fn settled(&self, since: Moment) -> Moment {
-        match since < self.gap_end {
-            true => self.settled_before_gap,
-            false => self.settled,
-        }
-    }
 }
--- a/components/dispatch/src/write_time.rs
+++ b/components/dispatch/src/write_time.rs
@@ -12,12 +12,8 @@
 /// How the write time of a record is known.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum WriteBasis {
-    /// A waiting read returned it, after it had been pending for a while.
-    WaitingRead,
-    /// A read returned it at once, right after one that did not.
+    /// A read returned it, right after one that did not.
     PreviousRead,
-    /// A read returned it late.
-    LateRead,
     /// The first read after a failure returned it.
     AfterFailure,
     /// It was in the newest state of the topic, read after a gap or at the start.
@@ -30,9 +26,7 @@
     /// Name in log lines.
     pub fn name(self) -> &'static str {
         match self {
-            WriteBasis::WaitingRead => "waiting read",
             WriteBasis::PreviousRead => "previous read",
-            WriteBasis::LateRead => "late read",
             WriteBasis::AfterFailure => "after failure",
             WriteBasis::Newest => "newest",
             WriteBasis::Peer => "peer",
--- a/components/dispatch/tests/records.rs
+++ b/components/dispatch/tests/records.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use dispatch::{ConfigFreshness, ConfigStatus, FleetView, Mirror, Pulse, ReadTiming, ViewChange};
 use domain::{FleetRecord, Moment, Record, RecordBatch};
+use fastrand::Rng;
 use fixture::{ms, secs, start, upstream};
 
 fn change(key: &str, offset: u64, value: Option<&'static str>) -> Record {
@@ -381,18 +382,12 @@
     );
 }
 
-/// Time for which a response may have been on its way.
-const TRANSIT: Duration = Duration::from_millis(250);
-/// Time before the bound of a version from which no request is written to older weights.
-const MARGIN: Duration = Duration::from_millis(400);
-
 /// Timing of a read with a wait of 900 ms that was sent at `sent`, right after another.
-fn read(sent: Moment, settled: Moment) -> ReadTiming {
+fn read(sent: Moment) -> ReadTiming {
     ReadTiming {
         sent,
         wait: ms(900),
         followed: true,
-        settled,
     }
 }
 
@@ -400,88 +395,19 @@
 /// read ago. A version declared under load came into force two seconds early, when no
 /// engine held it.
 #[test]
-fn record_returned_by_a_waiting_read_was_written_just_now() {
+fn record_is_as_old_as_the_end_of_the_read_before_at_most() {
     let mut freshness = ConfigFreshness::new(secs(5));
-    freshness.record_read(start() + ms(905), &read(start(), start() + ms(870)), true);
-    let sent = start() + ms(935);
-    let received = sent + ms(850);
-    let settled = received - ms(30);
+    freshness.record_read(start() + ms(905), &read(start()), true);
+    let regular = read(start() + ms(935));
     let failed_before = ReadTiming {
         followed: false,
-        ..read(sent, settled)
+        ..regular
     };
 
-    let regular = freshness.earliest_write(received, &read(sent, settled));
-    let after_failures = freshness.earliest_write(received, &failed_before);
-    let late = freshness.earliest_write(sent + ms(1600), &read(sent, settled));
-
-    assert_eq!(
-        [regular, after_failures, late].map(|w| w.at),
-        [settled - TRANSIT, start() + ms(900), start() + ms(900)]
-    );
-}
-
-/// An entry that had been stopped read the record of a version at once, but handled the
-/// response only after several beats. It dated the version by its arrival, 1.7 s late.
-#[test]
-fn record_of_a_slow_response_after_a_stop_is_not_dated_by_its_arrival() {
-    let mut freshness = ConfigFreshness::new(secs(5));
-    freshness.record_read(start() + ms(2500), &read(start(), start() + ms(480)), true);
-    let sent = start() + ms(2530);
-
-    let slow = freshness.earliest_write(sent + ms(130), &read(sent, sent + ms(70)));
-    let slower = freshness.earliest_write(sent + ms(500), &read(sent, sent + ms(440)));
-
-    assert_eq!([slow.at, slower.at], [start() + ms(900); 2]);
-}
-
-/// A record that the store had when the read arrived was taken for one that was written
-/// during the read, if the response was on its way for longer than two beats.
-#[test]
-fn record_of_a_slow_response_is_not_dated_by_its_arrival() {
-    let mut freshness = ConfigFreshness::new(secs(5));
-    freshness.record_read(start() + ms(905), &read(start(), start() + ms(870)), true);
-    let sent = start() + ms(935);
-    let written = start() + ms(930);
-
-    let dates = [10, 40, 100, 200, 300, 400, 500].map(|transit| {
-        let received = sent + ms(transit);
-        freshness.earliest_write(received, &read(sent, received - ms(30)))
-    });
-
-    for date in dates {
-        assert!(date.at <= written + MARGIN, "{date:?}");
-    }
-}
-
-/// An entry was stopped while a version was declared. It counted the bound from the
-/// moment at which it read the record, and requests began on the older version for up
-/// to two seconds after the bound.
-#[test]
-fn record_read_after_the_process_was_stopped_is_not_dated_by_its_arrival() {
-    let mut freshness = ConfigFreshness::new(secs(5));
-    let last_read = read(start(), start() + ms(870));
-    freshness.record_read(start() + ms(905), &last_read, true);
-    let resumed = start() + ms(2500);
-
-    let returned_at_once = read(resumed, start() + ms(870));
-    let stopped_while_pending = read(start() + ms(930), start() + ms(1400));
-    let at_once = freshness.earliest_write(resumed + ms(5), &returned_at_once);
-    let pending = freshness.earliest_write(start() + ms(2400), &stopped_while_pending);
-
-    assert_eq!(at_once.at, start() + ms(900));
-    assert_eq!(pending.at, start() + ms(1400) - TRANSIT);
-}
-
-#[test]
-fn record_returned_at_once_is_as_old_as_the_read_before_at_most() {
-    let mut freshness = ConfigFreshness::new(secs(5));
-    freshness.record_read(start() + ms(905), &read(start(), start() + ms(870)), true);
-    let sent = start() + ms(935);
+    let regular = freshness.earliest_write(&regular);
+    let after_failures = freshness.earliest_write(&failed_before);
 
-    let written = freshness.earliest_write(sent + ms(4), &read(sent, start() + ms(900)));
-
-    assert_eq!(written.at, start() + ms(900));
+    assert_eq!([regular.at, after_failures.at], [start() + ms(900); 2]);
 }
 
 /// An entry was stopped while an empty response arrived and handled it late. A version
@@ -489,69 +415,57 @@
 #[test]
 fn empty_read_that_returns_late_is_complete_only_up_to_its_wait() {
     let mut freshness = ConfigFreshness::new(secs(5));
-    freshness.record_read(start() + ms(2900), &read(start(), start() + ms(2840)), true);
-    let sent = start() + ms(2930);
+    freshness.record_read(start() + ms(2900), &read(start()), true);
 
-    let written = freshness.earliest_write(sent + ms(4), &read(sent, start() + ms(2840)));
+    let written = freshness.earliest_write(&read(start() + ms(2930)));
 
     assert_eq!(written.at, start() + ms(900));
 }
 
+/// A read that returned records may have been answered as soon as it was sent; what was
+/// written while its response was on its way comes with the next one.
 #[test]
-fn record_of_a_late_response_was_written_within_the_wait() {
+fn read_that_returned_records_is_complete_only_up_to_its_start() {
     let mut freshness = ConfigFreshness::new(secs(5));
-    freshness.confirm(start());
-    let timing = read(start(), start() + ms(1470));
+    freshness.record_read(start() + ms(800), &read(start()), false);
 
-    let written = freshness.earliest_write(start() + ms(1500), &timing);
+    let written = freshness.earliest_write(&read(start() + ms(830)));
 
-    assert_eq!(written.at, start() + ms(900));
+    assert_eq!(written.at, start());
 }
 
-/// After a stop, several beats can come before the read that was pending gets its turn.
-#[test]
-fn read_sent_before_a_stop_is_not_settled_by_beats_after_it() {
-    let mut pulse = Pulse::default();
-    for at in [0, 30, 60, 2000, 2040, 2080] {
-        pulse.beat(start() + ms(at));
+/// A delay that is mostly short and at times, as of a lost packet or a stopped process, long.
+fn delay(rng: &mut Rng) -> Duration {
+    match rng.u8(..4) {
+        0 => ms(rng.u64(..2500)),
+        _ => ms(rng.u64(..20)),
     }
-
-    let before = pulse.settled(start() + ms(40));
-    let after = pulse.settled(start() + ms(2010));
-
-    assert_eq!((before, after), (start() + ms(30), start() + ms(2040)));
 }
 
-/// A process that had been stopped was held up again by what had arrived meanwhile. The
-/// beats between vouched for a read that was pending since before the stop.
-#[test]
-fn read_sent_before_a_stop_is_not_settled_by_beats_before_another_gap() {
-    let mut pulse = Pulse::default();
-    for at in [0, 30, 60, 2000, 2030, 2060, 2090, 2250, 2280] {
-        pulse.beat(start() + ms(at));
+/// A record that an entry read late was dated by the course of its read, up to 1.7 s after
+/// its write, and requests began on older weights after the bound of newer ones.
+#[test]
+fn record_is_dated_after_its_write() {
+    let mut rng = Rng::with_seed(21);
+    for _ in 0..10_000 {
+        let mut freshness = ConfigFreshness::new(secs(5));
+        freshness.confirm(start());
+        let written = start() + ms(rng.u64(..6000));
+        let (mut sent, mut complete) = (start(), start());
+
+        let date = loop {
+            let arrived = sent + delay(&mut rng);
+            let answered = written.clamp(arrived, arrived + ms(900));
+            let returned = answered + delay(&mut rng);
+            if written <= answered {
+                break freshness.earliest_write(&read(sent)).at;
+            }
+            freshness.record_read(returned, &read(sent), true);
+            complete = sent + ms(900);
+            sent = returned + ms(30) + delay(&mut rng);
+        };
+
+        assert!(date <= written, "{date:?}, written at {written:?}");
+        assert_eq!(date, complete, "written at {written:?}");
     }
-
-    assert_eq!(pulse.settled(start() + ms(40)), start() + ms(30));
-}
-
-#[test]
-fn input_counts_as_handled_up_to_the_beat_before_last() {
-    let mut pulse = Pulse::default();
-    pulse.beat(start());
-    pulse.beat(start() + ms(30));
-
-    assert_eq!(pulse.settled(start()), start());
-}
-
-#[test]
-fn input_that_arrived_while_the_process_was_stopped_is_not_yet_handled_when_it_resumes() {
-    let mut pulse = Pulse::default();
-    pulse.beat(start());
-    pulse.beat(start() + ms(30));
-    pulse.beat(start() + ms(2000));
-    let resumed = pulse.settled(start());
-    pulse.beat(start() + ms(2030));
-
-    assert_eq!(resumed, start());
-    assert_eq!(pulse.settled(start() + ms(2000)), start() + ms(2000));
 }
--- a/components/feed/src/feed.rs
+++ b/components/feed/src/feed.rs
@@ -35,6 +35,8 @@
     pub(crate) settle_at: [Option<Moment>; 3],
     /// Until when the operators' records in that copy may be such that were removed.
     pub(crate) release_at: Option<Moment>,
+    /// Whether the last read of the operators' records returned some.
+    pub(crate) has_backlog: bool,
     /// Version of the configuration that the store last returned.
     pub(crate) stored_config: Option<u64>,
 }
@@ -79,6 +81,7 @@
                 reachable: [true; 3],
                 settle_at: [None; 3],
                 release_at: None,
+                has_backlog: false,
                 stored_config: None,
             }),
             platform,
--- a/components/feed/src/store_reader.rs
+++ b/components/feed/src/store_reader.rs
@@ -88,7 +88,10 @@
             // The first read after a failure does not wait, so that it returns only
             // records written during the outage. A removal that a later, waiting read
             // returns is recent and does not count as a lapse during the outage.
-            let wait = match followed {
+            // Nor does the one after a change of the operators' records: only an empty
+            // response shows until when all are known, from which a version is dated.
+            let has_backlog = topic == Topic::Fleet && state.has_backlog;
+            let wait = match followed && !has_backlog {
                 true => topic.wait(self.role),
                 false => Duration::ZERO,
             };
@@ -111,13 +114,12 @@
             sent,
             wait,
             followed,
-            settled: self.state().pulse.settled(sent),
         };
         let returned = now();
         let is_empty = matches!(&read, ReadOutcome::Records(batch) if batch.records.is_empty());
         let mut result = BatchResult::NewerEra;
         if let ReadOutcome::Records(batch) = read {
-            let written = self.state().freshness.earliest_write(returned, &timing);
+            let written = self.state().freshness.earliest_write(&timing);
             result = self.apply(topic, batch, BatchKind::Records, written);
         }
         if result == BatchResult::NewerEra {
@@ -126,6 +128,9 @@
             result = self.apply(topic, batch, BatchKind::State, written);
         }
         let mut state = self.state();
+        if topic == Topic::Fleet {
+            state.has_backlog = !is_empty;
+        }
         let is_current = result == BatchResult::Applied && !state.config_is_lost();
         if topic == Topic::Fleet && is_current {
             state.freshness.record_read(returned, &timing, is_empty);
