Test that a silent agent's run is kept beside a second attempt

Evidence: without the second attempt, a request waits for a silent agent until its deadline (504 after 20 s) although another is free; without the kept run, the answer that comes after six seconds is thrown away (502).

--- a/stand-ins/tests/silent_upstreams.rs
+++ b/stand-ins/tests/silent_upstreams.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use fixture::{Deployment, declaration, order, read_response, serve, wait_until};
@@ -123,7 +124,17 @@
 
 /// An agent that replies to heartbeats, and to nothing else for some time.
 struct SilentAgent {
+    vm: &'static str,
     pause: Duration,
+    /// Runs received.
+    runs: AtomicUsize,
+}
+
+impl SilentAgent {
+    fn new(vm: &'static str, pause: Duration) -> Arc<Self> {
+        let runs = AtomicUsize::new(0);
+        Arc::new(SilentAgent { vm, pause, runs })
+    }
 }
 
 fn message<T: serde::Serialize>(message: &T) -> Response {
@@ -139,7 +150,7 @@
         if path == paths::HEARTBEAT {
             let _: Heartbeat = wire::decode(&bytes).unwrap();
             return message(&HeartbeatReply {
-                vm: "upstream".into(),
+                vm: self.vm.into(),
                 ticket: Ticket::default(),
                 availability: Availability::Open,
                 load: Load {
@@ -153,6 +164,8 @@
                 retry_after: None,
             });
         }
+        self.runs
+            .fetch_add(usize::from(path == paths::RUN), Ordering::Relaxed);
         Timer::after(self.pause).await;
         if path == paths::SETTLE {
             let _: Settle = wire::decode(&bytes).unwrap();
@@ -172,11 +185,10 @@
 #[test]
 fn silence_of_an_agent_ends_a_request_before_its_deadline() {
     smol::block_on(async {
-        let agent = SilentAgent {
-            pause: Duration::from_secs(6),
-        };
-        let (addr, _close) = serve(Arc::new(agent)).await;
-        let deployment = Deployment::with_agent(addr, &declaration(4, TIMEOUT)).await;
+        let agent = SilentAgent::new("upstream", Duration::from_secs(6));
+        let (addr, _close) = serve(agent).await;
+        let agents = [("upstream", addr)];
+        let deployment = Deployment::with_agents(&agents, &declaration(4, TIMEOUT)).await;
 
         for path in ["/orders", "/stock"] {
             let mut caller = deployment.send(path, &order("a")).await;
@@ -187,6 +199,58 @@
     });
 }
 
+/// A request that may be repeated goes to a second upstream while the first is silent; the
+/// silent run is kept, and the first answer counts.
+#[test]
+fn request_waits_for_a_silent_agent_although_another_is_free() {
+    smol::block_on(async {
+        let silent = SilentAgent::new("silent", Duration::from_secs(60));
+        let sound = SilentAgent::new("sound", Duration::ZERO);
+        let (silent_addr, _close) = serve(silent.clone()).await;
+        let (sound_addr, _close_too) = serve(sound.clone()).await;
+        let agents = [("silent", silent_addr), ("sound", sound_addr)];
+        let deployment = Deployment::with_agents(&agents, &declaration(4, TIMEOUT)).await;
+
+        let start = Instant::now();
+        let mut callers = Vec::new();
+        for _ in 0..6 {
+            callers.push(deployment.send("/stock", &order("a")).await);
+        }
+        for caller in &mut callers {
+            let response = read_response(caller).await;
+            assert!(response.starts_with("HTTP/1.1 200"), "{response:?}");
+        }
+
+        assert!(start.elapsed() < TIMEOUT / 2, "{:?}", start.elapsed());
+        assert!(silent.runs.load(Ordering::Relaxed) > 0);
+        assert_eq!(sound.runs.load(Ordering::Relaxed), 6);
+    });
+}
+
+/// Both upstreams are silent for some time: the answer of the first was thrown away with its
+/// run.
+#[test]
+fn second_attempt_throws_away_the_answer_of_a_silent_agent() {
+    smol::block_on(async {
+        let first = SilentAgent::new("first", Duration::from_secs(6));
+        let second = SilentAgent::new("second", Duration::from_secs(6));
+        let (first_addr, _close) = serve(first.clone()).await;
+        let (second_addr, _close_too) = serve(second.clone()).await;
+        let agents = [("first", first_addr), ("second", second_addr)];
+        let deployment = Deployment::with_agents(&agents, &declaration(4, TIMEOUT)).await;
+
+        let start = Instant::now();
+        let mut caller = deployment.send("/stock", &order("a")).await;
+        let response = read_response(&mut caller).await;
+        let took = start.elapsed();
+
+        assert!(response.starts_with("HTTP/1.1 200"), "{response:?}");
+        assert!(took < Duration::from_secs(7), "{took:?}");
+        let runs = [&first, &second].map(|a| a.runs.load(Ordering::Relaxed));
+        assert_eq!(runs, [1, 1]);
+    });
+}
+
 /// The agent cancelled a run whose connection was lost and went on to report it as running,
 /// so that the entry waited for it until the deadline.
 #[test]
