Keep the bytes after a request for the next one

What callers saw: a request that was sent before the response to the last one got no answer; its connection was closed as idle after a minute.

Cause: each exchange has a reader of its own, which reads ahead and was dropped with the bytes of the next request.

Why this works: a connection keeps what it has read, and hands out only the bytes up to the end of the request (head, body by length or chunks). Two more faults of the framing: a line of a head without an end was read without a bound and got no refusal, and a body of a transfer coding other than chunked was read as the next request; both get 400 now.

--- a/components/wire/src/connection.rs
+++ b/components/wire/src/connection.rs
@@ -6,13 +6,13 @@
 use async_h1::server::{ConnectionStatus, Encoder};
 use futures_lite::FutureExt;
 use futures_lite::future::poll_once;
-use http_types::headers::CONTENT_LENGTH;
+use http_types::headers::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http_types::{Method, Request, Response};
 use smol::Timer;
 use smol::io::AsyncReadExt;
 use smol::net::TcpStream;
 
-use crate::request_stream::{RequestStream, SharedStage, Stage};
+use crate::request_stream::{RequestStream, SharedStage, Stage, Unread, lock};
 use crate::server::{InputEnd, ServerLimits};
 use crate::{Caller, Handler, Problem, with_timeout};
 
@@ -36,6 +36,8 @@
     pub(crate) limits: ServerLimits,
     /// Closed when the shutdown starts.
     pub(crate) shutdown: Receiver<()>,
+    /// Bytes of the next request.
+    pub(crate) unread: Unread,
 }
 
 /// How the exchange of one request ended.
@@ -88,7 +90,7 @@
         let (input, input_ended) = async_channel::bounded(1);
         let caller = Caller::new(self.peer, input_ended);
         let handle = |req: Request| self.handle_request(req, caller.clone(), &stage);
-        let stream = RequestStream::new(self.stream.clone(), stage.clone());
+        let stream = RequestStream::new(self.stream.clone(), stage.clone(), self.unread.clone());
         let mut server = async_h1::server::Server::new(stream, handle);
         let exchange = async {
             match server.accept_one().await {
@@ -133,7 +135,8 @@
 
     /// Whether bytes can be read.
     async fn has_input(&self) -> bool {
-        matches!(poll_once(self.stream.peek(&mut [0])).await, Some(Ok(n)) if n > 0)
+        !lock(&self.unread).is_empty()
+            || matches!(poll_once(self.stream.peek(&mut [0])).await, Some(Ok(n)) if n > 0)
     }
 
     /// Closes `input` when the caller ends its input while its request is handled. Resolves
@@ -166,16 +169,13 @@
         stage: &SharedStage,
     ) -> http_types::Result<Response> {
         stage.reach(Stage::Handling);
-        let repeated = req
-            .header(CONTENT_LENGTH)
-            .is_some_and(|v| v.iter().count() > 1);
-        let mut res = if repeated {
-            let text = "content-length is repeated; send it once";
-            let mut res = Response::from(Problem::not_run(400, "bad request", text));
-            res.insert_header("connection", "close");
-            res
-        } else {
-            self.handler.handle_caller(req, caller).await
+        let mut res = match ambiguity(&req) {
+            Some(text) => {
+                let mut res = Response::from(Problem::not_run(400, "bad request", text));
+                res.insert_header("connection", "close");
+                res
+            }
+            None => self.handler.handle_caller(req, caller).await,
         };
         if self.shutdown.is_closed() {
             res.insert_header("connection", "close");
@@ -214,6 +214,21 @@
     }
 }
 
+/// Why the end of a request's body is not certain.
+fn ambiguity(req: &Request) -> Option<&'static str> {
+    let repeated = req
+        .header(CONTENT_LENGTH)
+        .is_some_and(|v| v.iter().count() > 1);
+    let unchunked = req
+        .header(TRANSFER_ENCODING)
+        .is_some_and(|v| !v.as_str().eq_ignore_ascii_case("chunked"));
+    match (repeated, unchunked) {
+        (true, _) => Some("content-length is repeated; send it once"),
+        (_, true) => Some("transfer-encoding is not chunked; use that or content-length"),
+        _ => None,
+    }
+}
+
 fn stalled() -> Problem {
     let text = "the request was not complete when the server stopped; send it again";
     Problem::not_run(408, "request timeout", text)
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -12,6 +12,7 @@
 mod open_call;
 mod pool;
 mod problem;
+mod request_framing;
 mod request_stream;
 mod response_body;
 mod server;
--- a/components/wire/src/request_stream.rs
+++ b/components/wire/src/request_stream.rs
@@ -1,13 +1,17 @@
 use std::io;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, Ordering};
-use std::task::{Context, Poll};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll, ready};
 
 use futures_lite::{AsyncRead, AsyncWrite};
 use smol::net::TcpStream;
 
 use crate::metered::Metered;
+use crate::request_framing::RequestFraming;
+
+/// Bytes that are read at a time.
+const READ_BYTES: usize = 8 << 10;
 
 /// How far the exchange of one request has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -45,33 +49,67 @@
     }
 }
 
-/// A connection that notes when the first byte of a request is read.
+/// Bytes that were read from a connection after the end of a request.
+pub(crate) type Unread = Arc<Mutex<Vec<u8>>>;
+
+/// A connection from which one request is read: the bytes after its end are kept for the
+/// next one. Notes when the first byte is read.
 #[derive(Clone)]
 pub(crate) struct RequestStream {
     stream: Metered,
     stage: SharedStage,
+    unread: Unread,
+    framing: Arc<Mutex<RequestFraming>>,
 }
 
 impl RequestStream {
-    pub(crate) fn new(stream: TcpStream, stage: SharedStage) -> Self {
+    pub(crate) fn new(stream: TcpStream, stage: SharedStage, unread: Unread) -> Self {
         RequestStream {
             stream: Metered(stream),
             stage,
+            unread,
+            framing: Arc::default(),
+        }
+    }
+
+    /// Moves bytes of the request from those that were read to `buf`.
+    fn take_unread(&self, buf: &mut [u8]) -> io::Result<usize> {
+        let mut unread = lock(&self.unread);
+        let mut framing = lock(&self.framing);
+        let count = buf.len().min(unread.len());
+        let taken = framing.take(&unread[..count]);
+        if framing.is_overlong() {
+            let text = "a line of the request is longer than 8 KiB";
+            return Err(io::Error::new(io::ErrorKind::InvalidData, text));
         }
+        buf[..taken].copy_from_slice(&unread[..taken]);
+        unread.drain(..taken);
+        Ok(taken)
     }
 }
 
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 impl AsyncRead for RequestStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if matches!(read, Poll::Ready(Ok(n)) if n > 0) {
+        if lock(&self.unread).is_empty() {
+            let mut bytes = [0; READ_BYTES];
+            match ready!(Pin::new(&mut self.stream).poll_read(cx, &mut bytes)) {
+                Ok(n) => lock(&self.unread).extend_from_slice(&bytes[..n]),
+                Err(e) => return Poll::Ready(Err(e)),
+            }
+        }
+        let taken = self.take_unread(buf);
+        if matches!(taken, Ok(n) if n > 0) {
             self.stage.reach(Stage::Reading);
         }
-        read
+        Poll::Ready(taken)
     }
 }
 
--- a/components/wire/src/server.rs
+++ b/components/wire/src/server.rs
@@ -11,6 +11,7 @@
 use smol::net::{TcpListener, TcpStream};
 
 use crate::connection::Connection;
+use crate::request_stream::Unread;
 use crate::{Caller, with_timeout};
 
 /// Most connections above the limit that are refused at one time; further ones are closed
@@ -142,6 +143,7 @@
             handler: self.handler.clone(),
             limits: self.limits.clone(),
             shutdown: self.shutdown.clone(),
+            unread: Unread::default(),
         };
         let server = self.clone();
         smol::spawn(async move {
--- a/components/wire/tests/connection_end.rs
+++ b/components/wire/tests/connection_end.rs
@@ -16,11 +16,12 @@
 /// A response takes longer than the server needs to notice the end of the caller's input.
 const SERVICE_TIME: Duration = Duration::from_millis(300);
 
-/// Responds after [`SERVICE_TIME`].
+/// Reads the body and responds after [`SERVICE_TIME`].
 struct Slow;
 
 impl Handler for Slow {
-    async fn handle(&self, _request: Request, _peer: SocketAddr) -> Response {
+    async fn handle(&self, mut request: Request, _peer: SocketAddr) -> Response {
+        wire::read_limited(&mut request, 1000).await.unwrap();
         Timer::after(SERVICE_TIME).await;
         Response::new(StatusCode::Ok)
     }
@@ -133,3 +134,57 @@
         assert!(response.starts_with("HTTP/1.1 400"), "{response:?}");
     });
 }
+
+/// Bytes of the next request that were read with the last one were lost, and the connection
+/// was closed as idle after a minute.
+#[test]
+fn request_sent_before_the_last_response_gets_no_answer() {
+    smol::block_on(async {
+        let server = start(ServerLimits::default()).await;
+        let mut stream = TcpStream::connect(server.addr).await.unwrap();
+        let last = b"GET / HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+
+        let body = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 3\r\n\r\nabc";
+        let chunked = b"POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n\
+            3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+        stream
+            .write_all(&[REQUEST, body, chunked, REQUEST, last].concat())
+            .await
+            .unwrap();
+        let response = read_all(&mut stream).await;
+
+        let count = response.matches("HTTP/1.1 200").count();
+        assert_eq!(count, 5, "{response:?}");
+    });
+}
+
+/// A line without an end was read without a bound.
+#[test]
+fn endless_line_of_a_head_gets_no_refusal() {
+    smol::block_on(async {
+        let server = start(ServerLimits::default()).await;
+        let mut stream = TcpStream::connect(server.addr).await.unwrap();
+
+        stream.write_all(b"GET /").await.unwrap();
+        stream.write_all(&[b'x'; 64 << 10]).await.unwrap();
+        let response = read_all(&mut stream).await;
+
+        assert!(response.starts_with("HTTP/1.1 400"), "{response:?}");
+    });
+}
+
+/// The bytes after the head would be taken for another request.
+#[test]
+fn body_of_unknown_coding_is_read_as_the_next_request() {
+    smol::block_on(async {
+        let server = start(ServerLimits::default()).await;
+        let mut stream = TcpStream::connect(server.addr).await.unwrap();
+        let head = b"POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: gzip\r\n\r\n";
+
+        stream.write_all(&[head, REQUEST].concat()).await.unwrap();
+        let response = read_all(&mut stream).await;
+
+        assert!(response.starts_with("HTTP/1.1 400"), "{response:?}");
+        assert_eq!(response.matches("HTTP/1.1").count(), 1, "{response:?}");
+    });
+}
