Test the write to an upstream that leaves, and stops beside changes

New: runs at the moment of the write, reports and new starts of an upstream that leaves (agent), the stop of an agent, and 60 requests with half-closes beside changes and a stop of the entry, each of which is answered or refused.

The last test fails when the end of a caller's input closes its connection; the stop of an agent is a guard, which the code before passes too.

--- a/components/agent/src/engine.rs
+++ b/components/agent/src/engine.rs
@@ -226,3 +226,7 @@
         })
     }
 }
+
+#[cfg(test)]
+#[path = "engine_tests.rs"]
+mod tests;
--- a/stand-ins/tests/lost_requests.rs
+++ b/stand-ins/tests/lost_requests.rs
@@ -147,3 +147,63 @@
         );
     });
 }
+
+/// A run in flight at the stop of its agent is completed; one that waits is not run.
+#[test]
+fn stop_of_an_agent_loses_requests() {
+    smol::block_on(async {
+        let (deployment, service) = start(Duration::from_secs(1), 1).await;
+        let mut running = deployment.send("/orders", &order("a")).await;
+        wait_until(async || runs(&service) == 1).await;
+        let mut waiting = deployment.send("/orders", &order("b")).await;
+
+        deployment.stop_agent().await;
+        let answered = read_response(&mut running).await;
+        let refused = read_response(&mut waiting).await;
+        let mut late = deployment.send("/orders", &order("c")).await;
+        let late = read_response(&mut late).await;
+
+        assert!(answered.starts_with("HTTP/1.1 200"), "{answered:?}");
+        for response in [refused, late] {
+            assert!(response.starts_with("HTTP/1.1 503"), "{response:?}");
+            assert!(response.contains("outcome: not-run"), "{response:?}");
+        }
+        assert_eq!(runs(&service), 1);
+    });
+}
+
+/// Stops, changes and half-closes at random moments: every request that was sent whole is
+/// answered or refused, and one that is reported as not run has not run.
+#[test]
+fn request_without_an_answer_beside_changes_and_a_stop() {
+    smol::block_on(async {
+        let (mut deployment, service) = start(Duration::from_millis(60), 2).await;
+        let mut rng = fastrand::Rng::with_seed(30);
+        let mut callers = Vec::new();
+        for i in 0..60 {
+            let id = format!("order-{i}");
+            let path = if rng.bool() { "/orders" } else { "/stock" };
+            let mut caller = deployment.send(path, &order(&id)).await;
+            if rng.u8(0..3) == 0 {
+                caller.shutdown(Shutdown::Write).unwrap();
+            }
+            callers.push(smol::spawn(async move {
+                (id, read_response(&mut caller).await)
+            }));
+            Timer::after(Duration::from_millis(rng.u64(0..30))).await;
+            if i % 20 == 10 {
+                deployment.apply(&declaration(2 + i / 20, TIMEOUT)).await;
+            }
+        }
+
+        deployment.stop_entry().await;
+
+        for caller in callers {
+            let (id, response) = caller.await;
+            assert!(response.starts_with("HTTP/1.1 "), "{id}: {response:?}");
+            if response.contains("outcome: not-run") {
+                assert!(!service.record().runs.contains_key(id.as_str()), "{id}");
+            }
+        }
+    });
+}
