--- a/components/wire/src/connection.rs
+++ b/components/wire/src/connection.rs
@@ -201,7 +201,7 @@
         }
         let mut stream = self.stream.clone();
         let discard = async {
-            let mut buf = [0; 4096];
+            let mut buf = vec![0; 4096];
             let mut left = LINGER_BYTES;
             while let Ok(n @ 1..) = stream.read(&mut buf).await {
                 left = left.saturating_sub(n);
