Ask a silent agent about a run until the deadline

What callers saw: 502 after one second, if the response to a run was lost, or an earlier run had the same key, and the agent did not reply to the question about it at once; deadlines of 20 s.

Cause: a settle message without a reply was the end, whether the agent was silent or gone.

Why this works: send_settle returns the error. A refused or broken connection is the end as before; after silence the agent is asked again until the deadline, for runs that may not be repeated and for earlier runs of a key. Both waits end at the deadline.

--- a/components/entry/src/claims.rs
+++ b/components/entry/src/claims.rs
@@ -6,7 +6,7 @@
 use protocol::{RunRequest, SettleReply};
 use requests::{Claim, ClaimCheck, ClaimMemory, ClaimRecord, ClaimStep, EraWatch};
 use smol::Timer;
-use wire::Client;
+use wire::{Client, with_timeout};
 
 use crate::caller_request::CallerRequest;
 use crate::exchange::send_settle;
@@ -83,11 +83,18 @@
             match check.step() {
                 ClaimStep::Settle(earlier) => {
                     let reply =
-                        send_settle(&self.client, earlier.addr, &earlier.run, earlier.ticket).await;
-                    if reply == Some(SettleReply::Running) && Instant::now() < deadline {
+                        send_settle(&self.client, earlier.addr, &earlier.run, earlier.ticket);
+                    let left = deadline.saturating_duration_since(Instant::now());
+                    let reply = with_timeout(left, reply).await;
+                    let is_pending = match &reply {
+                        Some(Ok(reply)) => *reply == SettleReply::Running,
+                        Some(Err(e)) => e.is_silence(),
+                        None => false,
+                    };
+                    if is_pending && Instant::now() < deadline {
                         Timer::after(SETTLE_PAUSE).await;
                     } else {
-                        check.record_reply(reply);
+                        check.record_reply(reply.and_then(Result::ok));
                     }
                 }
                 ClaimStep::Run => {
--- a/components/entry/src/dispatcher.rs
+++ b/components/entry/src/dispatcher.rs
@@ -44,7 +44,7 @@
 
 /// What follows an attempt.
 enum NextStep {
-    /// Submit the request again; the attempt does not count.
+    /// Submit the request again.
     Requeue,
     /// Pass on the response of an upstream.
     Relay(Box<CallResponse>, Lease, RunId),
@@ -162,11 +162,10 @@
                 }
                 charged_retries = failures.attempts;
             }
-            let tried = failures.tried.clone();
             let attempt = Attempt {
                 sent,
                 suspect,
-                tried: &tried,
+                tried: &failures.tried.clone(),
             };
             let step = self.attempt_beside(job, attempt, &mut kept, &mut failures);
             let (key, step) = step.await;
@@ -294,10 +293,12 @@
         let timeout = job.deadline.saturating_sub(self.clock.now());
         let run = self.new_run(job, &target, attempt, timeout);
         let claim = self.claims.claim_for(job.request, &target, &run);
-        if let Some(claim) = &claim
-            && let Some(next) = self.check_claim(job, claim, timeout, &mut lease).await
-        {
-            return next;
+        if let Some(claim) = &claim {
+            // Boxed: it would enlarge the state of every request.
+            let check = Box::pin(self.check_claim(job, claim, timeout, &mut lease));
+            if let Some(next) = check.await {
+                return next;
+            }
         }
         let (silence, silent) = async_channel::bounded(1);
         let mut sent = SentRun {
--- a/components/entry/src/exchange.rs
+++ b/components/entry/src/exchange.rs
@@ -10,7 +10,7 @@
     headers, paths,
 };
 use smol::Timer;
-use wire::{Call, CallResponse, Client, WireError};
+use wire::{Call, CallResponse, Client, WireError, with_timeout};
 
 use crate::placement::Target;
 
@@ -89,7 +89,8 @@
     loop {
         let settled = async {
             Timer::after(SETTLE_DELAY).await;
-            Event::Settled(send_settle(&client, target.addr, &run.id, run.ticket).await)
+            let reply = send_settle(&client, target.addr, &run.id, run.ticket);
+            Event::Settled(reply.await.ok())
         };
         let passed = async {
             Timer::at(deadline + RESPONSE_DELAY).await;
@@ -187,12 +188,17 @@
     cause: &str,
 ) -> ExchangeResult {
     loop {
-        match send_settle(client, target.addr, &run.id, run.ticket).await {
-            Some(SettleReply::Running) => {}
-            Some(other) => return from_settle_reply(other),
+        let left = (deadline + RESPONSE_DELAY).saturating_duration_since(Instant::now());
+        let reply = send_settle(client, target.addr, &run.id, run.ticket);
+        match with_timeout(left, reply).await {
+            None => return ExchangeResult::TimedOut,
+            Some(Ok(SettleReply::Running)) => {}
+            Some(Ok(other)) => return from_settle_reply(other),
+            // A request that may be repeated is sent to another upstream instead.
+            Some(Err(e)) if e.is_silence() && !run.idempotent => {}
             // Another message is useless if the agent died: its next incarnation has no
             // record of the run.
-            None => return ExchangeResult::Unknown(cause.to_owned()),
+            Some(Err(_)) => return ExchangeResult::Unknown(cause.to_owned()),
         }
         if Instant::now() >= deadline {
             return ExchangeResult::TimedOut;
@@ -212,26 +218,26 @@
 }
 
 /// Requests the outcome of a run from its agent, on a new connection; a run that has
-/// not started is voided. `None` if the agent does not reply.
+/// not started is voided.
 pub async fn send_settle(
     client: &Client,
     addr: SocketAddr,
     id: &RunId,
     ticket: Ticket,
-) -> Option<SettleReply> {
+) -> Result<SettleReply, WireError> {
     let message = Settle {
         id: id.clone(),
         ticket,
     };
-    let call = Call::new(Method::Post, addr, paths::SETTLE)
-        .ok()?
-        .body(wire::encode(&message).ok()?)
+    let call = Call::new(Method::Post, addr, paths::SETTLE)?
+        .body(wire::encode(&message)?)
         .connect_timeout(SETTLE_TIMEOUT)
         .head_timeout(SETTLE_TIMEOUT)
         .read_timeout(SETTLE_TIMEOUT)
         .total_timeout(SETTLE_TIMEOUT)
         .new_connection();
-    let reply = client.send(call).await.ok()?;
-    let bytes = reply.bytes(MAX_SETTLE_BYTES).await.ok()?;
-    wire::decode(&bytes).ok()
+    // Boxed: it would enlarge the state of every request.
+    let reply = Box::pin(client.send(call)).await?;
+    let bytes = reply.bytes(MAX_SETTLE_BYTES).await?;
+    wire::decode(&bytes)
 }
--- a/components/wire/src/error.rs
+++ b/components/wire/src/error.rs
@@ -51,6 +51,14 @@
         matches!(self, WireError::Connect { refused: true, .. })
     }
 
+    /// Whether the peer was silent, so that it may still reply to another request.
+    pub fn is_silence(&self) -> bool {
+        matches!(
+            self,
+            WireError::Timeout { .. } | WireError::Connect { refused: false, .. }
+        )
+    }
+
     /// Whether no byte of the request can have reached the peer.
     pub fn is_unsent(&self) -> bool {
         matches!(self, WireError::Connect { .. })
--- a/stand-ins/tests/silent_upstreams.rs
+++ b/stand-ins/tests/silent_upstreams.rs
@@ -12,7 +12,7 @@
 use http_types::{Method, Request, Response, StatusCode};
 use protocol::{
     Availability, Heartbeat, HeartbeatReply, Load, RunRequest, Settle, SettleReply, Ticket,
-    headers, paths,
+    UpstreamResponse, headers, paths,
 };
 use smol::Timer;
 use stand_ins::engine::{Engine, EngineHandler, EngineSpec, GenerateRequest};
@@ -199,6 +199,80 @@
     });
 }
 
+/// An agent whose responses to runs are lost, and that is silent before its first reply to
+/// a settle message.
+struct LossyAgent {
+    silent: AtomicUsize,
+}
+
+impl Handler for LossyAgent {
+    async fn handle(&self, mut request: Request, peer: SocketAddr) -> Response {
+        let path = request.url().path().to_owned();
+        if path == paths::HEARTBEAT {
+            let agent = SilentAgent::new("upstream", Duration::ZERO);
+            return agent.handle(request, peer).await;
+        }
+        wire::read_limited(&mut request, 1 << 20).await.unwrap();
+        if path == paths::RUN {
+            return stand_ins::http::aborted();
+        }
+        if self.silent.fetch_add(1, Ordering::Relaxed) == 0 {
+            Timer::after(Duration::from_secs(10)).await;
+        }
+        message(&SettleReply::Answered(UpstreamResponse {
+            status: 200,
+            media_type: "text/plain".into(),
+            body: b"done".to_vec(),
+        }))
+    }
+}
+
+/// The response of a run was lost, and the agent did not reply at once to the question about
+/// it.
+#[test]
+fn silence_of_an_agent_ends_the_wait_for_a_lost_response() {
+    smol::block_on(async {
+        let silent = AtomicUsize::new(0);
+        let (addr, _close) = serve(Arc::new(LossyAgent { silent })).await;
+        let agents = [("upstream", addr)];
+        let deployment = Deployment::with_agents(&agents, &declaration(4, TIMEOUT)).await;
+
+        let mut caller = deployment.send("/orders", &order("a")).await;
+        let response = read_response(&mut caller).await;
+
+        assert!(response.starts_with("HTTP/1.1 200"), "{response:?}");
+    });
+}
+
+/// The same for an earlier run of the same key.
+#[test]
+fn silence_of_an_agent_ends_the_wait_for_an_earlier_run() {
+    smol::block_on(async {
+        let silent = AtomicUsize::new(1);
+        let agent = Arc::new(LossyAgent { silent });
+        let (addr, _close) = serve(agent.clone()).await;
+        let agents = [("upstream", addr)];
+        let deployment = Deployment::with_agents(&agents, &declaration(4, TIMEOUT)).await;
+        // Claims are decided once the entry has observed the era of the log.
+        wait_until(async || {
+            let probe = "idempotency-key: probe\r\n";
+            let mut caller = deployment.send_with("/orders", &order("a"), probe).await;
+            read_response(&mut caller).await.starts_with("HTTP/1.1 200")
+        })
+        .await;
+        let key = "idempotency-key: k\r\n";
+        let mut caller = deployment.send_with("/orders", &order("a"), key).await;
+        let first = read_response(&mut caller).await;
+
+        agent.silent.store(0, Ordering::Relaxed);
+        let mut caller = deployment.send_with("/orders", &order("a"), key).await;
+        let second = read_response(&mut caller).await;
+
+        assert!(first.starts_with("HTTP/1.1 200"), "{first:?}");
+        assert!(second.starts_with("HTTP/1.1 200"), "{second:?}");
+    });
+}
+
 /// A request that may be repeated goes to a second upstream while the first is silent; the
 /// silent run is kept, and the first answer counts.
 #[test]
