Test the wait advised beside paused upstreams and the accept queue at a stop

The wait: a mutant that advises two seconds at most is found. The accept queue is a guard: accepting went before stopping already, and the second look at the queue is removed.

--- a/components/entry/src/service_scheduler_tests.rs
+++ b/components/entry/src/service_scheduler_tests.rs
@@ -254,3 +254,29 @@
     }
     drop(assigned);
 }
+
+/// Callers were told to come back long before a paused upstream wants requests again.
+#[test]
+fn callers_return_before_the_pause_of_the_upstream_ends() {
+    let wait_with = |other: Availability| {
+        let mut scheduler = scheduler(1);
+        let paused = HeartbeatReply {
+            availability: Availability::Paused,
+            retry_after: Some(ms(9000)),
+            ..reply("a", load(1, 0))
+        };
+        let other = HeartbeatReply {
+            availability: other,
+            ..reply("b", load(1, 0))
+        };
+        scheduler.record_heartbeat(ms(1000), paused);
+        scheduler.record_heartbeat(ms(1000), other);
+        match submit(&mut scheduler, ms(3000), 1).try_recv() {
+            Ok(Placement::Refused(problem)) => problem.retry_after,
+            other => panic!("{other:?}"),
+        }
+    };
+
+    assert_eq!(wait_with(Availability::Leaving), Some(ms(7000)));
+    assert_eq!(wait_with(Availability::Starting), Some(ms(2000)));
+}
--- a/components/wire/src/server.rs
+++ b/components/wire/src/server.rs
@@ -6,7 +6,6 @@
 
 use async_channel::{Receiver, Sender};
 use futures_lite::FutureExt;
-use futures_lite::future::poll_once;
 use http_types::{Request, Response};
 use smol::net::{TcpListener, TcpStream};
 
@@ -104,6 +103,7 @@
     pub async fn run(self: Arc<Self>, listener: TcpListener, drain: Duration) {
         let (guard, all_closed) = async_channel::bounded::<()>(1);
         loop {
+            // Accepting goes first: connections that wait for it would be reset by a stop.
             let next = async { listener.accept().await.ok() }
                 .or(async {
                     self.shutdown_started().await;
@@ -117,10 +117,6 @@
                 None => drop(smol::Timer::after(Duration::from_millis(10)).await),
             }
         }
-        // Connections that wait to be accepted would be reset.
-        while let Some(Ok((stream, peer))) = poll_once(listener.accept()).await {
-            self.accept(stream, peer, guard.clone());
-        }
         drop(listener);
         drop(guard);
         let _ = with_timeout(drain, all_closed.recv()).await;
--- a/components/wire/tests/connection_end.rs
+++ b/components/wire/tests/connection_end.rs
@@ -90,6 +90,31 @@
     });
 }
 
+/// Guards the order of accepting and stopping.
+#[test]
+fn connections_in_the_accept_queue_are_reset_by_a_stop() {
+    smol::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let (server, close) = Server::new(Arc::new(Slow), ServerLimits::default());
+        let mut callers = Vec::new();
+        for _ in 0..20 {
+            let mut stream = TcpStream::connect(addr).await.unwrap();
+            stream.write_all(REQUEST).await.unwrap();
+            callers.push(stream);
+        }
+
+        close.close();
+        let task = smol::spawn(server.run(listener, Duration::from_secs(5)));
+        for caller in &mut callers {
+            let response = read_all(caller).await;
+            assert!(response.starts_with("HTTP/1.1 200"), "{response:?}");
+        }
+
+        task.await;
+    });
+}
+
 /// A connection above the limit was closed without an answer.
 #[test]
 fn connection_above_the_limit_gets_no_answer() {
