Refuse waiting requests at once when their upstreams have left

A request that waited while the only upstream that could serve it was removed or began to drain, or its failure domain was evacuated, was refused only when its wait was over: after 2.6 s of a target of 3 s. Only a newer weight version removed it from the queue. A new request was queued, too, although all upstreams were draining.

Each tick asks for every waiting request whether any upstream may serve it: one that is ready, not evacuated, in a home region and not tried. Upstreams that only load weights count, as before. An upstream that drains no longer matches a new request either.

--- a/components/dispatch/src/service_scheduler.rs
+++ b/components/dispatch/src/service_scheduler.rs
@@ -175,7 +175,7 @@
     }
 
     /// Removes the requests that no upstream may serve any longer, as a newer version
-    /// has come into force; returns their ids.
+    /// has come into force, or upstreams have left; returns their ids.
     pub fn remove_unmatched(
         &mut self,
         now: Moment,
@@ -184,9 +184,9 @@
     ) -> Vec<u64> {
         let mut unmatched = Vec::new();
         for queued in self.queue.iter_mut() {
-            if queued.needs.raise_version(&in_force)
-                && self.upstreams.choose(now, &queued.needs, &evacuated) == Choice::NoMatch
-            {
+            let outdated = queued.needs.raise_version(&in_force)
+                && self.upstreams.choose(now, &queued.needs, &evacuated) == Choice::NoMatch;
+            if outdated || !self.upstreams.may_serve(&queued.needs, &evacuated) {
                 unmatched.push(queued.id);
             }
         }
--- a/components/dispatch/src/upstream_pool.rs
+++ b/components/dispatch/src/upstream_pool.rs
@@ -2,7 +2,8 @@
 use std::time::Duration;
 
 use domain::{
-    FailureDomainId, ModelId, Moment, RegionId, ServiceId, Upstream, UpstreamId, WeightVersion,
+    FailureDomainId, ModelId, Moment, RegionId, ServiceId, Upstream, UpstreamId, UpstreamState,
+    WeightVersion,
 };
 
 use crate::{
@@ -217,6 +218,14 @@
         self.best(now, needs, &evacuated, self.upstreams.iter())
     }
 
+    /// Whether any upstream may serve the request, now or once it has loaded other weights.
+    pub fn may_serve(&self, needs: &Requirements, evacuated: impl Fn(&str) -> bool) -> bool {
+        let may_serve = |pooled: &PooledUpstream| {
+            !evacuated(&pooled.upstream.failure_domain) && is_candidate(pooled, needs)
+        };
+        self.upstreams.iter().any(may_serve)
+    }
+
     fn best<'a>(
         &self,
         now: Moment,
@@ -267,12 +276,11 @@
     }
 
     fn meets_needs(&self, pooled: &PooledUpstream, needs: &Requirements) -> bool {
-        let home = needs.home_regions.is_empty() || needs.home_regions.contains(&pooled.region);
         let held = needs.model.as_ref().is_none_or(|m| {
             let held = pooled.upstream.models.iter().find(|h| h.model == *m);
             held.is_some_and(|h| needs.min_weight_version.is_none_or(|w| h.version >= w))
         });
-        home && held && !needs.tried.contains(&pooled.upstream.id)
+        held && is_candidate(pooled, needs)
     }
 
     fn has_capacity(&self, now: Moment, pooled: &PooledUpstream, load: UpstreamLoad) -> bool {
@@ -311,3 +319,12 @@
         score + pooled.failure_rate * FAILURE_PENALTY + fastrand::f64() * 0.06
     }
 }
+
+/// Whether an upstream may serve the request if it holds the weights: it is not leaving, is
+/// in a home region, and has not been tried.
+fn is_candidate(pooled: &PooledUpstream, needs: &Requirements) -> bool {
+    let home = needs.home_regions.is_empty() || needs.home_regions.contains(&pooled.region);
+    pooled.upstream.state == UpstreamState::Ready
+        && home
+        && !needs.tried.contains(&pooled.upstream.id)
+}
--- a/components/dispatch/tests/service_scheduler.rs
+++ b/components/dispatch/tests/service_scheduler.rs
@@ -5,7 +5,7 @@
 use dispatch::{
     IncomingRequest, Placement, QueueLimits, RequestQueue, Requirements, ServiceScheduler,
 };
-use domain::WeightVersion;
+use domain::{UpstreamState, WeightVersion};
 use fixture::{ms, needs, pool, secs, start, upstream};
 
 /// Holds one queued request, accepted while version 1 was in force; the only upstream
@@ -65,3 +65,68 @@
     assert_eq!(unmatched, [1]);
     assert!(scheduler.queue.is_empty());
 }
+
+/// A request waited for the end of its time after the only upstream that could serve it
+/// had been removed.
+#[test]
+fn queued_request_waits_for_a_removed_upstream() {
+    let mut scheduler = scheduler_with_queued_request(1);
+    scheduler.upstreams.remove("u");
+
+    let unmatched = scheduler.remove_unmatched(start() + ms(50), |_| Some(1), |_| false);
+
+    assert_eq!(unmatched, [1]);
+}
+
+#[test]
+fn queued_request_waits_for_a_draining_upstream() {
+    let mut scheduler = scheduler_with_queued_request(1);
+    let pooled = scheduler.upstreams.get_mut("u").unwrap();
+    pooled.upstream.state = UpstreamState::Draining;
+
+    let unmatched = scheduler.remove_unmatched(start() + ms(50), |_| Some(1), |_| false);
+
+    assert_eq!(unmatched, [1]);
+}
+
+#[test]
+fn queued_request_waits_for_an_evacuated_upstream() {
+    let mut scheduler = scheduler_with_queued_request(1);
+
+    let unmatched = scheduler.remove_unmatched(start() + ms(50), |_| Some(1), |d| d == "a");
+
+    assert_eq!(unmatched, [1]);
+}
+
+/// An engine that loads weights lists none meanwhile.
+#[test]
+fn queued_request_does_not_wait_for_weights_that_are_loaded() {
+    let mut scheduler = scheduler_with_queued_request(1);
+    let pooled = scheduler.upstreams.get_mut("u").unwrap();
+    pooled.upstream.models.clear();
+
+    let unmatched = scheduler.remove_unmatched(start() + ms(50), |_| Some(1), |_| false);
+
+    assert!(unmatched.is_empty());
+}
+
+/// A request was queued although all upstreams were draining.
+#[test]
+fn request_is_queued_for_a_draining_upstream() {
+    let mut leaving = upstream("u", "a", Some(1));
+    leaving.state = UpstreamState::Draining;
+    let queue = RequestQueue::new(QueueLimits { capacity: 8 });
+    let mut scheduler = ServiceScheduler::new(pool(&[leaving]), queue);
+    let request = IncomingRequest {
+        id: 1,
+        priority: 1,
+        first_attempt: start(),
+        target_latency: ms(500),
+        deadline: start() + secs(6),
+        needs: needs(start()),
+    };
+
+    let placement = scheduler.submit(start(), request, |_| false);
+
+    assert!(matches!(placement, Placement::Refused(_)), "{placement:?}");
+}
