Keep the connections of callers that stop reading for a while

The limit of 2.5 s on unacknowledged bytes also ends a connection whose peer acknowledges the probes of its closed window: Linux applies the TCP user timeout to them. A caller that paused for 4 s within an answer of 6 MB got a reset after 128,000 bytes.

Connections to upstreams keep 2.5 s.

--- a/components/transport/src/connection.rs
+++ b/components/transport/src/connection.rs
@@ -44,7 +44,7 @@
             .await
             .ok_or_else(|| failed(format!("timed out after {} ms", limit.as_millis())))?
             .map_err(|e| failed(e.to_string()))?;
-        set_socket_options(&stream).map_err(|e| failed(e.to_string()))?;
+        set_socket_options(&stream, USER_TIMEOUT).map_err(|e| failed(e.to_string()))?;
         let allowance = ReadAllowance::new(MAX_UNDELIVERED);
         let write_limit = WriteLimit::default();
         let bounded = BoundedStream::new(stream, allowance.clone(), write_limit.clone());
@@ -81,10 +81,14 @@
 }
 
 /// Disables Nagle's algorithm, so that small writes are sent at once, and sets
-/// the TCP user timeout, so that unreachable peers are detected.
-pub(crate) fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
+/// the TCP user timeout, so that unreachable peers are detected. It also ends the
+/// connections of peers that do not read for so long.
+pub(crate) fn set_socket_options(
+    stream: &TcpStream,
+    user_timeout: Duration,
+) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
-    let millis = u32::try_from(USER_TIMEOUT.as_millis()).unwrap_or(u32::MAX);
+    let millis = u32::try_from(user_timeout.as_millis()).unwrap_or(u32::MAX);
     sockopt::set_tcp_user_timeout(stream.as_fd(), millis)?;
     Ok(())
 }
--- a/components/transport/src/listener.rs
+++ b/components/transport/src/listener.rs
@@ -59,7 +59,8 @@
     pub connections: usize,
     /// Longest request head in bytes; values below 8192 count as 8192.
     pub head_bytes: usize,
-    /// Longest time until a complete head has arrived, also between two requests.
+    /// Longest time until a complete head has arrived, also between two requests; and
+    /// longest time for which a client does not read what is sent to it.
     pub idle_timeout: Duration,
 }
 
@@ -159,7 +160,7 @@
         if self.open_connections.load(Ordering::Relaxed) >= self.limits.connections {
             return self.refuse(stream, peer);
         }
-        if let Err(e) = set_socket_options(&stream) {
+        if let Err(e) = set_socket_options(&stream, self.limits.idle_timeout) {
             log::debug!("transport: connection from {peer} closed: {e}");
             return;
         }
