Do not log idle connections as failed

A head that arrived in part is still reported.

idle_connection_is_reported_as_failed: 2 reports before, 1 now.

--- a/components/transport/src/served_connection.rs
+++ b/components/transport/src/served_connection.rs
@@ -30,7 +30,7 @@
 enum End {
     /// After its last response, or by its client.
     Served,
-    /// The listener was closed while no request was in flight.
+    /// While no request was in flight, by the listener.
     Idle,
 }
 
@@ -121,6 +121,8 @@
             })
             .await;
         match finished {
+            // No request came within the idle timeout.
+            Some(Err(e)) if e.is_timeout() && !input.is_set() => Ok(End::Idle),
             Some(result) => result.map(|()| End::Served),
             None => {
                 let end = match requests.current() {
--- a/components/transport/tests/closing.rs
+++ b/components/transport/tests/closing.rs
@@ -5,6 +5,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -19,7 +20,10 @@
 const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n";
 
 /// Responds at once, without reading the body.
-struct Refusing;
+#[derive(Default)]
+struct Refusing {
+    failed: AtomicUsize,
+}
 
 impl Handler for Refusing {
     type Body = Full<Bytes>;
@@ -30,6 +34,10 @@
         *response.status_mut() = http::StatusCode::NOT_FOUND;
         response
     }
+
+    fn connection_failed(&self, _peer: SocketAddr, _error: &hyper::Error) {
+        self.failed.fetch_add(1, Ordering::Relaxed);
+    }
 }
 
 async fn listener(connections: usize) -> (Arc<Listener<Refusing>>, SocketAddr) {
@@ -38,7 +46,7 @@
         head_bytes: 8192,
         idle_timeout: Duration::from_secs(10),
     };
-    let listener = Arc::new(Listener::new(Arc::new(Refusing), limits));
+    let listener = Arc::new(Listener::new(Arc::<Refusing>::default(), limits));
     let socket = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let addr = socket.local_addr().unwrap();
     let accepting = listener.clone();
@@ -235,3 +243,37 @@
         assert!(text.contains("connection: close"), "{text}");
     });
 }
+
+/// Connections that were idle for long enough were logged as failed.
+#[test]
+fn idle_connection_is_reported_as_failed() {
+    block_on(async {
+        let handler = Arc::<Refusing>::default();
+        let limits = ListenerLimits {
+            connections: 8,
+            head_bytes: 8192,
+            idle_timeout: Duration::from_millis(200),
+        };
+        let listener = Arc::new(Listener::new(handler.clone(), limits));
+        let socket = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = socket.local_addr().unwrap();
+        spawn(async move { listener.accept(socket).await }).detach();
+        let (idle, partial) = (connect(addr), connect(addr));
+
+        for stream in [&idle, &partial] {
+            write(stream, REQUEST).await;
+            response(stream).await;
+        }
+        write(&partial, &REQUEST[..10]).await;
+        until_closed(&idle).await;
+        until_closed(&partial).await;
+
+        assert_eq!(handler.failed.load(Ordering::Relaxed), 1);
+    });
+}
+
+async fn until_closed(stream: &TcpStream) {
+    let mut stream = smol::net::TcpStream::try_from(stream.try_clone().unwrap()).unwrap();
+    let read = with_timeout(READ_LIMIT, stream.read_to_end(&mut Vec::new())).await;
+    assert!(read.is_some(), "still open");
+}
