--- a/components/dispatch/src/service_scheduler.rs
+++ b/components/dispatch/src/service_scheduler.rs
@@ -186,7 +186,8 @@
     }
 
     /// Removes the requests that no upstream may serve any longer, as a newer version
-    /// has come into force, or that none accepts in time; returns their ids.
+    /// has come into force, upstreams have left, or none accepts them in time; returns their
+    /// ids.
     pub fn remove_unmatched(
         &mut self,
         now: Moment,
@@ -197,8 +198,9 @@
         for queued in self.queue.iter_mut() {
             let raised = queued.needs.raise_version(&in_force);
             let acceptance = self.upstreams.acceptance(now, &queued.needs, &evacuated);
-            let is_unmatched = raised && acceptance == Acceptance::NoMatch;
-            if is_unmatched || !accepts_by(acceptance, queued.start_by) {
+            let is_outdated = raised && acceptance == Acceptance::NoMatch;
+            let has_left = !self.upstreams.may_serve(&queued.needs, &evacuated);
+            if is_outdated || has_left || !accepts_by(acceptance, queued.start_by) {
                 unmatched.push(queued.id);
             }
         }
--- a/components/dispatch/src/upstream_pool.rs
+++ b/components/dispatch/src/upstream_pool.rs
@@ -3,7 +3,7 @@
 
 use domain::{
     FailureDomainId, GateStatus, ModelId, Moment, RegionId, ServiceId, Upstream, UpstreamId,
-    WeightVersion,
+    UpstreamState, WeightVersion,
 };
 
 use crate::{
@@ -244,6 +244,14 @@
         acceptance
     }
 
+    /// Whether any upstream may serve the request, now or once it has loaded other weights.
+    pub fn may_serve(&self, needs: &Requirements, evacuated: impl Fn(&str) -> bool) -> bool {
+        let may_serve = |pooled: &PooledUpstream| {
+            !evacuated(&pooled.upstream.failure_domain) && is_candidate(pooled, needs)
+        };
+        self.upstreams.iter().any(may_serve)
+    }
+
     fn best<'a>(
         &self,
         now: Moment,
@@ -297,12 +305,11 @@
     }
 
     fn meets_needs(&self, pooled: &PooledUpstream, needs: &Requirements) -> bool {
-        let home = needs.home_regions.is_empty() || needs.home_regions.contains(&pooled.region);
         let held = needs.model.as_ref().is_none_or(|m| {
             let held = pooled.upstream.models.iter().find(|h| h.model == *m);
             held.is_some_and(|h| needs.min_weight_version.is_none_or(|w| h.version >= w))
         });
-        home && held && !needs.tried.contains(&pooled.upstream.id)
+        held && is_candidate(pooled, needs)
     }
 
     fn has_capacity(&self, now: Moment, pooled: &PooledUpstream, load: UpstreamLoad) -> bool {
@@ -341,3 +348,12 @@
         score + pooled.failure_rate * FAILURE_PENALTY + fastrand::f64() * 0.06
     }
 }
+
+/// Whether an upstream may serve the request if it holds the weights: it is not leaving, is
+/// in a home region, and has not been tried.
+fn is_candidate(pooled: &PooledUpstream, needs: &Requirements) -> bool {
+    let home = needs.home_regions.is_empty() || needs.home_regions.contains(&pooled.region);
+    pooled.upstream.state == UpstreamState::Ready
+        && home
+        && !needs.tried.contains(&pooled.upstream.id)
+}
