Keep a pause that a start asked for before its record arrived

What upstreams saw: one that had started again under its id asked for a pause while its record still described the start before, for example while the store was away. When the new record arrived, requests went to it within the pause.

Cause: an answer counts for the start that was leased, and nothing in it tells which start gave it.

Fix: a start that began before the answer, by the clock of the VM, takes the pause over; a later one begins without. An answer to a lease of an earlier start also counts for the start that is listed now.

--- a/components/dispatch/src/pooled_upstream.rs
+++ b/components/dispatch/src/pooled_upstream.rs
@@ -1,7 +1,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use domain::{HeldModel, Moment, SendGate, Upstream, UpstreamState};
+use domain::{GateStatus, HeldModel, Moment, SendGate, Upstream, UpstreamState};
 
 use crate::{LimitStatement, Ownership, RateLimit};
 
@@ -62,6 +62,8 @@
     pub rate_limit: Option<RateLimit>,
     /// Whether it accepts requests, by its own statements.
     pub gate: SendGate,
+    /// When it last asked for a pause, in milliseconds of Unix time.
+    pause_asked_ms: Option<u64>,
     /// When its agent last sent a notice.
     noticed_at: Option<Moment>,
     paused_until: Moment,
@@ -87,6 +89,7 @@
             failure_rate: 0.0,
             rate_limit: None,
             gate: SendGate::default(),
+            pause_asked_ms: None,
             noticed_at: None,
             paused_until: Duration::ZERO,
             failure_pause: FIRST_PAUSE,
@@ -104,6 +107,23 @@
         self.upstream = upstream;
     }
 
+    /// Records that it asked for a pause until `until`; returns whether this is later than
+    /// before.
+    pub fn record_pause(&mut self, until: Moment, asked_ms: u64) -> bool {
+        self.pause_asked_ms = Some(asked_ms);
+        self.gate.close_until(until)
+    }
+
+    /// End of the pause that a start at `started_ms` under the same id asked for. An answer
+    /// after a start came from that start, also before its record arrived.
+    pub fn pause_of_start(&self, now: Moment, started_ms: u64) -> Option<Moment> {
+        let asked_ms = self.pause_asked_ms?;
+        match self.gate.status(now) {
+            GateStatus::ClosedUntil(until) if started_ms <= asked_ms => Some(until),
+            _ => None,
+        }
+    }
+
     /// Records that its agent sent a notice.
     pub fn record_notice(&mut self, now: Moment) {
         self.noticed_at = Some(now);
--- a/components/dispatch/tests/send_gates.rs
+++ b/components/dispatch/tests/send_gates.rs
@@ -100,3 +100,18 @@
     assert_eq!(later, Choice::Send("i-1".into()));
     assert_eq!(none, Choice::NoMatch);
 }
+
+/// A pause that a new start had asked for ended when its record arrived.
+#[test]
+fn pause_is_taken_for_that_of_the_start_before() {
+    let mut pool = pool(&[upstream("i-0", "a", Some(1))]);
+    let pooled = pool.get_mut("i-0").unwrap();
+    let until = start() + secs(2);
+
+    pooled.record_pause(until, 5_000);
+
+    let ends = |started_ms| pooled.pause_of_start(start(), started_ms);
+    assert!(ends(4_000).is_some_and(|end| end >= until));
+    assert_eq!(ends(5_001), None);
+    assert_eq!(pooled.pause_of_start(start() + secs(3), 4_000), None);
+}
--- a/components/domain/src/clock.rs
+++ b/components/domain/src/clock.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use rustix::time::{ClockId, clock_gettime};
 
@@ -18,3 +18,10 @@
     let nanos = u32::try_from(t.tv_nsec).unwrap_or(0);
     Duration::new(secs, nanos)
 }
+
+/// Current time in milliseconds of Unix time, which the platform can step. It is only
+/// compared with starts that other processes state.
+pub fn unix_ms() -> u64 {
+    let time = SystemTime::now().duration_since(UNIX_EPOCH);
+    time.map_or(0, millis)
+}
--- a/components/domain/src/lib.rs
+++ b/components/domain/src/lib.rs
@@ -13,7 +13,7 @@
 mod settings;
 mod upstream;
 
-pub use clock::{Moment, millis, now};
+pub use clock::{Moment, millis, now, unix_ms};
 pub use fleet_config::{Account, CallerLimits, FleetConfig};
 pub use ids::*;
 pub use message_head::{PromptPart, RequestHead, ResponseHead, StatedLimit, TokenCount};
--- a/components/gateway/src/scheduler/gates.rs
+++ b/components/gateway/src/scheduler/gates.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use dispatch::{StartId, upstream_start};
-use domain::{Platform, ResponseHead, millis, now};
+use domain::{Platform, ResponseHead, millis, now, unix_ms};
 use serde_json::json;
 use telemetry::{Outcome, decision};
 
@@ -26,10 +26,22 @@
             log_leaving(&lease.target.id, "response");
             state.leaving_changed();
         }
-        let Some(pause) = head.wanted_pause else {
-            return;
-        };
-        if lease.gate.close_until(now().saturating_add(pause)) {
+        if let Some(pause) = head.wanted_pause {
+            self.record_pause(lease, pause);
+        }
+    }
+
+    fn record_pause(&self, lease: &Lease<P>, pause: Duration) {
+        let until = now().saturating_add(pause);
+        let mut extended = lease.gate.close_until(until);
+        // The answer may come from a later start than the one that was leased.
+        let mut state = self.lock();
+        let service = state.services.get_mut(&lease.service);
+        let upstream = service.and_then(|s| s.scheduler.upstreams.get_mut(&lease.target.id));
+        if let Some(upstream) = upstream {
+            extended |= upstream.record_pause(until, unix_ms());
+        }
+        if extended {
             let fields = json!({ "upstream": lease.target.id, "for_ms": millis(pause) });
             decision("desk", "upstream wants a pause", Outcome::Change, fields);
         }
--- a/components/gateway/src/scheduler/mod.rs
+++ b/components/gateway/src/scheduler/mod.rs
@@ -124,6 +124,11 @@
             .scheduler
             .upstreams
             .set_latency_model(LatencyModel::new(engine));
+        let known = service.scheduler.upstreams.get_mut(id);
+        let pause = known.and_then(|u| u.pause_of_start(now, upstream.started_ms));
+        if let Some(until) = pause {
+            gate.close_until(until);
+        }
         service
             .scheduler
             .upstreams
