Pause an upstream only if nothing at all is heard from it

Cause: the silence of one exchange counted as that of its upstream, and since silent exchanges are kept, a second time at the deadline.

A silence counts in the failure rate, by which upstreams are chosen, and pauses the upstream only if no response of it has begun or gone on since the silent request was sent. What is heard ends that pause, not one for a failure.

--- a/components/dispatch/src/pooled_upstream.rs
+++ b/components/dispatch/src/pooled_upstream.rs
@@ -65,6 +65,8 @@
     paused_until: Moment,
     /// Until when it gets no requests because it is silent.
     silent_until: Moment,
+    /// When a response began or went on, of any request of this entry.
+    heard_at: Moment,
     failure_pause: Duration,
     full_pause: Duration,
     cold_until: Moment,
@@ -89,6 +91,7 @@
             noticed_at: None,
             paused_until: Duration::ZERO,
             silent_until: Duration::ZERO,
+            heard_at: Duration::ZERO,
             failure_pause: FIRST_PAUSE,
             full_pause: FULL_PAUSE,
             sent: VecDeque::new(),
@@ -239,23 +242,32 @@
 
     /// Records a failed exchange and pauses the upstream.
     pub fn record_failure(&mut self, now: Moment) {
+        self.count_failure();
         self.paused_until = now + self.next_pause();
     }
 
-    /// Records that an exchange is silent, and pauses the upstream until it goes on.
-    pub fn record_silence(&mut self, now: Moment) {
-        self.silent_until = now + self.next_pause();
+    /// Records that an exchange has been silent since `since`. Pauses the upstream until
+    /// something is heard from it; if it has answered other requests since then, only this
+    /// one is slow.
+    pub fn record_silence(&mut self, now: Moment, since: Moment) {
+        self.count_failure();
+        if self.heard_at <= since {
+            self.silent_until = now + self.next_pause();
+        }
     }
 
-    /// Records that a silent exchange has gone on.
-    pub fn record_recovery(&mut self) {
+    /// Records that a response began or went on.
+    pub fn record_heard(&mut self, now: Moment) {
+        self.heard_at = now;
         self.silent_until = Duration::ZERO;
-        self.failure_pause = FIRST_PAUSE;
     }
 
-    /// Counts a failure and returns the pause after it.
-    fn next_pause(&mut self) -> Duration {
+    fn count_failure(&mut self) {
         self.failure_rate = self.failure_rate * (1.0 - FAILURE_WEIGHT) + FAILURE_WEIGHT;
+    }
+
+    /// The pause after a failure; it grows with each.
+    fn next_pause(&mut self) -> Duration {
         let pause = self.failure_pause;
         self.failure_pause = (pause * 2).min(MAX_PAUSE);
         pause
--- a/components/dispatch/tests/upstream_pool.rs
+++ b/components/dispatch/tests/upstream_pool.rs
@@ -208,6 +208,44 @@
     assert!(first < second);
 }
 
+/// One slow request took the only upstream of a service from all others.
+#[test]
+fn slow_request_pauses_an_upstream_that_answers_others() {
+    let mut pool = pool(&[upstream("u", "a", Some(1))]);
+    let u = pool.get_mut("u").unwrap();
+    u.record_heard(start() + ms(300));
+
+    u.record_silence(start() + ms(450), start());
+
+    assert!(u.is_open(start() + ms(450)));
+    assert!(u.failure_rate > 0.0);
+}
+
+#[test]
+fn silent_upstream_is_paused_until_it_is_heard() {
+    let mut pool = pool(&[upstream("u", "a", Some(1))]);
+    let u = pool.get_mut("u").unwrap();
+    u.record_heard(start());
+
+    u.record_silence(start() + ms(450), start());
+    let silent = u.is_open(start() + ms(460));
+    u.record_heard(start() + ms(470));
+
+    assert!(!silent);
+    assert!(u.is_open(start() + ms(470)));
+}
+
+#[test]
+fn upstream_that_failed_stays_paused_when_it_is_heard() {
+    let mut pool = pool(&[upstream("u", "a", Some(1))]);
+    let u = pool.get_mut("u").unwrap();
+
+    u.record_failure(start());
+    u.record_heard(start() + ms(10));
+
+    assert!(!u.is_open(start() + ms(20)));
+}
+
 /// Engines switch to a new version during a burst. An engine that waits for its
 /// longest request before it can switch is idle for most of that time.
 #[test]
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -3,7 +3,7 @@
 
 use compact_str::CompactString;
 use dispatch::{AttemptEnd, Attempts, ConnectionEnd};
-use domain::{Platform, millis, now};
+use domain::{Moment, Platform, millis, now};
 use serde_json::json;
 use smol::Timer;
 use telemetry::{Outcome, decision};
@@ -52,27 +52,34 @@
                 Some(limit) => Timer::after(limit).await,
                 None => pending().await,
             };
-            self.record_silence(request, lease);
+            self.record_silence(request, lease, lease.leased_at);
             is_silent = true;
             pending().await
         };
         let outcome = futures_lite::future::or(sent, silence).await;
-        if is_silent && matches!(outcome, SendOutcome::Response(_)) {
-            self.record_recovery(request, lease);
+        match outcome {
+            SendOutcome::Response(_) if is_silent => self.record_recovery(request, lease),
+            SendOutcome::Response(_) => {
+                self.scheduler
+                    .with_upstream(lease, |u| u.record_heard(now()));
+            }
+            _ => {}
         }
         outcome
     }
 
-    /// Records that the upstream is silent, so that other requests avoid it.
-    pub fn record_silence(&self, request: &CallerRequest, lease: &Lease<P>) {
+    /// Records that an exchange has been silent since `since`, so that other requests avoid
+    /// its upstream.
+    pub fn record_silence(&self, request: &CallerRequest, lease: &Lease<P>, since: Moment) {
         self.scheduler
-            .with_upstream(lease, |u| u.record_silence(now()));
+            .with_upstream(lease, |u| u.record_silence(now(), since));
         self.log_silence("silent", request, lease);
     }
 
-    /// Records that a silent upstream went on.
+    /// Records that a silent exchange went on.
     pub fn record_recovery(&self, request: &CallerRequest, lease: &Lease<P>) {
-        self.scheduler.with_upstream(lease, |u| u.record_recovery());
+        self.scheduler
+            .with_upstream(lease, |u| u.record_heard(now()));
         self.scheduler.serve_queue(&lease.service);
         self.log_silence("silence over", request, lease);
     }
--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -242,8 +242,11 @@
                 after_unknown(request)
             }
             SendOutcome::TimedOut => {
-                self.scheduler
-                    .with_upstream(&lease, |u| u.record_failure(now()));
+                // The silence of other kinds was recorded when it began.
+                if request.route.kind == RequestKind::Unsafe {
+                    self.scheduler
+                        .with_upstream(&lease, |u| u.record_failure(now()));
+                }
                 AttemptOutcome::Refuse(Refusal::TimedOut)
             }
         }
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -92,13 +92,14 @@
         let Some(run) = &mut self.run else {
             return self.race().await;
         };
+        let started = now();
         match with_timeout(STREAM_SILENCE, run.read()).await {
             Some(ReadOutcome::Broken(why)) => self.record_break(&why),
             Some(outcome) => return self.step_after(outcome),
             None => {
                 self.log("stream silent", Outcome::Failure, "no event");
                 self.with_run(|dispatcher, request, run| {
-                    dispatcher.record_silence(request, &run.lease)
+                    dispatcher.record_silence(request, &run.lease, started)
                 });
             }
         }
--- a/components/gateway/src/successor.rs
+++ b/components/gateway/src/successor.rs
@@ -80,10 +80,11 @@
     request: &CallerRequest,
     run: &mut Run<P>,
 ) -> ReadOutcome {
+    let started = now();
     if let Some(outcome) = with_timeout(STREAM_SILENCE, run.read()).await {
         return outcome;
     }
-    dispatcher.record_silence(request, &run.lease);
+    dispatcher.record_silence(request, &run.lease, started);
     let outcome = run.read().await;
     if !matches!(outcome, ReadOutcome::Broken(_)) {
         dispatcher.record_recovery(request, &run.lease);
