Keep a silent run until another one's response is complete or goes on

Callers got 502, a cut stream or a late answer, although one of two runs would have answered before the deadline: as soon as one run had sent the head of its response, the other one was cancelled. If the first then broke off or fell silent within its body, or before the first event of a stream, no attempt was left.

The body of a buffered response, and the first events of a stream that another run stands beside, are now parts of the attempt that are waited for in the same race. The others end when a response is passed on. No further attempt starts while a body is read, as before. A caller that has closed its sending side no longer keeps an upstream at work within a body either, since the race is also left when the caller may have left. A stream without another run beside it is passed on from its head, as before.

--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -25,14 +25,13 @@
 use crate::race::Race;
 use crate::refusal::Refusal;
 use crate::relay::Relay;
-use crate::run::Run;
+use crate::run::{ReadOutcome, Run};
 use crate::scheduler::{AcquireOutcome, Scheduler, start_id};
 use crate::send::{CONNECT_TIMEOUT, NotRun, SendOutcome, UnreadResponse};
 use crate::shortage::Shortage;
 use crate::silence::silence_limit;
+use crate::stage::{BodyError, BufferedBody, Stage, StageEnd};
 
-/// Longest response that is buffered before it is passed on, in bytes.
-const MAX_RESPONSE: usize = 8 << 20;
 /// Advised wait when it does not follow from the queue.
 const DEFAULT_BUSY_WAIT: Duration = Duration::from_millis(900);
 /// Chunks of a stream that are buffered for a slow caller.
@@ -52,9 +51,11 @@
 }
 
 /// What follows an attempt.
-enum AttemptOutcome {
+enum AttemptOutcome<P: Platform> {
     /// Return the response.
     Respond(Response<ResponseBody>),
+    /// Go on with the next part of the attempt.
+    Continue(Stage<P>),
     /// Try another upstream; refuse the request if there is none.
     Retry(Refusal),
     /// Refuse the request.
@@ -63,8 +64,8 @@
 
 /// What happens while a request waits for its response.
 enum Step<P: Platform> {
-    /// An attempt has ended, or its response has begun.
-    Ended(Attempt<P>),
+    /// A part of an attempt has ended.
+    Ended(StageEnd<P>),
     /// A slot for another attempt.
     Placed(Lease<P>),
     /// No other attempt may start now.
@@ -117,12 +118,10 @@
         self.scheduler.count_request(&request.service);
         let mut running = Race::default();
         let refusal = loop {
-            let attempt = match self.step(request, &mut running, progress).await {
+            let stage = match self.step(request, &mut running, progress).await {
                 Step::Placed(lease) => {
                     progress.attempts.start(lease.target.id.clone());
-                    let attempt = self.clone().attempt(request.clone(), lease, None);
-                    running.push(now(), attempt);
-                    continue;
+                    Stage::Send(lease)
                 }
                 Step::NotPlaced(none) if running.is_empty() => {
                     progress.shortage = none.shortage;
@@ -134,16 +133,21 @@
                     continue;
                 }
                 Step::Abandoned => break progress.abandoned_refusal(),
-                Step::Ended(attempt) => attempt,
+                Step::Ended(end) => {
+                    let is_alone = running.is_empty();
+                    match self.handle(request, end, is_alone, progress) {
+                        AttemptOutcome::Respond(response) => return response,
+                        AttemptOutcome::Continue(stage) => stage,
+                        AttemptOutcome::Refuse(refusal) => break refusal,
+                        AttemptOutcome::Retry(refusal) => {
+                            progress.record_failure(refusal);
+                            continue;
+                        }
+                    }
+                }
             };
-            if is_final(request, &attempt.outcome) {
-                running.cancel();
-            }
-            match self.handle(request, attempt, progress).await {
-                AttemptOutcome::Respond(response) => return response,
-                AttemptOutcome::Refuse(refusal) => break refusal,
-                AttemptOutcome::Retry(refusal) => progress.record_failure(refusal),
-            }
+            let stage = self.clone().run_stage(request.clone(), stage);
+            running.push(now(), stage);
         };
         progress.record_failure(refusal);
         if let Some(response) = progress.server_error.take() {
@@ -152,9 +156,9 @@
         self.refuse(request, progress.final_refusal(refusal), progress)
     }
 
-    /// Waits until an attempt ends, until another one may start, or until the caller may be
-    /// assumed to have left. The outcome of an attempt that can't be repeated matters to its
-    /// caller in any case.
+    /// Waits until a part of an attempt ends, until another one may start, or until the caller
+    /// may be assumed to have left. The outcome of an attempt that can't be repeated matters
+    /// to its caller in any case.
     async fn step<F>(
         self: &Arc<Self>,
         request: &CallerRequest,
@@ -162,16 +166,17 @@
         progress: &Progress,
     ) -> Step<P>
     where
-        F: Future<Output = Attempt<P>>,
+        F: Future<Output = StageEnd<P>>,
     {
-        let limit = silence_limit(request.route.kind).filter(|_| request.route.kind.is_retryable());
+        let may_search = request.route.kind.is_retryable() && progress.bodies == 0;
+        let limit = silence_limit(request.route.kind).filter(|_| may_search);
         let search_at = running
             .last_start()
             .map(|started| Some((started + limit?).max(progress.search_at)));
         let search = async {
             match search_at {
                 Some(Some(at)) => drop(Timer::after(at.saturating_sub(now())).await),
-                // The only run is waited for.
+                // Those that run are waited for.
                 Some(None) => pending().await,
                 None => {}
             }
@@ -232,23 +237,59 @@
         }
     }
 
+    /// Handles the end of a part of an attempt, which no other one runs beside if it
+    /// `is_alone`.
+    fn handle(
+        self: &Arc<Self>,
+        request: &Arc<CallerRequest>,
+        end: StageEnd<P>,
+        is_alone: bool,
+        progress: &mut Progress,
+    ) -> AttemptOutcome<P> {
+        match end {
+            StageEnd::Sent(attempt) => self.handle_sent(request, attempt, is_alone, progress),
+            StageEnd::Body(lease, response, body) => {
+                progress.bodies -= 1;
+                self.handle_body(request, lease, *response, body, progress)
+            }
+            StageEnd::Events(run, ReadOutcome::Broken(why)) => {
+                let failed = FailedExchange::truncated(run.response.reused, why);
+                self.record_broken(request, &run.lease, &failed);
+                after_unknown(request)
+            }
+            StageEnd::Events(run, first) => {
+                let attempts = progress.attempts.clone();
+                AttemptOutcome::Respond(self.stream(request, run, Some(first), attempts))
+            }
+        }
+    }
+
     /// Handles an attempt that has ended, or whose response has begun.
-    async fn handle(
+    fn handle_sent(
         self: &Arc<Self>,
         request: &Arc<CallerRequest>,
         attempt: Attempt<P>,
+        is_alone: bool,
         progress: &mut Progress,
-    ) -> AttemptOutcome {
+    ) -> AttemptOutcome<P> {
         let Attempt { lease, outcome } = attempt;
         match outcome {
             SendOutcome::Response(response) => {
                 let success = response.exchange.head.status.is_success();
-                if request.route.kind.is_stream() && success {
-                    let attempts = progress.attempts.clone();
-                    let response = self.stream(request, response, lease, attempts);
-                    return AttemptOutcome::Respond(response);
+                if !(request.route.kind.is_stream() && success) {
+                    progress.bodies += 1;
+                    return AttemptOutcome::Continue(Stage::Body(lease, response));
+                }
+                let run = Run {
+                    response,
+                    lease,
+                    events: EventSplitter::default(),
+                };
+                if !is_alone {
+                    return AttemptOutcome::Continue(Stage::Events(run));
                 }
-                self.buffer(request, *response, lease, progress).await
+                let attempts = progress.attempts.clone();
+                AttemptOutcome::Respond(self.stream(request, run, None, attempts))
             }
             SendOutcome::NotRun(why) => {
                 self.record_not_run(request, &lease, why, &mut progress.attempts);
@@ -280,43 +321,37 @@
         self.scheduler.connection_use(lease, idle)
     }
 
-    /// Reads the complete response before it is passed on, so that a truncated one is
-    /// detected and can be replaced.
-    async fn buffer(
+    /// Handles a response whose body was read, or broke off.
+    fn handle_body(
         self: &Arc<Self>,
         request: &CallerRequest,
-        response: UnreadResponse,
         lease: Lease<P>,
+        response: UnreadResponse,
+        body: Result<BufferedBody, BodyError>,
         progress: &mut Progress,
-    ) -> AttemptOutcome {
-        let UnreadResponse {
-            exchange,
-            response_head,
-            reused,
-        } = response;
-        let Exchange { head, mut body } = exchange;
-        let mut memory = self.body_buffers.reserve();
-        let mut fits = true;
-        let accept = |len| {
-            fits = memory.grow_to(len);
-            fits && len <= MAX_RESPONSE
-        };
-        let bytes = match body.collect_while(accept).await {
-            Ok(bytes) => bytes,
-            Err(e) if !fits => {
+    ) -> AttemptOutcome<P> {
+        let BufferedBody { bytes, memory } = match body {
+            Ok(body) => body,
+            Err(BodyError::NoMemory(why)) => {
                 let fields = json!({
                     "request": request.head.attempt,
                     "upstream": lease.target.id,
-                    "why": e.to_string(),
+                    "why": why,
                 });
                 decision("dispatch", "no memory", Outcome::Failure, fields);
                 return after_unknown(request);
             }
-            Err(e) => {
-                self.record_broken(request, &lease, &FailedExchange::new(&e, reused));
+            Err(BodyError::Broken(failed)) => {
+                self.record_broken(request, &lease, &failed);
                 return after_unknown(request);
             }
         };
+        let UnreadResponse {
+            exchange,
+            response_head,
+            ..
+        } = response;
+        let Exchange { head, body } = exchange;
         if !response_head.closing {
             let max_idle = self.scheduler.idle_share(&lease);
             body.release(&self.connections, response_head.keep_alive, max_idle);
@@ -338,26 +373,24 @@
         AttemptOutcome::Retry(Refusal::Broken)
     }
 
-    /// Starts to pass a stream on; the relay runs as a task of the response body.
+    /// Starts to pass a stream on, of which `first` was read already; the relay runs as a
+    /// task of the response body.
     fn stream(
         self: &Arc<Self>,
         request: &Arc<CallerRequest>,
-        response: Box<UnreadResponse>,
-        lease: Lease<P>,
+        run: Run<P>,
+        first: Option<ReadOutcome>,
         attempts: Attempts,
     ) -> Response<ResponseBody> {
-        let head = response.exchange.head.clone();
+        let head = run.response.exchange.head.clone();
         let mut headers = self.platform.dialect().caller_headers(&head);
         headers.remove(header::CONTENT_LENGTH);
         let (sender, chunks) = bounded::<Result<Bytes, crate::ResponseAborted>>(BUFFERED_CHUNKS);
         let relay = Relay {
             dispatcher: self.clone(),
             request: request.clone(),
-            run: Some(Run {
-                response,
-                lease,
-                events: EventSplitter::default(),
-            }),
+            run: Some(run),
+            first,
             last_id: request.head.last_event.clone(),
             attempts,
         };
@@ -477,17 +510,8 @@
     }
 }
 
-/// Whether an attempt decides the response, so that no other one is needed.
-fn is_final(request: &CallerRequest, outcome: &SendOutcome) -> bool {
-    let SendOutcome::Response(response) = outcome else {
-        return false;
-    };
-    // After a server error another upstream may still succeed.
-    !response.exchange.head.status.is_server_error() || request.route.kind != RequestKind::Safe
-}
-
 /// What follows an attempt that may have run.
-fn after_unknown(request: &CallerRequest) -> AttemptOutcome {
+fn after_unknown<P: Platform>(request: &CallerRequest) -> AttemptOutcome<P> {
     match request.route.kind.is_retryable() {
         true => AttemptOutcome::Retry(Refusal::Broken),
         false => AttemptOutcome::Refuse(Refusal::Broken),
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod send;
 mod shortage;
 mod silence;
+mod stage;
 mod successor;
 mod weight_prefetcher;
 
--- a/components/gateway/src/progress.rs
+++ b/components/gateway/src/progress.rs
@@ -12,6 +12,8 @@
     pub attempts: Attempts,
     /// When a slot for another attempt is looked for at the earliest.
     pub search_at: Moment,
+    /// Number of bodies that are being read; no other attempt starts meanwhile.
+    pub bodies: usize,
     /// Final response if no further attempt succeeds.
     refusal: Option<Refusal>,
     /// Response with status 5xx, returned if no further attempt succeeds.
@@ -26,6 +28,7 @@
         Progress {
             attempts: Attempts::new(max_runs),
             search_at: now(),
+            bodies: 0,
             refusal: None,
             server_error: None,
             shortage: None,
--- a/components/gateway/src/race.rs
+++ b/components/gateway/src/race.rs
@@ -33,11 +33,6 @@
         self.entries.iter().map(|(started, _)| *started).max()
     }
 
-    /// Cancels all futures.
-    pub fn cancel(&mut self) {
-        self.entries.clear();
-    }
-
     /// Output of the first future that is ready. Waits without end while none runs.
     pub async fn next(&mut self) -> F::Output {
         poll_fn(|cx| {
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -28,6 +28,8 @@
     pub(crate) request: Arc<CallerRequest>,
     /// The run that the last events came from; `None` once it broke.
     pub(crate) run: Option<Run<P>>,
+    /// What was read of it already.
+    pub(crate) first: Option<ReadOutcome>,
     /// Id of the last event that was passed on.
     pub(crate) last_id: Option<CompactString>,
     pub(crate) attempts: Attempts,
@@ -89,6 +91,9 @@
 
     /// Waits for the next events. The wait for a slow caller does not count as silence.
     async fn next(&mut self) -> Step {
+        if let Some(first) = self.first.take() {
+            return self.step_after(first);
+        }
         let Some(run) = &mut self.run else {
             return self.race().await;
         };
--- a/components/gateway/src/successor.rs
+++ b/components/gateway/src/successor.rs
@@ -75,7 +75,7 @@
 }
 
 /// Reads from the run, and records when its upstream is silent for too long.
-async fn read_watched<P: Platform>(
+pub async fn read_watched<P: Platform>(
     dispatcher: &Dispatcher<P>,
     request: &CallerRequest,
     run: &mut Run<P>,
