End streams that cannot be resumed for callers that left before their head

An upstream worked on, up to the deadline, on a stream that cannot be resumed for a caller that had closed its connection before the head of the response: since callers that close their sending side are answered, the end of the input ends only retryable requests that are in flight. An unsafe request is the only one whose outcome matters to a caller that may have left; a stream is not, whether it can be resumed or not.

half_closed: upstream_begins_the_stream_of_a_caller_that_left failed before (Close: at work 500 ms after the close, the bound) and passes now.

--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -157,8 +157,8 @@
     }
 
     /// Waits until a part of an attempt ends, until another one may start, or until the caller
-    /// may be assumed to have left. The outcome of an attempt that can't be repeated matters
-    /// to its caller in any case.
+    /// may be assumed to have left. The outcome of an unsafe attempt matters to its caller in
+    /// any case.
     async fn step<F>(
         self: &Arc<Self>,
         request: &CallerRequest,
@@ -183,7 +183,7 @@
             let placed = self.place(request, &progress.attempts).await;
             placed.map_or_else(Step::NotPlaced, Step::Placed)
         };
-        let may_cancel = running.is_empty() || request.route.kind.is_retryable();
+        let may_cancel = running.is_empty() || request.route.kind != RequestKind::Unsafe;
         let abandoned = async {
             match may_cancel {
                 true => request.abandoned().await,
