End a silent stream for a caller that leaves within it

An upstream that was silent within a stream worked on, up to the deadline, for a caller that had closed its connection: the end of the input alone does not end a stream whose head was passed on, and only the next event draws the reset that does. Callers give up silent streams more than others, and before callers that close their sending side were answered the end of the input ended such streams at once.

A caller that only finished its request closes its sending side before the response begins; such a one still waits through silences. If the input ends after the response has begun and nothing is passed on for 250 ms, the caller is assumed to have left. A stream that goes on is not touched, as the reset ends it.

--- a/components/gateway/src/caller_request.rs
+++ b/components/gateway/src/caller_request.rs
@@ -1,5 +1,6 @@
+use std::future::pending;
 use std::hash::{DefaultHasher, Hash, Hasher};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use dispatch::Feature;
@@ -53,6 +54,18 @@
         Timer::at(since + HALF_CLOSE_GRACE).await;
     }
 
+    /// Waits, from now on, until the caller may be assumed to have left within a response that
+    /// began at `begun`, since nothing more was passed on. A caller that closed its sending
+    /// side before only finished its request; the next write shows whether it has left.
+    pub async fn left_since(&self, begun: Instant) {
+        let waits = Instant::now();
+        let since = self.input_end.wait().await;
+        if since < begun {
+            return pending().await;
+        }
+        Timer::at(since.max(waits) + HALF_CLOSE_GRACE).await;
+    }
+
     /// Whether the caller may be assumed to have left.
     pub fn is_abandoned(&self) -> bool {
         let since = self.input_end.since();
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -1,5 +1,6 @@
 use std::future::{Future, pending};
 use std::sync::Arc;
+use std::time::Instant;
 
 use async_channel::Sender;
 use bytes::Bytes;
@@ -43,6 +44,8 @@
     Finish,
     /// Cut the response short.
     Cut,
+    /// The same, as the caller may be assumed to have left.
+    Abandon,
 }
 
 /// What happens while another run is looked for.
@@ -75,8 +78,14 @@
     /// Forwards events; true at the proper end of the stream, false if it is cut
     /// short.
     async fn forward(&mut self, chunks: &Sender<Result<Bytes, ResponseAborted>>) -> bool {
+        let request = self.request.clone();
+        let begun = Instant::now();
         loop {
-            match self.next().await {
+            let left = async {
+                request.left_since(begun).await;
+                Step::Abandon
+            };
+            match self.next().or(left).await {
                 Step::Forward(events) => {
                     if chunks.send(Ok(events)).await.is_err() {
                         return false;
@@ -84,6 +93,14 @@
                 }
                 Step::Finish => return true,
                 Step::Cut => return false,
+                Step::Abandon => {
+                    self.log(
+                        "caller left",
+                        Outcome::Change,
+                        "its input ended, and no event",
+                    );
+                    return false;
+                }
             }
             self.attempts.record_progress();
         }
