Pass on the digests that sources agree on rather than those of the origin

Cause: PieceCache::digests preferred the list that the process itself had read from the origin.

Evidence: digests_on_which_sources_agree_are_passed_on failed before (list of the origin instead of the agreed one).

Why this works: the list of the origin is passed on only until the process trusts one.

--- a/components/pieces/src/piece_cache.rs
+++ b/components/pieces/src/piece_cache.rs
@@ -244,10 +244,7 @@
     fn digests(&self, model: &str, version: u64) -> Option<Digests> {
         let key = (model.into(), version);
         let state = self.state();
-        state
-            .from_origin
-            .get(&key)
-            .or(state.trusted.get(&key))
-            .cloned()
+        let agreed = state.trusted.get(&key);
+        agreed.or(state.from_origin.get(&key)).cloned()
     }
 }
--- a/components/pieces/tests/piece_cache.rs
+++ b/components/pieces/tests/piece_cache.rs
@@ -1,7 +1,7 @@
-//! The limit on concurrent uploads.
+//! The limit on concurrent uploads, and the digests that other processes get.
 
 use bytes::Bytes;
-use feed::PieceLookup;
+use feed::{PieceLookup, PieceProvider};
 use pieces::PieceCache;
 use transport::{block_on, spawn};
 
@@ -32,3 +32,18 @@
         assert!(refused.count() >= 3);
     });
 }
+
+/// A process passed on the list that it had read from the origin also after it had agreed
+/// with others on another one, as a vote for a wrong list.
+#[test]
+fn digests_on_which_sources_agree_are_passed_on() {
+    let cache = PieceCache::new(950_000.0);
+    let (read, agreed) = (vec![[1; 32]], vec![[2; 32]]);
+    cache.store_origin_digests("m", 1, read.clone());
+
+    let before = cache.digests("m", 1);
+    cache.trust_digests("m", 1, agreed.clone());
+    let after = cache.digests("m", 1);
+
+    assert_eq!((before, after), (Some(read), Some(agreed)));
+}
