A panic of a handler ends only its connection

A panic while a request was handled reached the executor: the test of it hung until it was ended after 10 min, and the process would serve nothing more. The task of a connection catches it, logs an error, and counts the connection as closed.

panic_of_a_handler_ends_other_connections: no end before, passes in 1.3 s with all of closing.

--- a/components/transport/src/listener.rs
+++ b/components/transport/src/listener.rs
@@ -1,5 +1,6 @@
 use std::future::Future;
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -175,7 +176,11 @@
         };
         let open_connections = self.open_connections.clone();
         spawn(async move {
-            connection.serve().await;
+            // A panic would end the executor, and the process with all its requests.
+            let served = AssertUnwindSafe(connection.serve()).catch_unwind();
+            if served.await.is_err() {
+                log::error!("transport: connection from {peer} ended by a panic");
+            }
             open_connections.fetch_sub(1, Ordering::Relaxed);
         })
         .detach();
--- a/components/transport/tests/closing.rs
+++ b/components/transport/tests/closing.rs
@@ -29,7 +29,8 @@
     type Body = Full<Bytes>;
     type Error = Infallible;
 
-    async fn handle(&self, _request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        assert!(request.uri() != "/panic");
         let mut response = Response::new(Full::from("refused"));
         *response.status_mut() = http::StatusCode::NOT_FOUND;
         response
@@ -277,3 +278,21 @@
     let read = with_timeout(READ_LIMIT, stream.read_to_end(&mut Vec::new())).await;
     assert!(read.is_some(), "still open");
 }
+
+/// A panic while a request was handled ended the executor, and so the process.
+#[test]
+fn panic_of_a_handler_ends_other_connections() {
+    block_on(async {
+        let (listener, addr) = listener(8).await;
+        let (panicking, other) = (connect(addr), connect(addr));
+
+        write(&panicking, b"GET /panic HTTP/1.1\r\nhost: x\r\n\r\n").await;
+        until_closed(&panicking).await;
+        write(&other, REQUEST).await;
+        let text = response(&other).await;
+
+        assert!(text.ends_with("refused"), "{text}");
+        listener.close();
+        listener.wait_closed().await;
+    });
+}
