Reproduce streams of the entry without a caller

silent_upstreams: an engine that was silent within a stream worked on for 5.0 s for a caller that had closed its connection, until its next tokens; the bound is 0.5 s.

--- a/stand-ins/tests/silent_upstreams.rs
+++ b/stand-ins/tests/silent_upstreams.rs
@@ -3,11 +3,12 @@
 
 mod fixture;
 
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use fixture::{Deployment, declaration, order, read_response, serve, wait_until};
+use futures_lite::AsyncReadExt;
 use http_types::{Method, Request, Response, StatusCode};
 use protocol::{
     Availability, Heartbeat, HeartbeatReply, Load, RunRequest, Settle, SettleReply, Ticket,
@@ -17,11 +18,14 @@
 use stand_ins::engine::{Engine, EngineHandler, EngineSpec, GenerateRequest};
 use stand_ins::faults::Faults;
 use stand_ins::plain_service::PlainService;
+use stand_ins::trial::control;
 use wire::{Call, Handler};
 
 const TIMEOUT: Duration = Duration::from_secs(20);
 /// Silence of a sound upstream.
 const SHORT_PAUSE: Duration = Duration::from_millis(1700);
+/// After a caller has left, no work goes on for longer.
+const LEFT_LIMIT: Duration = Duration::from_millis(500);
 
 fn engine_spec() -> EngineSpec {
     EngineSpec {
@@ -58,6 +62,75 @@
     response.starts_with("HTTP/1.1 200") && response.ends_with("\r\n0\r\n\r\n")
 }
 
+/// An engine that was silent within a stream worked on for a caller that had left.
+#[test]
+fn silent_engine_keeps_the_stream_of_a_caller_that_left() {
+    smol::block_on(async {
+        let engine = Arc::new(Engine::new(engine_spec()));
+        engine.set_faults(Faults {
+            pause_ms: 5000,
+            ..Faults::default()
+        });
+        let (addr, _close) = serve(Arc::new(EngineHandler(engine))).await;
+        let deployment = Deployment::start(addr, &declaration(4, TIMEOUT)).await;
+        let mut caller = deployment.send("/stock", &stream_request()).await;
+        let mut text = String::new();
+        while !text.contains("\r\n\r\n") || text.ends_with("\r\n\r\n") {
+            let mut part = [0; 4096];
+            let len = caller.read(&mut part).await.unwrap();
+            assert!(len > 0, "the stream ended after {text:?}");
+            text.push_str(std::str::from_utf8(&part[..len]).unwrap());
+        }
+
+        let left = Instant::now();
+        drop(caller);
+        wait_until(async || cancelled(&deployment, addr).await == 1).await;
+
+        assert!(left.elapsed() < LEFT_LIMIT, "{:?}", left.elapsed());
+    });
+}
+
+/// Number of requests that the engine at `addr` gave up for their callers.
+async fn cancelled(deployment: &Deployment, addr: SocketAddr) -> u64 {
+    let record: serde_json::Value = control::get_json(&deployment.client, addr, "/record")
+        .await
+        .unwrap();
+    record["cancelled"].as_u64().unwrap()
+}
+
+/// A caller that closed its sending side before a stream began waits through silences.
+#[test]
+fn pause_ends_the_stream_of_a_half_closed_caller() {
+    smol::block_on(async {
+        let engine = Arc::new(Engine::new(EngineSpec {
+            prefill_time: Duration::from_millis(200),
+            ..engine_spec()
+        }));
+        engine.set_faults(Faults {
+            pause_ms: 1700,
+            ..Faults::default()
+        });
+        let (addr, _close) = serve(Arc::new(EngineHandler(engine))).await;
+        let deployment = Deployment::start(addr, &declaration(4, TIMEOUT)).await;
+
+        let mut caller = deployment.send("/stock", &stream_request()).await;
+        caller.shutdown(Shutdown::Write).unwrap();
+        let response = read_response(&mut caller).await;
+
+        assert!(is_whole_stream(&response), "{response:?}");
+    });
+}
+
+/// Body of a request for a stream.
+fn stream_request() -> String {
+    let request = GenerateRequest {
+        prompt: "layout".to_owned(),
+        max_tokens: 40,
+        stream: true,
+    };
+    serde_json::to_string(&request).unwrap()
+}
+
 #[test]
 fn short_pause_ends_a_stream() {
     let response = smol::block_on(stream_with_pause(SHORT_PAUSE));
