End a stream of the entry for a caller that leaves within a silence

An engine that was silent within a stream worked on, until its next tokens, for a caller of the entry that had closed its connection: since callers that close their sending side are answered, the end of the input is only told to a request that has no response yet, and only a write draws the reset that ends the response.

A caller that only finished its request has closed its sending side before the response begins, which is looked at there; such a one still waits through silences. If the input ends later and two checks find nothing written, the caller is assumed to have left, and the exchange is aborted. A stream that goes on is not touched.

--- a/components/wire/src/connection.rs
+++ b/components/wire/src/connection.rs
@@ -12,12 +12,15 @@
 use smol::io::AsyncReadExt;
 use smol::net::TcpStream;
 
-use crate::request_stream::{RequestStream, SharedStage, Stage};
+use crate::request_stream::{RequestStream, SharedStage, Stage, WriteCount};
 use crate::server::{InputEnd, ServerLimits};
 use crate::{Caller, Handler, Problem, with_timeout};
 
 /// Interval of checks for the end of the caller's input while its request is handled.
 const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Checks without a write after which a caller that ended its input within a response is
+/// assumed to have left; before that it may have finished its request only.
+const LEFT_CHECKS: u32 = 2;
 /// Longest time after a stop until a request whose first bytes were read is complete.
 const HEAD_DELAY: Duration = Duration::from_secs(2);
 /// Longest time for which input is read and discarded before a connection is closed. Bytes
@@ -87,8 +90,9 @@
         let stage = SharedStage::default();
         let (input, input_ended) = async_channel::bounded(1);
         let caller = Caller::new(self.peer, input_ended);
-        let handle = |req: Request| self.handle_request(req, caller.clone(), &stage);
-        let stream = RequestStream::new(self.stream.clone(), stage.clone());
+        let handle = |req: Request| self.handle_request(req, caller.clone(), &stage, &input);
+        let writes = WriteCount::default();
+        let stream = RequestStream::new(self.stream.clone(), stage.clone(), writes.clone());
         let mut server = async_h1::server::Server::new(stream, handle);
         let exchange = async {
             match server.accept_one().await {
@@ -102,7 +106,7 @@
         };
         exchange
             .or(self.idle_expired(&stage))
-            .or(self.watch_input(&stage, input))
+            .or(self.watch_input(&stage, &input, &writes))
             .await
     }
 
@@ -137,8 +141,15 @@
     }
 
     /// Closes `input` when the caller ends its input while its request is handled. Resolves
-    /// when that cancels the request, or the connection was reset.
-    async fn watch_input(&self, stage: &SharedStage, input: Sender<()>) -> ExchangeEnd {
+    /// when that cancels the request, when the caller may be assumed to have left within its
+    /// response, or when the connection was reset.
+    async fn watch_input(
+        &self,
+        stage: &SharedStage,
+        input: &Sender<()>,
+        writes: &WriteCount,
+    ) -> ExchangeEnd {
+        let (mut written, mut idle_checks) = (0, 0);
         loop {
             Timer::after(PEER_CHECK_INTERVAL).await;
             if !stage.has_reached(Stage::Handling) {
@@ -149,7 +160,20 @@
                 // The rest of the body or the next request can be read.
                 Ok(n) if n > 0 => {}
                 Ok(_) => match H::INPUT_END {
-                    InputEnd::Notify => drop(input.close()),
+                    InputEnd::Notify if !stage.has_reached(Stage::Responding) => {
+                        input.close();
+                    }
+                    // It was closed before the response, for a request that is complete.
+                    InputEnd::Notify if input.is_closed() => {}
+                    InputEnd::Notify if writes.get() != written => {
+                        (written, idle_checks) = (writes.get(), 0);
+                    }
+                    InputEnd::Notify => {
+                        idle_checks += 1;
+                        if idle_checks == LEFT_CHECKS {
+                            return ExchangeEnd::Abort;
+                        }
+                    }
                     InputEnd::Cancel if stage.has_reached(Stage::Responding) => {
                         return ExchangeEnd::Abort;
                     }
@@ -164,6 +188,7 @@
         req: Request,
         caller: Caller,
         stage: &SharedStage,
+        input: &Sender<()>,
     ) -> http_types::Result<Response> {
         stage.reach(Stage::Handling);
         let repeated = req
@@ -180,6 +205,9 @@
         if self.shutdown.is_closed() {
             res.insert_header("connection", "close");
         }
+        if matches!(poll_once(self.stream.peek(&mut [0])).await, Some(Ok(0))) {
+            input.close();
+        }
         stage.reach(Stage::Responding);
         Ok(res)
     }
--- a/components/wire/src/request_stream.rs
+++ b/components/wire/src/request_stream.rs
@@ -1,7 +1,7 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
 use std::task::{Context, Poll};
 
 use futures_lite::{AsyncRead, AsyncWrite};
@@ -45,18 +45,30 @@
     }
 }
 
-/// A connection that notes when the first byte of a request is read.
+/// Number of writes to a connection.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct WriteCount(Arc<AtomicU64>);
+
+impl WriteCount {
+    pub(crate) fn get(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// A connection that notes when the first byte of a request is read, and what is written.
 #[derive(Clone)]
 pub(crate) struct RequestStream {
     stream: Metered,
     stage: SharedStage,
+    writes: WriteCount,
 }
 
 impl RequestStream {
-    pub(crate) fn new(stream: TcpStream, stage: SharedStage) -> Self {
+    pub(crate) fn new(stream: TcpStream, stage: SharedStage, writes: WriteCount) -> Self {
         RequestStream {
             stream: Metered(stream),
             stage,
+            writes,
         }
     }
 }
@@ -81,7 +93,11 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        if written.is_ready() {
+            self.writes.0.fetch_add(1, Ordering::Relaxed);
+        }
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
