--- a/components/wire/src/request_stream.rs
+++ b/components/wire/src/request_stream.rs
@@ -1,6 +1,6 @@
 use std::io;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
 
@@ -52,23 +52,40 @@
 /// Bytes that were read from a connection after the end of a request.
 pub(crate) type Unread = Arc<Mutex<Vec<u8>>>;
 
+/// Number of writes to a connection.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct WriteCount(Arc<AtomicU64>);
+
+impl WriteCount {
+    pub(crate) fn get(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
 /// A connection from which one request is read: the bytes after its end are kept for the
-/// next one. Notes when the first byte is read.
+/// next one. Notes when the first byte is read, and what is written.
 #[derive(Clone)]
 pub(crate) struct RequestStream {
     stream: Metered,
     stage: SharedStage,
     unread: Unread,
     framing: Arc<Mutex<RequestFraming>>,
+    writes: WriteCount,
 }
 
 impl RequestStream {
-    pub(crate) fn new(stream: TcpStream, stage: SharedStage, unread: Unread) -> Self {
+    pub(crate) fn new(
+        stream: TcpStream,
+        stage: SharedStage,
+        unread: Unread,
+        writes: WriteCount,
+    ) -> Self {
         RequestStream {
             stream: Metered(stream),
             stage,
             unread,
             framing: Arc::default(),
+            writes,
         }
     }
 
@@ -119,7 +136,11 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        if written.is_ready() {
+            self.writes.0.fetch_add(1, Ordering::Relaxed);
+        }
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
