--- a/components/entry/src/dispatcher.rs
+++ b/components/entry/src/dispatcher.rs
@@ -145,9 +145,8 @@
         let mut failures = Failures::default();
         let mut kept: Vec<SentRun> = Vec::new();
         let mut charged_retries = 0;
-        // A run that a full upstream refused counts neither as an attempt nor as a
-        // retry; only the deadline bounds the number of such runs. `sent` counts all
-        // runs.
+        // A run that a full upstream refused counts neither as an attempt nor as a retry;
+        // only the deadline bounds the number of such runs. `sent` counts all runs.
         for sent in 0.. {
             let suspect = match self.crashes.check(job.fingerprint) {
                 Suspicion::Quarantined { remaining: wait } => {
@@ -245,7 +244,7 @@
         Answer::Respond(Box::new(finish(problem, job.request)))
     }
 
-    /// Waits for an upstream and sends the request to it. Returns its key too.
+    /// Waits for an upstream and sends the request to it; returns the key of the upstream too.
     async fn attempt(&self, job: &Job<'_>, attempt: Attempt<'_>) -> (Option<u64>, NextStep) {
         match self.wait_for_placement(job, attempt.tried).await {
             Placement::Assigned(target) => {
