Let the upstream of an unread stream stop at the deadline

Callers that do not read kept an engine at work on a stream whose time was up: the relay handed its error to the connection first, which waits for the caller, and held the exchange meanwhile, up to the limit of the connection.

unread_stream_keeps_its_upstream_after_the_deadline: the upstream worked on for more than 6 s before (bound 0.5 s after the deadline), and stops in time now.

Checks of crashes, the log of outcomes and the reports of the scheduler have files of their own; their code is as it was.

--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -4,15 +4,15 @@
 
 use async_channel::bounded;
 use bytes::Bytes;
-use dispatch::{Attempts, ConfigStatus, ConnectionEnd, EventSplitter, NextCheck, StartId, Verdict};
-use domain::{Dialect, Platform, RequestKind, Target, millis, now};
+use dispatch::{Attempts, ConfigStatus, EventSplitter, Verdict};
+use domain::{Dialect, Platform, RequestKind, now};
 use feed::Feed;
 use futures_lite::FutureExt;
 use http::{Response, header};
 use serde_json::json;
 use smol::Timer;
-use telemetry::{Outcome, decision, due, write};
-use transport::{CloseSignal, Connection, Exchange, Pool, spawn, with_timeout};
+use telemetry::{Outcome, decision};
+use transport::{CloseSignal, Exchange, Pool, spawn, with_timeout};
 
 use crate::ResponseBody;
 use crate::attempt::Attempt;
@@ -26,8 +26,8 @@
 use crate::refusal::Refusal;
 use crate::relay::Relay;
 use crate::run::{ReadOutcome, Run};
-use crate::scheduler::{AcquireOutcome, Scheduler, start_id};
-use crate::send::{CONNECT_TIMEOUT, NotRun, SendOutcome, UnreadResponse};
+use crate::scheduler::{AcquireOutcome, Scheduler};
+use crate::send::{NotRun, SendOutcome, UnreadResponse};
 use crate::shortage::Shortage;
 use crate::silence::silence_limit;
 use crate::stage::{BodyError, BufferedBody, Stage, StageEnd};
@@ -400,117 +400,6 @@
         let body = ResponseBody::streamed(chunks, spawn(relay.run(sender)));
         assemble(&head, headers, body)
     }
-
-    /// Records that the connection of a request ended, and finds out whether its upstream
-    /// crashed.
-    pub fn exchange_ended(
-        self: &Arc<Self>,
-        request: &CallerRequest,
-        lease: &Lease<P>,
-        end: ConnectionEnd,
-    ) {
-        let start = start_id(lease);
-        if self.scheduler.exchange_ended(request, lease, end) == NextCheck::Connect {
-            let (dispatcher, target) = (self.clone(), lease.target.clone());
-            let max_idle = self.scheduler.idle_share(lease);
-            spawn(async move { dispatcher.check_upstream(start, &target, max_idle).await })
-                .detach();
-        }
-    }
-
-    /// Records that a request was answered. A response without a length may have ended
-    /// in a crash.
-    pub fn request_completed(
-        self: &Arc<Self>,
-        request: &CallerRequest,
-        lease: &Lease<P>,
-        head: &http::response::Parts,
-    ) {
-        if request.has_shared_parts() && is_undelimited(head) {
-            self.exchange_ended(request, lease, ConnectionEnd::Undelimited);
-        } else {
-            self.scheduler.request_completed(request, lease);
-        }
-    }
-
-    /// Connects to an upstream to learn whether it crashed. A connection that it accepts
-    /// is kept for later requests.
-    async fn check_upstream(&self, start: StartId, target: &Target, max_idle: usize) {
-        loop {
-            match Connection::open(target.addr, CONNECT_TIMEOUT).await {
-                Ok(connection) => self.connections.put(connection, max_idle),
-                Err(e) => {
-                    log::debug!("gateway: {e}");
-                    return self.scheduler.connection_refused(start, &target.id);
-                }
-            }
-            if self.scheduler.connection_accepted(start) == NextCheck::None {
-                return;
-            }
-        }
-    }
-
-    /// Records a completed request with the upstream, in metrics and in logs.
-    pub fn record_completion(&self, request: &CallerRequest, lease: &Lease<P>, took: Duration) {
-        self.scheduler.with_upstream(lease, |u| u.record_success());
-        metrics::histogram!("turmerichold_request_duration_seconds").record(took.as_secs_f64());
-        if let Some(first) = lease.first_event {
-            let first = first.saturating_sub(request.arrived).as_secs_f64();
-            metrics::histogram!("turmerichold_first_event_seconds").record(first);
-        }
-        if let Some(left_out) = due("dispatch", "answered", Outcome::Success) {
-            let fields = json!({
-                "request": request.head.attempt,
-                "route": request.route.name,
-                "upstream": lease.target.id,
-                "age_ms": millis(request.arrived.saturating_sub(request.first_attempt)),
-                "waited_ms": millis(lease.leased_at.saturating_sub(request.arrived)),
-                "first_ms": lease.first_event.map(|at| millis(at.saturating_sub(request.arrived))),
-                "took_ms": millis(took),
-                "prompt": request.head.tokens.map(|t| t.prompt),
-                "expected": request.head.expected_tokens,
-                "weights": lease.weight_version,
-            });
-            write("dispatch", "answered", left_out, fields);
-        }
-    }
-
-    /// Logs a refusal and returns its response.
-    fn refuse(
-        &self,
-        request: &CallerRequest,
-        refusal: Refusal,
-        progress: &Progress,
-    ) -> Response<ResponseBody> {
-        metrics::counter!("turmerichold_refusals_total", "reason" => refusal.name()).increment(1);
-        if let Some(left_out) = due("dispatch", refusal.name(), Outcome::Failure) {
-            let wait = match refusal {
-                Refusal::Busy(wait) => Some(millis(wait)),
-                _ => None,
-            };
-            let shortage = progress.shortage.map(|s| {
-                json!({
-                    "waiting": s.waiting, "listed": s.listed, "closed": s.closed, "open": s.open,
-                    "in_flight": s.load.0, "slots": s.load.1, "weights": s.min_weight_version,
-                })
-            });
-            let (config_version, age) = self.feed.config_age();
-            let fields = json!({
-                "request": request.head.attempt,
-                "route": request.route.name,
-                "plan": config_version,
-                "plan_age_ms": age.map(millis),
-                "shortage": shortage,
-                "status": refusal.status().as_u16(),
-                "tried": progress.attempts.excluded(),
-                "age_ms": millis(now().saturating_sub(request.arrived)),
-                "left_ms": millis(request.remaining(now())),
-                "retry_after_ms": wait,
-            });
-            write("dispatch", refusal.name(), left_out, fields);
-        }
-        refusal.response(self.platform.dialect())
-    }
 }
 
 /// What follows an attempt that may have run.
@@ -521,13 +410,6 @@
     }
 }
 
-/// Whether only the end of the connection ends the body of a response.
-fn is_undelimited(head: &http::response::Parts) -> bool {
-    let headers = &head.headers;
-    !headers.contains_key(header::CONTENT_LENGTH)
-        && !headers.contains_key(header::TRANSFER_ENCODING)
-}
-
 fn assemble(
     head: &http::response::Parts,
     headers: http::HeaderMap,
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -66,13 +66,13 @@
         let remaining = self.request.remaining(now());
         let complete = with_timeout(remaining, self.forward(&chunks)).await;
         match complete {
-            Some(true) => self.finish(),
-            Some(false) => drop(chunks.send(Err(ResponseAborted)).await),
-            None => {
-                self.log("stream timed out", Outcome::Failure, "no time is left");
-                drop(chunks.send(Err(ResponseAborted)).await);
-            }
+            Some(true) => return self.finish(),
+            Some(false) => {}
+            None => self.log("stream timed out", Outcome::Failure, "no time is left"),
         }
+        // The upstream stops now; a caller that does not read takes the error later.
+        self.run = None;
+        drop(chunks.send(Err(ResponseAborted)).await);
     }
 
     /// Forwards events; true at the proper end of the stream, false if it is cut
--- a/components/gateway/src/scheduler/mod.rs
+++ b/components/gateway/src/scheduler/mod.rs
@@ -2,6 +2,7 @@
 mod gates;
 mod limits;
 mod notices;
+mod report;
 mod state;
 
 use std::collections::{HashMap, HashSet};
@@ -20,10 +21,9 @@
     WeightVersion, now,
 };
 use feed::{Feed, Member};
-use transport::{MAX_IDLE, Pool};
+use transport::MAX_IDLE;
 
 use crate::caller_request::CallerRequest;
-use crate::connection_use::ConnectionUse;
 use crate::lease::Lease;
 use crate::shortage::Shortage;
 pub use crashes::start_id;
@@ -455,40 +455,6 @@
         }
     }
 
-    /// Describes why a request got no slot.
-    fn shortage(
-        &self,
-        request: &CallerRequest,
-        min_weight_version: Option<WeightVersion>,
-        retry_after: Duration,
-    ) -> Shortage {
-        let now = now();
-        let state = self.lock();
-        let mut shortage = Shortage {
-            retry_after,
-            min_weight_version,
-            ..Shortage::default()
-        };
-        let Some(service) = state.services.get(&request.service) else {
-            return shortage;
-        };
-        shortage.waiting = service.scheduler.queue.len();
-        let upstreams = &service.scheduler.upstreams;
-        shortage.listed = upstreams.iter().count();
-        shortage.closed = upstreams.iter().filter(|u| !u.gate.is_open(now)).count();
-        for upstream in service
-            .scheduler
-            .upstreams
-            .iter()
-            .filter(|u| u.is_open(now))
-        {
-            shortage.open += 1;
-            shortage.load.0 += upstream.own.requests + upstream.others.requests;
-            shortage.load.1 += upstream.upstream.slots;
-        }
-        shortage
-    }
-
     /// Advised wait before a refused request is sent again.
     fn retry_after(&self, request: &CallerRequest, tried: &[UpstreamId]) -> Duration {
         let needs = self.requirements(request, tried);
@@ -503,53 +469,6 @@
         })
     }
 
-    /// Connections to the leased upstream, `idle` of which this entry keeps idle.
-    pub fn connection_use(&self, lease: &Lease<P>, idle: usize) -> ConnectionUse {
-        let budget = self.connection_budget(&lease.service);
-        let load = self.with_upstream(lease, |u| (u.own.requests, u.others.requests));
-        let (own, others) = load.unwrap_or_default();
-        ConnectionUse {
-            idle,
-            own,
-            others,
-            budget,
-        }
-    }
-
-    /// Updates the gauges of upstreams, connections, requests and peers.
-    pub fn publish_metrics(&self, connections: &Pool) {
-        let state = self.lock();
-        for (name, service) in &state.services {
-            let open = service
-                .scheduler
-                .upstreams
-                .iter()
-                .filter(|u| u.is_open(now()))
-                .count();
-            let own: u32 = service
-                .scheduler
-                .upstreams
-                .iter()
-                .map(|u| u.own.requests)
-                .sum();
-            let gauge =
-                |metric: &'static str| metrics::gauge!(metric, "service" => name.to_string());
-            gauge("turmerichold_upstreams_open").set(open as f64);
-            gauge("turmerichold_requests_in_flight").set(own);
-            gauge("turmerichold_requests_waiting").set(service.scheduler.queue.len() as f64);
-            let upstreams = service.scheduler.upstreams.iter();
-            let idle = upstreams.map(|u| (connections.idle_count(u.upstream.addr), u.own.requests));
-            let idle: Vec<(usize, u32)> = idle.collect();
-            let sum: usize = idle.iter().map(|(idle, _)| idle).sum();
-            let most = idle
-                .iter()
-                .map(|(idle, own)| *idle as f64 + f64::from(*own));
-            gauge("turmerichold_idle_connections").set(sum as f64);
-            gauge("turmerichold_most_connections").set(most.fold(0.0, f64::max));
-        }
-        metrics::gauge!("turmerichold_entries_heard").set(state.peers.len() as f64);
-    }
-
     /// Counts a caller's request towards the demand of this entry and the retry
     /// budget of the service.
     pub fn count_request(&self, service: &ServiceId) {
