Keep the sums of announced loads up to date by difference

Cause: an entry added up the loads of all peers for all upstreams at each notice, and again for each record of an upstream.

Change: PeerLoads keeps what each peer announced and the sum of each upstream, and applies a notice by the difference. A listed upstream gets its sum by its tag. The assignment of upstreams to entries scans only the entries that may own an upstream, and holds no copies of their names.

--- a/components/dispatch/src/pooled_upstream.rs
+++ b/components/dispatch/src/pooled_upstream.rs
@@ -29,7 +29,7 @@
 const COLD_WINDOW: Duration = Duration::from_secs(1);
 
 /// Load of an upstream.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct UpstreamLoad {
     /// Requests in flight.
     pub requests: u32,
--- a/components/dispatch/src/upstream_owners.rs
+++ b/components/dispatch/src/upstream_owners.rs
@@ -1,4 +1,4 @@
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use domain::{RegionId, VmId};
 
@@ -32,7 +32,9 @@
 /// takes its last slots.
 #[derive(Debug, Default)]
 pub struct UpstreamOwners {
-    owners: HashMap<u32, VmId>,
+    /// Entries, to which the values of `owners` are indices.
+    entries: Vec<VmId>,
+    owners: HashMap<u32, usize>,
 }
 
 impl UpstreamOwners {
@@ -44,36 +46,52 @@
         entries.sort();
         let mut upstreams: Vec<&(u32, RegionId)> = upstreams.iter().collect();
         upstreams.sort();
-        let has_upstream = |region: &RegionId| upstreams.iter().any(|(_, r)| r == region);
-        // Entries of regions without upstreams get upstreams of any region.
-        let remote: Vec<bool> = entries.iter().map(|e| !has_upstream(&e.region)).collect();
+        let eligible = eligible_entries(&entries, &upstreams);
         let mut owned = vec![0_u32; entries.len()];
-        let mut owners = HashMap::new();
+        let mut owners = HashMap::with_capacity(upstreams.len());
         for (tag, region) in upstreams {
-            let eligible = |i: &usize| remote[*i] || entries[*i].region == *region;
-            let none_eligible = !(0..entries.len()).any(|i| eligible(&i));
             // The next owner is the entry with the fewest upstreams for its demand.
-            let next = (0..entries.len())
-                .filter(|i| none_eligible || eligible(i))
-                .min_by(|a, b| {
-                    let load =
-                        |i: usize| f64::from(owned[i] + 1) / f64::from(entries[i].demand.max(1));
-                    load(*a).total_cmp(&load(*b))
-                });
+            let load = |i: usize| f64::from(owned[i] + 1) / f64::from(entries[i].demand.max(1));
+            let eligible = eligible.get(region).into_iter().flatten();
+            let next = eligible
+                .copied()
+                .min_by(|a, b| load(*a).total_cmp(&load(*b)));
             if let Some(i) = next {
                 owned[i] += 1;
-                owners.insert(*tag, entries[i].vm.clone());
+                owners.insert(*tag, i);
             }
         }
-        UpstreamOwners { owners }
+        let entries = entries.iter().map(|e| e.vm.clone()).collect();
+        UpstreamOwners { entries, owners }
     }
 
     /// How `entry` may use the upstream with tag `tag`.
     pub fn ownership(&self, entry: &str, tag: u32) -> Ownership {
-        match self.owners.get(&tag) {
+        let owner = self.owners.get(&tag).and_then(|i| self.entries.get(*i));
+        match owner {
             None => Ownership::Shared,
             Some(owner) if owner == entry => Ownership::Own,
             Some(_) => Ownership::Foreign,
         }
     }
 }
+
+/// Entries that may own the upstreams of each region: those of the region and of regions
+/// without upstreams, or all if there are none.
+fn eligible_entries<'a>(
+    entries: &[&EntryDemand],
+    upstreams: &[&'a (u32, RegionId)],
+) -> BTreeMap<&'a RegionId, Vec<usize>> {
+    let mut eligible: BTreeMap<&RegionId, Vec<usize>> =
+        upstreams.iter().map(|(_, r)| (r, Vec::new())).collect();
+    let is_remote = |e: &EntryDemand| !eligible.contains_key(&e.region);
+    let remote: Vec<bool> = entries.iter().map(|e| is_remote(e)).collect();
+    for (region, list) in &mut eligible {
+        let may_own = |i: &usize| remote[*i] || entries[*i].region == **region;
+        list.extend((0..entries.len()).filter(may_own));
+        if list.is_empty() {
+            list.extend(0..entries.len());
+        }
+    }
+    eligible
+}
--- a/components/dispatch/src/upstream_pool.rs
+++ b/components/dispatch/src/upstream_pool.rs
@@ -90,6 +90,8 @@
     service: ServiceId,
     upstreams: Vec<PooledUpstream>,
     indices: HashMap<UpstreamId, usize>,
+    /// Indices of the upstreams by their tag.
+    tags: HashMap<u32, usize>,
     domain: FailureDomainId,
     region: RegionId,
     cold_budget: Option<WindowBudget>,
@@ -105,6 +107,7 @@
             service,
             upstreams: Vec::new(),
             indices: HashMap::new(),
+            tags: HashMap::new(),
             domain,
             region,
             cold_budget: None,
@@ -135,6 +138,14 @@
         self.entries = entries.max(1);
     }
 
+    /// Sets the load of the upstream with tag `tag` from the other entries, if it is listed.
+    pub fn set_others(&mut self, tag: u32, load: UpstreamLoad) {
+        let index = self.tags.get(&tag);
+        if let Some(pooled) = index.and_then(|i| self.upstreams.get_mut(*i)) {
+            pooled.others = load;
+        }
+    }
+
     /// Sets which upstreams are owned by `entry`, which is this one.
     pub fn set_owners(&mut self, owners: &UpstreamOwners, entry: &str) {
         for pooled in &mut self.upstreams {
@@ -163,8 +174,9 @@
                 self.upstreams[*index] = PooledUpstream::new(now, upstream.clone(), region, tag)
             }
             None => {
-                self.indices
-                    .insert(upstream.id.clone(), self.upstreams.len());
+                let index = self.upstreams.len();
+                self.indices.insert(upstream.id.clone(), index);
+                self.tags.insert(tag, index);
                 self.upstreams
                     .push(PooledUpstream::new(now, upstream.clone(), region, tag));
             }
@@ -176,9 +188,11 @@
         let Some(index) = self.indices.remove(id) else {
             return;
         };
-        self.upstreams.swap_remove(index);
+        let removed = self.upstreams.swap_remove(index);
+        self.tags.remove(&removed.tag);
         if let Some(moved) = self.upstreams.get(index) {
             self.indices.insert(moved.upstream.id.clone(), index);
+            self.tags.insert(moved.tag, index);
         }
     }
 
--- a/components/gateway/src/scheduler/mod.rs
+++ b/components/gateway/src/scheduler/mod.rs
@@ -14,8 +14,8 @@
 use async_channel::{Receiver, bounded};
 use dispatch::{
     Assignment, CrashWatch, Demand, FirstAttemptEstimator, FleetView, IncomingRequest,
-    LatencyModel, NO_MATCH_RETRY, Placement, Requirements, SendGates, ViewChange, WindowBudget,
-    upstream_start, upstream_tag,
+    LatencyModel, NO_MATCH_RETRY, PeerLoads, Placement, Requirements, SendGates, ViewChange,
+    WindowBudget, upstream_start, upstream_tag,
 };
 use domain::{
     HeldModel, Moment, NodeSettings, Platform, SendGate, ServiceId, Target, UpstreamId,
@@ -62,6 +62,7 @@
             state: Mutex::new(SchedulerState {
                 services: HashMap::new(),
                 peers: HashMap::new(),
+                loads: PeerLoads::default(),
                 first_attempts: FirstAttemptEstimator::default(),
                 crashes: CrashWatch::default(),
                 crashes_changed: Moment::ZERO,
@@ -121,6 +122,7 @@
         let gate = state
             .gates
             .gate(now, upstream_start(tag, upstream.started_ms));
+        let others = state.loads.sum(tag);
         let service = state.service(&upstream.service, &self.node);
         service.scheduler.upstreams.set_cold_budget(cold_budget);
         service.scheduler.upstreams.set_connection_budget(budget);
@@ -139,8 +141,8 @@
             .upsert(now, &upstream, &region, tag);
         if let Some(pooled) = service.scheduler.upstreams.get_mut(id) {
             pooled.gate = gate;
+            pooled.others = others;
         }
-        state.update_peer_loads();
     }
 
     /// Budget for the requests of a second to a cold upstream, for all announced entries,
--- a/components/gateway/src/scheduler/notices.rs
+++ b/components/gateway/src/scheduler/notices.rs
@@ -62,21 +62,15 @@
         let mut state = self.lock();
         let now = now();
         let order = (notice.start, notice.number);
-        if let Some(peer) = state.peers.get(&notice.vm) {
-            if (peer.start, peer.number) >= order {
-                return;
-            }
-        } else {
-            decision(
-                "desk",
-                "entry heard",
-                Outcome::Change,
-                json!({ "entry": notice.vm }),
-            );
-            state.owners_stale = true;
-            state.crashes_changed = now;
-            state.shares_stale = true;
+        let known = state.peers.get(&notice.vm);
+        let is_new = known.is_none();
+        if known.is_some_and(|p| (p.start, p.number) >= order) {
+            return;
         }
+        let same_start = known.filter(|p| p.start == notice.start);
+        let stopping = same_start.and_then(|p| p.stopping);
+        let demand_changed = known.is_some_and(|p| p.demand != notice.demand);
+        state.owners_stale |= demand_changed;
         let load = |(tag, requests, prefill_tokens): (u32, u16, u32)| {
             let (requests, prefill_tokens) = (u32::from(requests), u64::from(prefill_tokens));
             (
@@ -87,13 +81,9 @@
                 },
             )
         };
-        let loads = notice.loads.into_iter().map(load);
-        let known = state.peers.get(&notice.vm);
-        let same_start = known.filter(|p| p.start == notice.start);
-        let stopping = same_start.and_then(|p| p.stopping);
-        if known.is_some_and(|p| p.demand != notice.demand) {
-            state.owners_stale = true;
-        }
+        let loads = notice.loads.into_iter().map(load).collect();
+        let changed = state.loads.replace(&notice.vm, loads);
+        state.set_others(&changed);
         let peer = Peer {
             hash: fleet::id_hash(&notice.vm),
             region: notice.region,
@@ -101,11 +91,17 @@
             start: notice.start,
             number: notice.number,
             received_at: now,
-            loads: loads.collect(),
             stopping,
         };
+        if is_new {
+            let fields = json!({ "entry": notice.vm });
+            decision("desk", "entry heard", Outcome::Change, fields);
+        }
         state.peers.insert(notice.vm, peer);
-        state.update_peer_loads();
+        if is_new {
+            state.crashes_changed = now;
+            state.update_entries();
+        }
         drop(state);
         self.serve_queues();
     }
--- a/components/gateway/src/scheduler/state.rs
+++ b/components/gateway/src/scheduler/state.rs
@@ -3,9 +3,9 @@
 
 use async_channel::Sender;
 use dispatch::{
-    ConnectionBudget, CrashWatch, Demand, EntryDemand, Feature, FirstAttemptEstimator, QueueLimits,
-    RequestQueue, RetryBudget, SendGates, ServiceScheduler, UpstreamLoad, UpstreamOwners,
-    UpstreamPool,
+    ConnectionBudget, CrashWatch, Demand, EntryDemand, Feature, FirstAttemptEstimator, PeerLoads,
+    QueueLimits, RequestQueue, RetryBudget, SendGates, ServiceScheduler, UpstreamLoad,
+    UpstreamOwners, UpstreamPool,
 };
 use domain::{FailureDomainId, Moment, NodeSettings, Platform, RegionId, ServiceId, VmId};
 use serde_json::json;
@@ -28,8 +28,6 @@
     pub(super) start: u64,
     pub(super) number: u64,
     pub(super) received_at: Moment,
-    /// Requests that it has in flight, by the tag of the upstream.
-    pub(super) loads: HashMap<u32, UpstreamLoad>,
     /// Set if it is stopping.
     pub(super) stopping: Option<StoppingPeer>,
 }
@@ -46,6 +44,8 @@
 pub struct SchedulerState<P: Platform> {
     pub(super) services: HashMap<ServiceId, ServiceState<P>>,
     pub(super) peers: HashMap<VmId, Peer>,
+    /// Requests that the peers have in flight.
+    pub(super) loads: PeerLoads,
     /// Hashes of the other entries that have announced themselves, in order.
     pub(super) announced: Vec<u64>,
     /// Number of entries that may be running; `None` until it is known.
@@ -80,22 +80,20 @@
         name: &ServiceId,
         node: &NodeSettings,
     ) -> &mut ServiceState<P> {
-        self.services
-            .entry(name.clone())
-            .or_insert_with(|| ServiceState {
-                scheduler: ServiceScheduler::new(
-                    UpstreamPool::new(
-                        name.clone(),
-                        node.failure_domain.clone(),
-                        node.region.clone(),
-                    ),
-                    RequestQueue::new(QueueLimits {
-                        capacity: QUEUE_LIMIT,
-                    }),
-                ),
+        let entries = entry_count(&self.peers);
+        self.services.entry(name.clone()).or_insert_with(|| {
+            let (domain, region) = (node.failure_domain.clone(), node.region.clone());
+            let mut upstreams = UpstreamPool::new(name.clone(), domain, region);
+            upstreams.set_entries(entries);
+            let queue = RequestQueue::new(QueueLimits {
+                capacity: QUEUE_LIMIT,
+            });
+            ServiceState {
+                scheduler: ServiceScheduler::new(upstreams, queue),
                 waiters: HashMap::new(),
                 budget: RetryBudget::new(&node.bounds),
-            })
+            }
+        })
     }
 
     /// Whether this entry hears most of the entries of `budget`. One that does not may
@@ -107,41 +105,34 @@
 
     /// Removes the peers that no longer send notices.
     pub(super) fn expire_peers(&mut self, now: Moment) {
-        let silent = |p: &Peer| now.saturating_sub(p.received_at) > PEER_TIMEOUT;
-        let before = self.peers.len();
-        self.peers.retain(|vm, p| {
-            if silent(p) {
-                decision(
-                    "desk",
-                    "entry silent",
-                    Outcome::Change,
-                    json!({ "entry": vm }),
-                );
-            }
-            !silent(p)
-        });
-        if before != self.peers.len() {
-            self.owners_stale = true;
-            self.shares_stale = true;
-            self.update_peer_loads();
+        let is_silent = |_: &VmId, p: &mut Peer| now.saturating_sub(p.received_at) > PEER_TIMEOUT;
+        let silent: Vec<VmId> = self.peers.extract_if(is_silent).map(|(vm, _)| vm).collect();
+        for vm in &silent {
+            let fields = json!({ "entry": vm });
+            decision("desk", "entry silent", Outcome::Change, fields);
+            let changed = self.loads.remove(vm);
+            self.set_others(&changed);
+        }
+        if !silent.is_empty() {
+            self.update_entries();
         }
     }
 
-    /// Sums up the loads that peers report for each upstream.
-    pub(super) fn update_peer_loads(&mut self) {
-        let entries = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
+    /// Updates what depends on which other entries are heard.
+    pub(super) fn update_entries(&mut self) {
+        self.owners_stale = true;
+        self.shares_stale = true;
+        let entries = entry_count(&self.peers);
         for service in self.services.values_mut() {
             service.scheduler.upstreams.set_entries(entries);
-            for upstream in service.scheduler.upstreams.iter_mut() {
-                let loads = self
-                    .peers
-                    .values()
-                    .filter_map(|p| p.loads.get(&upstream.tag));
-                let sum = |a: UpstreamLoad, b: &UpstreamLoad| UpstreamLoad {
-                    requests: a.requests + b.requests,
-                    prefill_tokens: a.prefill_tokens + b.prefill_tokens,
-                };
-                upstream.others = loads.fold(UpstreamLoad::default(), sum);
+        }
+    }
+
+    /// Sets the loads of upstreams from the peers, by their tags.
+    pub(super) fn set_others(&mut self, loads: &[(u32, UpstreamLoad)]) {
+        for service in self.services.values_mut() {
+            for (tag, load) in loads {
+                service.scheduler.upstreams.set_others(*tag, *load);
             }
         }
     }
@@ -202,3 +193,8 @@
         self.logged_culprits = culprits.clone();
     }
 }
+
+/// Number of entries that are heard, this one included.
+fn entry_count(peers: &HashMap<VmId, Peer>) -> u32 {
+    u32::try_from(peers.len() + 1).unwrap_or(u32::MAX)
+}
