Sample the upstreams of the own region first in a large fleet

Cause: above 128 upstreams a choice examined 12 of all. In a fleet of five regions, two or three of them were in the entry's region: requests went to busy upstreams there, or to other regions over narrow links, beside idle ones that were not sampled.

Change: 16 of the region and 4 of all. Upstreams without a free slot are passed over before their latency is estimated, and the model's constants are computed once.

Measured: idle_upstream_of_the_region_is_found_in_a_large_fleet fails with the sample of before.

--- a/components/dispatch/src/latency_model.rs
+++ b/components/dispatch/src/latency_model.rs
@@ -21,13 +21,26 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct LatencyModel {
     engine: Option<EngineSpec>,
+    /// Duration of a pass of decode steps.
+    pass: Duration,
+    /// Prefill time of a token in nanoseconds.
+    prefill_nanos: u64,
 }
 
 impl LatencyModel {
     /// The model of a service; `engine` is the cost model of its engines, `None` for
     /// plain services.
     pub fn new(engine: Option<EngineSpec>) -> Self {
-        LatencyModel { engine }
+        let pass = engine.as_ref().map(|e| e.step_time * e.stride);
+        let prefill = engine.as_ref().map(|e| {
+            Duration::from_secs_f64(e.prefill_rate.max(f64::MIN_POSITIVE).recip().min(1.0))
+        });
+        let prefill_nanos = prefill.unwrap_or_default().as_nanos();
+        LatencyModel {
+            engine,
+            pass: pass.unwrap_or_default(),
+            prefill_nanos: u64::try_from(prefill_nanos).unwrap_or(u64::MAX),
+        }
     }
 
     /// Expected time to first token of a prompt of `prompt` tokens, behind `backlog`
@@ -36,15 +49,13 @@
         let Some(engine) = &self.engine else {
             return PLAIN_LATENCY;
         };
-        let pass = engine.step_time * engine.stride;
         let tokens = backlog.saturating_add(u64::from(prompt));
         let chunks = tokens.div_ceil(u64::from(engine.prefill_chunk.max(1)));
         let chunks = u32::try_from(chunks).unwrap_or(u32::MAX);
-        let tokens = f64::from(u32::try_from(tokens).unwrap_or(u32::MAX));
-        let prefill = Duration::from_secs_f64(tokens / engine.prefill_rate);
+        let prefill = Duration::from_nanos(tokens.saturating_mul(self.prefill_nanos));
         // On average half a pass until the engine takes the request from its queue,
         // then one pass of decode steps after each prefill chunk.
-        ROUND_TRIP + pass / 2 + prefill + pass * chunks.min(MAX_CHUNKS)
+        ROUND_TRIP + self.pass / 2 + prefill + self.pass * chunks.min(MAX_CHUNKS)
     }
 
     /// Time to spare that a request with this target latency must have beyond its expected
--- a/components/dispatch/src/upstream_pool.rs
+++ b/components/dispatch/src/upstream_pool.rs
@@ -30,9 +30,12 @@
 
 /// Number of upstreams up to which a choice examines all of them.
 const SMALL_FLEET: usize = 128;
-/// Upstreams that a choice samples in a larger fleet: the best of the sample is close
-/// to the best of all, and entries with different samples do not all choose the same.
-const SAMPLE_SIZE: usize = 12;
+/// Upstreams of the region that a choice samples in a larger fleet: the best of the sample
+/// is close to the best of all, and entries with different samples do not all choose the
+/// same.
+const NEAR_SAMPLE: usize = 16;
+/// Upstreams that it samples of all regions.
+const FAR_SAMPLE: usize = 4;
 
 /// What a request requires of an upstream.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -92,6 +95,8 @@
     indices: HashMap<UpstreamId, usize>,
     /// Indices of the upstreams by their tag.
     tags: HashMap<u32, usize>,
+    /// Indices of the upstreams in the region of the entry.
+    near: Vec<usize>,
     domain: FailureDomainId,
     region: RegionId,
     cold_budget: Option<WindowBudget>,
@@ -108,6 +113,7 @@
             upstreams: Vec::new(),
             indices: HashMap::new(),
             tags: HashMap::new(),
+            near: Vec::new(),
             domain,
             region,
             cold_budget: None,
@@ -177,6 +183,9 @@
                 let index = self.upstreams.len();
                 self.indices.insert(upstream.id.clone(), index);
                 self.tags.insert(tag, index);
+                if *region == self.region {
+                    self.near.push(index);
+                }
                 self.upstreams
                     .push(PooledUpstream::new(now, upstream.clone(), region, tag));
             }
@@ -194,6 +203,9 @@
             self.indices.insert(moved.upstream.id.clone(), index);
             self.tags.insert(moved.tag, index);
         }
+        let upstreams = self.upstreams.iter().enumerate();
+        let near = upstreams.filter(|(_, u)| u.region == self.region);
+        self.near = near.map(|(index, _)| index).collect();
     }
 
     /// An upstream by its id.
@@ -213,8 +225,9 @@
     }
 
     /// Chooses the upstream with the lowest score among those that can take the
-    /// request; load, distance and failures add to the score. `evacuated` returns
-    /// whether a failure domain is out of service.
+    /// request; load, distance and failures add to the score. Of a large fleet, it examines
+    /// a sample, mostly of the entry's region, and all if none of the sample can take the
+    /// request. `evacuated` returns whether a failure domain is out of service.
     pub fn choose(
         &self,
         now: Moment,
@@ -222,9 +235,7 @@
         evacuated: impl Fn(&str) -> bool,
     ) -> Choice {
         if self.upstreams.len() > SMALL_FLEET {
-            let sample =
-                (0..SAMPLE_SIZE).map(|_| &self.upstreams[fastrand::usize(..self.upstreams.len())]);
-            let choice = self.best(now, needs, &evacuated, sample);
+            let choice = self.best(now, needs, &evacuated, self.sample());
             if let Choice::Send(_) = choice {
                 return choice;
             }
@@ -232,6 +243,13 @@
         self.best(now, needs, &evacuated, self.upstreams.iter())
     }
 
+    /// Random upstreams, most of them in the region of the entry.
+    fn sample(&self) -> impl Iterator<Item = &PooledUpstream> {
+        let near = (0..NEAR_SAMPLE).filter_map(|_| fastrand::choice(&self.near).copied());
+        let all = (0..FAR_SAMPLE).map(|_| fastrand::usize(..self.upstreams.len()));
+        near.chain(all).filter_map(|i| self.upstreams.get(i))
+    }
+
     /// When the upstreams that meet the requirements accept a request. `evacuated` returns
     /// whether a failure domain is out of service.
     pub fn acceptance(
@@ -304,6 +322,9 @@
         needs: &Requirements,
     ) -> Option<f64> {
         let load = pooled.load(now, self.entries);
+        if !self.has_capacity(now, pooled, load) {
+            return None;
+        }
         let first_token = self
             .latency_model
             .first_token(load.prefill_tokens, needs.prompt_tokens);
@@ -312,9 +333,11 @@
             // A late request must not delay others.
             None => load.prefill_tokens <= LATE_PREFILL,
         };
-        let end = now + first_token + self.latency_model.generation(needs.output_tokens);
-        let usable =
-            in_time && pooled.stays_open_until(now, end) && self.has_capacity(now, pooled, load);
+        let stays_open = || {
+            let generation = self.latency_model.generation(needs.output_tokens);
+            pooled.stays_open_until(now, now + first_token + generation)
+        };
+        let usable = in_time && (pooled.closes_at.is_none() || stays_open());
         usable.then(|| self.score(now, pooled, load, first_token))
     }
 
@@ -327,15 +350,18 @@
     }
 
     fn has_capacity(&self, now: Moment, pooled: &PooledUpstream, load: UpstreamLoad) -> bool {
+        let slots = pooled.upstream.slots;
+        let slots = self.connections.map_or(slots, |b| b.requests(slots));
+        if load.requests >= pooled.capacity(slots) {
+            return false;
+        }
         let cold = pooled.is_cold(now)
             && self.cold_budget.as_ref().is_some_and(|budget| {
                 let share = budget.share(u64::from(pooled.tag));
                 !pooled.allows_cold_send(now, share)
             });
-        let slots = pooled.upstream.slots;
-        let slots = self.connections.map_or(slots, |b| b.requests(slots));
         let limited = !pooled.allows_limited_send(now);
-        pooled.is_open(now) && !cold && !limited && load.requests < pooled.capacity(slots)
+        pooled.is_open(now) && !cold && !limited
     }
 
     fn score(
--- a/components/dispatch/tests/upstream_pool.rs
+++ b/components/dispatch/tests/upstream_pool.rs
@@ -373,3 +373,36 @@
     assert!(choose(Ownership::Foreign, 8));
     assert!(!choose(Ownership::Foreign, 9));
 }
+
+/// Half of a region's engines were added to a fleet of 235 in five regions. Requests went to
+/// busy engines of the region and to other regions, as few of the idle ones were sampled.
+#[test]
+fn idle_upstream_of_the_region_is_found_in_a_large_fleet() {
+    const REGIONS: usize = 5;
+    let region = |i: usize| format!("r{}", i % REGIONS);
+    let is_idle = |i: usize| i % REGIONS == 0 && i % 10 == 0;
+    let mut pool = dispatch::UpstreamPool::new("llm".into(), "r0".into(), "r0".into());
+    for i in 0..235 {
+        let id = format!("i-{i}");
+        let tag = u32::try_from(i).unwrap();
+        pool.upsert(
+            start(),
+            &upstream(&id, &region(i), Some(1)),
+            &region(i),
+            tag,
+        );
+        if !is_idle(i) {
+            let load = UpstreamLoad {
+                requests: 12,
+                prefill_tokens: 0,
+            };
+            pool.set_others(tag, load);
+        }
+    }
+
+    let choices =
+        (0..1000).filter_map(|_| chosen(pool.choose(start(), &needs(start()), no_evacuation)));
+    let idle = choices.filter(|id| is_idle(id[2..].parse().unwrap()));
+
+    assert!(idle.count() >= 900);
+}
--- a/components/emulator/src/production_policy.rs
+++ b/components/emulator/src/production_policy.rs
@@ -1,12 +1,11 @@
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use compact_str::format_compact;
 use dispatch::{
-    EntryDemand, FirstAttemptEstimator, IncomingRequest, LatencyModel, Placement, PooledUpstream,
-    QueueLimits, RequestQueue, Requirements, ServiceScheduler, UpstreamLoad, UpstreamOwners,
-    UpstreamPool,
+    EntryDemand, FirstAttemptEstimator, IncomingRequest, LatencyModel, PeerLoads, Placement,
+    PooledUpstream, QueueLimits, RequestQueue, Requirements, ServiceScheduler, UpstreamLoad,
+    UpstreamOwners, UpstreamPool,
 };
 use domain::{EngineSpec, Moment, Upstream, UpstreamId, UpstreamState};
 
@@ -21,8 +20,8 @@
 pub struct ProductionPolicy {
     scheduler: ServiceScheduler,
     first_attempts: FirstAttemptEstimator,
-    /// Loads of the other entries, by entry.
-    peer_loads: HashMap<usize, Vec<(usize, UpstreamLoad)>>,
+    /// Loads of the other entries.
+    peer_loads: PeerLoads,
     use_targets: bool,
 }
 
@@ -40,7 +39,7 @@
         ProductionPolicy {
             scheduler: ServiceScheduler::new(upstreams, RequestQueue::new(limits)),
             first_attempts: FirstAttemptEstimator::default(),
-            peer_loads: HashMap::new(),
+            peer_loads: PeerLoads::default(),
             use_targets,
         }
     }
@@ -60,10 +59,9 @@
             sequence: 0,
             models: Vec::new(),
         };
-        let tag = u32::try_from(engine).unwrap_or(u32::MAX);
         self.scheduler
             .upstreams
-            .upsert(now, &upstream, &domain, tag);
+            .upsert(now, &upstream, &domain, upstream_tag(engine));
     }
 
     /// Assigns the engines to the entries, which receive equal numbers of requests;
@@ -90,6 +88,10 @@
     format_compact!("{engine}")
 }
 
+fn upstream_tag(engine: usize) -> u32 {
+    u32::try_from(engine).unwrap_or(u32::MAX)
+}
+
 fn vm_id(entry: usize) -> domain::VmId {
     format_compact!("entry-{entry:03}")
 }
@@ -192,18 +194,9 @@
     }
 
     fn record_peer_loads(&mut self, from: usize, loads: &[(usize, UpstreamLoad)]) {
-        self.peer_loads.insert(from, loads.to_vec());
-        for upstream in self.scheduler.upstreams.iter_mut() {
-            let engine = engine_index(&upstream.upstream.id);
-            let loads = self
-                .peer_loads
-                .values()
-                .flatten()
-                .filter(|(e, _)| *e == engine);
-            upstream.others = loads.fold(UpstreamLoad::default(), |a, (_, b)| UpstreamLoad {
-                requests: a.requests + b.requests,
-                prefill_tokens: a.prefill_tokens + b.prefill_tokens,
-            });
+        let loads = loads.iter().map(|(e, load)| (upstream_tag(*e), *load));
+        for (tag, load) in self.peer_loads.replace(&vm_id(from), loads.collect()) {
+            self.scheduler.upstreams.set_others(tag, load);
         }
     }
 
