Send notices to other regions when they concern them

Cause: each entry sent its loads to all others every 60 ms, most of them in other regions. 53 entries in five regions sent 37,000 datagrams a second between regions, most of which changed nothing that the receivers choose by.

Change: entries of another region get a notice when the own loads of that region's upstreams have changed, and every 240 ms. Those of the own region get one in each round, as before.

--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -246,9 +246,11 @@
         let mut to: Vec<SocketAddr> = members.iter().map(|m| m.addr).collect();
         let stopping = scheduler.stopping_peers().into_iter();
         let unannounced: Vec<SocketAddr> = stopping.filter(|a| !to.contains(a)).collect();
+        let mut due = scheduler.notice_targets(&members);
+        due.extend(&unannounced);
         to.extend(unannounced);
         let notice = Notice::Entry(scheduler.load_notice(start));
-        notice_socket.send(&notice, &to).await;
+        notice_socket.send(&notice, &due).await;
         let limits = scheduler.stated_limits();
         if !limits.is_empty() {
             notice_socket.send(&Notice::Limits(limits), &to).await;
--- a/components/gateway/src/scheduler/mod.rs
+++ b/components/gateway/src/scheduler/mod.rs
@@ -14,8 +14,8 @@
 use async_channel::{Receiver, bounded};
 use dispatch::{
     Assignment, CrashWatch, Demand, FirstAttemptEstimator, FleetView, IncomingRequest,
-    LatencyModel, NO_MATCH_RETRY, PeerLoads, Placement, Requirements, SendGates, ViewChange,
-    WindowBudget, upstream_start, upstream_tag,
+    LatencyModel, NO_MATCH_RETRY, NoticeRounds, PeerLoads, Placement, Requirements, SendGates,
+    ViewChange, WindowBudget, upstream_start, upstream_tag,
 };
 use domain::{
     HeldModel, Moment, NodeSettings, Platform, SendGate, ServiceId, Target, UpstreamId,
@@ -69,6 +69,7 @@
                 crashes_reported: Moment::ZERO,
                 logged_culprits: HashSet::new(),
                 notices_sent: 0,
+                notice_rounds: NoticeRounds::default(),
                 stopping_since: None,
                 demand: Demand::default(),
                 owners_demand: 0,
--- a/components/gateway/src/scheduler/notices.rs
+++ b/components/gateway/src/scheduler/notices.rs
@@ -1,14 +1,16 @@
+use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use dispatch::{PooledUpstream, UpstreamLoad};
-use domain::{Platform, ServiceId, now};
-use feed::{EngineNotice, EntryNotice};
+use domain::{Platform, RegionId, ServiceId, now};
+use feed::{EngineNotice, EntryNotice, Member};
 use serde_json::json;
 use std::sync::Arc;
 use telemetry::{Outcome, decision};
 
 use super::Scheduler;
-use super::state::Peer;
+use super::state::{Peer, ServiceState};
 use crate::lease::Lease;
 
 /// Results of exchanges, and notices to and from other entries and agents.
@@ -26,6 +28,22 @@
         (upstream.upstream.started_ms == lease.started_ms).then(|| update(upstream))
     }
 
+    /// The entries among `members` that get a notice of the loads in this round.
+    pub fn notice_targets(&self, members: &[Member]) -> Vec<SocketAddr> {
+        let now = now();
+        let mut state = self.lock();
+        let state = &mut *state;
+        let mut due: HashMap<&RegionId, bool> = HashMap::from([(&self.node.region, true)]);
+        for member in members {
+            due.entry(&member.region).or_insert_with(|| {
+                let loads = region_loads(&state.services, &member.region);
+                state.notice_rounds.is_due(now, &member.region, loads)
+            });
+        }
+        let targets = members.iter().filter(|m| due.get(&m.region) == Some(&true));
+        targets.map(|m| m.addr).collect()
+    }
+
     /// Next notice to the other entries; `start` is the start time of this entry in
     /// milliseconds.
     pub fn load_notice(&self, start: u64) -> EntryNotice {
@@ -150,3 +168,13 @@
         self.serve_queues();
     }
 }
+
+/// Requests in flight from this entry at the upstreams of a region, by their tags.
+fn region_loads<P: Platform>(
+    services: &HashMap<ServiceId, ServiceState<P>>,
+    region: &RegionId,
+) -> Vec<(u32, UpstreamLoad)> {
+    let upstreams = services.values().flat_map(|s| s.scheduler.upstreams.iter());
+    let loaded = upstreams.filter(|u| u.own.requests > 0 && u.region == *region);
+    loaded.map(|u| (u.tag, u.own)).collect()
+}
--- a/components/gateway/src/scheduler/state.rs
+++ b/components/gateway/src/scheduler/state.rs
@@ -3,9 +3,9 @@
 
 use async_channel::Sender;
 use dispatch::{
-    ConnectionBudget, CrashWatch, Demand, EntryDemand, Feature, FirstAttemptEstimator, PeerLoads,
-    QueueLimits, RequestQueue, RetryBudget, SendGates, ServiceScheduler, UpstreamLoad,
-    UpstreamOwners, UpstreamPool,
+    ConnectionBudget, CrashWatch, Demand, EntryDemand, Feature, FirstAttemptEstimator,
+    NoticeRounds, PeerLoads, QueueLimits, RequestQueue, RetryBudget, SendGates, ServiceScheduler,
+    UpstreamLoad, UpstreamOwners, UpstreamPool,
 };
 use domain::{FailureDomainId, Moment, NodeSettings, Platform, RegionId, ServiceId, VmId};
 use serde_json::json;
@@ -57,6 +57,7 @@
     pub(super) crashes_reported: Moment,
     pub(super) logged_culprits: HashSet<Feature>,
     pub(super) notices_sent: u64,
+    pub(super) notice_rounds: NoticeRounds,
     /// When this entry was stopped.
     pub(super) stopping_since: Option<Moment>,
     pub(super) demand: Demand,
