--- a/components/dispatch/src/upstream_pool.rs
+++ b/components/dispatch/src/upstream_pool.rs
@@ -33,9 +33,9 @@
 /// Upstreams of the region that a choice samples in a larger fleet: the best of the sample
 /// is close to the best of all, and entries with different samples do not all choose the
 /// same.
-const NEAR_SAMPLE: usize = 16;
+const NEAR_SAMPLE: usize = 12;
 /// Upstreams that it samples of all regions.
-const FAR_SAMPLE: usize = 4;
+const FAR_SAMPLE: usize = 8;
 
 /// What a request requires of an upstream.
 #[derive(Debug, Clone, Default, PartialEq)]
