Start requests with time to spare before those at their latest start in a shortage

Cause: waiting requests are taken in the order of their latest start.

Change: while requests that could be on time are refused and others with time to spare wait, those within 50 ms of their latest start (less for large prompts) take no slot. If all that wait are that close, they are started as before.

--- a/components/dispatch/src/service_scheduler.rs
+++ b/components/dispatch/src/service_scheduler.rs
@@ -18,6 +18,9 @@
 /// Time after the loss of a request that could have been on time in which free
 /// slots are kept for other such requests: some engine frees a slot within it.
 const SHORTAGE_TIME: Duration = Duration::from_millis(250);
+/// Largest time to spare that a request must have to be started in a shortage, if others have
+/// it: those that start at their latest moment are often late after all.
+const MAX_SLACK: Duration = Duration::from_millis(50);
 /// Restricted requests, such as those with home regions, that one pass over the
 /// queue skips. A request that any upstream could serve is never overtaken: a small
 /// prompt would take the slot for which a large one waits. Those whose response has begun do
@@ -69,8 +72,9 @@
 ///
 /// Under overload, requests that can still be on time are assigned before late ones,
 /// and a request that would expire in the queue is refused at once. While requests that
-/// could be on time are refused, late ones are not assigned at all: throughput stays
-/// the same and more responses are on time.
+/// could be on time are refused, late ones are not assigned at all, and those with time to
+/// spare go before those at their latest start: throughput stays the same and more
+/// responses are on time.
 #[derive(Debug)]
 pub struct ServiceScheduler {
     /// The upstreams.
@@ -168,6 +172,8 @@
         let mut assigned = Vec::new();
         let (mut index, mut skipped) = (0, 0);
         let shortage = self.has_shortage(now);
+        let has_time = |w: &QueuedRequest| w.on_time && !is_rushed(now, w);
+        let others_have_time = shortage && self.queue.iter().any(has_time);
         while skipped < MAX_SKIPPED {
             let Some(queued) = self.queue.get_mut(index) else {
                 break;
@@ -176,6 +182,10 @@
             if !queued.on_time && shortage {
                 break;
             }
+            if others_have_time && is_rushed(now, queued) {
+                index += 1;
+                continue;
+            }
             let Choice::Send(id) = self.upstreams.choose(now, &queued.needs, &evacuated) else {
                 if !queued.needs.is_restricted() {
                     break;
@@ -296,6 +306,13 @@
     }
 }
 
+/// Whether a waiting request is so close to its latest start that it may be late after all.
+/// Large prompts, which never have much time to spare, need less.
+fn is_rushed(now: Moment, queued: &QueuedRequest) -> bool {
+    let slack = queued.needs.margin.min(MAX_SLACK);
+    queued.on_time && !queued.begun && queued.start_by < now + slack
+}
+
 /// Whether upstreams accept a request by `start_by`. One that meets its requirements may
 /// still be listed.
 fn accepts_by(acceptance: Acceptance, start_by: Moment) -> bool {
--- a/components/dispatch/tests/service_scheduler.rs
+++ b/components/dispatch/tests/service_scheduler.rs
@@ -365,3 +365,38 @@
 
     assert_eq!(refused, 0, "of 20");
 }
+
+/// A full scheduler in a shortage: the first request has expired, and those with the ids from
+/// 2 on, due after `targets`, wait.
+fn scheduler_in_shortage(targets: &[u64]) -> ServiceScheduler {
+    let mut scheduler = full_scheduler();
+    scheduler.submit(start(), incoming(1, start(), ms(300), false), |_| false);
+    for (id, target) in (2..).zip(targets) {
+        scheduler.submit(start(), incoming(id, start(), ms(*target), false), |_| {
+            false
+        });
+    }
+    assert_eq!(scheduler.expire(start() + ms(140)), [1]);
+    scheduler
+}
+
+/// At five times the capacity each request was started at its latest moment, and one in
+/// fourteen was late after all.
+#[test]
+fn request_at_its_latest_start_goes_before_one_with_time_in_a_shortage() {
+    let mut scheduler = scheduler_in_shortage(&[500, 650]);
+
+    let next = free_slot(&mut scheduler, start() + ms(270), "v");
+
+    assert_eq!(next, [3]);
+}
+
+/// The slot would stay idle otherwise.
+#[test]
+fn last_request_is_started_at_its_latest_moment_in_a_shortage() {
+    let mut scheduler = scheduler_in_shortage(&[500]);
+
+    let next = free_slot(&mut scheduler, start() + ms(270), "v");
+
+    assert_eq!(next, [2]);
+}
