Take no slow read for an outage of the store

Cause: the bounds of declared versions pause while no process reads the store, and start anew afterwards. An entry judged that by the age of its last confirmation, which is the time at which the read was sent. The configurations of a storm took more than 2.4 s over links between regions; the read that returned them counted as an outage, and the entry sent requests to engines with older weights for up to 8 s beyond the bound.

Change: an outage needs a last read that failed. Tests in which reads fail say so now.

Measured: slow_read_is_an_outage fails without it.

--- a/components/dispatch/src/config_freshness.rs
+++ b/components/dispatch/src/config_freshness.rs
@@ -42,6 +42,8 @@
     complete_until: Option<Moment>,
     /// When a peer last stated that its confirmation was old.
     stale_peer: Option<Moment>,
+    /// Whether the last read failed.
+    is_failing: bool,
     max_key_age: Duration,
 }
 
@@ -53,6 +55,7 @@
             confirmed_at: None,
             complete_until: None,
             stale_peer: None,
+            is_failing: false,
             // The rest covers the transit of a request that was just forwarded.
             max_key_age: revocation * 4 / 5,
         }
@@ -75,10 +78,19 @@
         self.stale_peer = self.stale_peer.max(Some(at));
     }
 
+    /// Records that a read failed.
+    pub fn record_failure(&mut self) {
+        self.is_failing = true;
+    }
+
     /// Whether no process has read the store for a while, as far as this one knows.
     /// It runs since `resumed`: that it confirmed nothing before is no evidence, but
-    /// what a peer said since then is.
+    /// what a peer said since then is. Nor is a confirmation that is old because the
+    /// response took long, as that of a large configuration over a narrow link.
     pub fn is_outage(&self, now: Moment, resumed: Moment) -> bool {
+        if !self.is_failing {
+            return false;
+        }
         let is_stale = |at: Moment| now.saturating_sub(at) > FRESH_AGE;
         let peer_is_stale = self.stale_peer.is_some_and(|at| at >= resumed);
         self.confirmed_at.is_some_and(is_stale) && (is_stale(resumed) || peer_is_stale)
@@ -96,6 +108,7 @@
     /// request or its response may have been on its way for long.
     pub fn record_read(&mut self, now: Moment, read: &ReadTiming, is_empty: bool) {
         self.confirm(read.sent);
+        self.is_failing = false;
         let complete_until = match is_empty {
             true => now.min(read.sent + read.wait),
             false => read.sent,
--- a/components/dispatch/tests/records.rs
+++ b/components/dispatch/tests/records.rs
@@ -230,6 +230,7 @@
 fn one_failed_read_does_not_count_as_an_outage() {
     let mut freshness = ConfigFreshness::new(secs(5));
     freshness.confirm(start());
+    freshness.record_failure();
 
     // Two waits of a read and two pauses after failures.
     let is_outage = freshness.is_outage(start() + ms(2300), start() - secs(60));
@@ -241,16 +242,36 @@
 fn reads_that_fail_for_longer_than_a_confirmation_is_fresh_are_an_outage() {
     let mut freshness = ConfigFreshness::new(secs(5));
     freshness.confirm(start());
+    freshness.record_failure();
 
     let is_outage = freshness.is_outage(start() + ms(2500), start() - secs(60));
 
     assert!(is_outage);
 }
 
+/// The configurations of a storm took more than 2 s over links between regions. Entries took
+/// that for an outage and counted the bounds of all versions anew: requests began on older
+/// weights for up to 8 s more.
+#[test]
+fn slow_read_is_an_outage() {
+    let mut freshness = ConfigFreshness::new(secs(5));
+    let read = ReadTiming {
+        sent: start(),
+        wait: ms(0),
+        followed: true,
+    };
+    freshness.record_failure();
+
+    freshness.record_read(start() + ms(2600), &read, false);
+
+    assert!(!freshness.is_outage(start() + ms(2600), start() - secs(60)));
+}
+
 #[test]
 fn read_that_fails_after_the_process_was_stopped_does_not_count_as_an_outage() {
     let mut freshness = ConfigFreshness::new(secs(5));
     freshness.confirm(start());
+    freshness.record_failure();
     let resumed = start() + secs(6);
 
     let is_outage = freshness.is_outage(resumed + ms(500), resumed);
@@ -283,6 +304,7 @@
     let asked = started + ms(20);
     freshness.record_stale_peer(asked);
     freshness.confirm(start());
+    freshness.record_failure();
 
     assert!(freshness.is_outage(asked, started));
     assert!(!freshness.is_outage(asked + ms(500), asked + ms(400)));
--- a/components/feed/src/store_reader.rs
+++ b/components/feed/src/store_reader.rs
@@ -57,6 +57,9 @@
                 }
                 Err(e) => {
                     self.record_reachable(topic, Some(&e));
+                    if topic == Topic::Fleet {
+                        self.state().freshness.record_failure();
+                    }
                     self.fetch_records().await;
                     if topic == Topic::Fleet {
                         self.update_bounds();
