Search for digests in turns

Cause: while the origin of the weights was down for 6 s, each of 288 processes asked it and four of twelve entries for the digests of the declared version every 150 ms. After the origin's return at 26.5 s its link of 9.9 Mbit/s was full of digests: most processes had them after 27.7 to 31.6 s and the pieces after 32.3 to 34.4 s, so that no engine had the version in force from 28.3 to 33.6 s and 3 of 4 requests were refused.

Change: six processes ask the origin in each round, as before; from the seventh round on, groups of six others take turns, in case the first ones cannot reach it. Others ask one peer a round until one announces the version, then four of those that did, nearest first; a search that waits for an announcement pauses for 0.6 s instead of 0.15 s.

--- a/components/pieces/src/downloader.rs
+++ b/components/pieces/src/downloader.rs
@@ -4,7 +4,7 @@
 
 use async_channel::{Sender, unbounded};
 use bytes::Bytes;
-use dispatch::{FetchFailure, PieceFetch, PieceSet, PieceSource, Swarm, SwarmStep};
+use dispatch::{DigestSearch, FetchFailure, PieceFetch, PieceSet, PieceSource, Swarm, SwarmStep};
 use domain::{EngineApi, Moment, Platform, now};
 use futures_lite::FutureExt;
 use http::Method;
@@ -43,10 +43,9 @@
 /// Longest wait for a piece from a peer, whose link takes about 35 ms for a piece
 /// and serves several peers.
 const PEER_TIMEOUT: Duration = Duration::from_millis(2500);
-/// Mean delay between two rounds of requests for digests.
-const DIGESTS_RETRY_DELAY: Duration = Duration::from_millis(150);
-/// Round of these requests from which every process sends one to the origin.
-const ORIGIN_ROUND: u32 = 6;
+/// Interval at which a process that searches for digests checks whether peers have announced
+/// that they have them.
+const DIGESTS_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// A fetch that has ended, its result and its duration.
 type Fetched = (PieceFetch, Result<Bytes, FetchFailure>, Duration);
@@ -106,26 +105,30 @@
         }
     }
 
-    /// Digests on which two sources agree. All processes request them from peers, origin
-    /// readers also from the origin, and the others from the origin only from
-    /// [`ORIGIN_ROUND`] on.
+    /// Digests on which two sources agree, from peers and from the origin.
     async fn digests(&self) -> Digests {
         let (peers, target) = (&self.peers, &self.target);
         if let Some(known) = peers.cache.trusted_digests(&target.model, target.version) {
             return known;
         }
         let mut quorum = DigestQuorum::default();
-        for round in 0_u32.. {
-            let from_origin = round >= ORIGIN_ROUND || peers.is_origin_reader(target);
-            let agreed = peers
-                .request_digests(target, &mut quorum, from_origin)
-                .await;
+        let mut search = DigestSearch::default();
+        loop {
+            let (rank, count) = peers.rank(target);
+            let announced = peers.count_announced(target);
+            let round = search.next(rank, count, announced);
+            let agreed = peers.request_digests(target, &mut quorum, round).await;
             if let Some(agreed) = agreed {
                 return agreed;
             }
-            Timer::after(DIGESTS_RETRY_DELAY.mul_f64(0.7 + 0.6 * fastrand::f64())).await;
+            let end = now() + round.pause.mul_f64(0.7 + 0.6 * fastrand::f64());
+            while now() < end {
+                Timer::after(DIGESTS_CHECK_INTERVAL.min(end.saturating_sub(now()))).await;
+                if announced == 0 && peers.count_announced(target) > 0 {
+                    break;
+                }
+            }
         }
-        Digests::new()
     }
 
     /// Fetches until every piece is held.
--- a/components/pieces/src/peers.rs
+++ b/components/pieces/src/peers.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use dispatch::{Holder, PieceSet, Swarm};
+use dispatch::{DigestRound, DigestSearch, Holder, PieceSet, Swarm};
 use domain::{
     EngineApi, HeldModel, ModelId, Moment, NodeSettings, Platform, Upstream, WeightVersion, now,
 };
@@ -21,11 +21,8 @@
 const NOTICE_LIFETIME: Duration = Duration::from_secs(3);
 /// Longest wait for digests from a peer.
 const DIGESTS_TIMEOUT: Duration = Duration::from_millis(500);
-/// Number of peers from which digests are requested in one round.
-const PEERS_PER_ROUND: usize = 4;
-/// Number of processes that read the digests of a version from the origin at once,
-/// without waiting for peers.
-const ORIGIN_READERS: usize = 6;
+/// Number of processes among which those are that have the digests of a version first.
+const FIRST_PROCESSES: usize = 12;
 /// Longest list of digests that is read, in bytes.
 const MAX_DIGESTS_BYTES: usize = 1 << 20;
 
@@ -170,32 +167,43 @@
         if known.is_some() {
             return known;
         }
-        let from_origin = self.is_origin_reader(target);
-        self.request_digests(target, &mut DigestQuorum::default(), from_origin)
+        let (rank, _) = self.rank(target);
+        let round = DigestSearch::once(rank);
+        self.request_digests(target, &mut DigestQuorum::default(), round)
             .await
     }
 
-    /// Whether this process is one of those that read the digests of a version from
-    /// the origin immediately.
-    pub(crate) fn is_origin_reader(&self, target: &TargetVersion) -> bool {
+    /// Rank of this process among those that get the digests of a version, and their number.
+    pub(crate) fn rank(&self, target: &TargetVersion) -> (usize, usize) {
         // Entries come first, because agents get the pieces from them.
         let rank = |vm: &str, is_entry: bool| (!is_entry, mix(id_hash(vm), target.version));
         let own = rank(&self.node.ip.to_string(), self.is_entry);
         let holders = self.holders(target);
         let before = holders.iter().filter(|h| rank(&h.vm, h.is_entry) < own);
-        before.count() < ORIGIN_READERS
+        (before.count(), holders.len() + 1)
     }
 
-    /// Requests the digests of a version from some peers, and before that from the
-    /// origin if `from_origin`; returns them once `quorum` agrees.
+    /// Number of peers that have announced pieces of a version, if only none. They have its
+    /// digests.
+    pub(crate) fn count_announced(&self, target: &TargetVersion) -> usize {
+        let announcements = self.announcements();
+        let known = announcements.iter().filter(|((_, version), a)| {
+            let is_current = now().saturating_sub(a.received_at) < NOTICE_LIFETIME;
+            *version == target.version && a.model == target.model && is_current
+        });
+        known.count()
+    }
+
+    /// Requests the digests of a version from the sources of a round; returns them once
+    /// `quorum` agrees.
     pub(crate) async fn request_digests(
         &self,
         target: &TargetVersion,
         quorum: &mut DigestQuorum,
-        from_origin: bool,
+        round: DigestRound,
     ) -> Option<Digests> {
         let count = usize::try_from(target.pieces.count).unwrap_or(usize::MAX);
-        if let Some(origin) = target.origin.filter(|_| from_origin) {
+        if let Some(origin) = target.origin.filter(|_| round.from_origin) {
             let engines = self.platform.engines();
             match engines.digests(origin, &target.model, target.version).await {
                 Ok(list) => {
@@ -209,12 +217,22 @@
             }
         }
         let mut peers = self.holders(target);
-        // Origin readers have the digests first.
-        peers.sort_by_cached_key(|h| (!h.is_entry, mix(id_hash(&h.vm), target.version)));
-        peers.truncate(ORIGIN_READERS * 2);
         fastrand::shuffle(&mut peers);
+        match peers.iter().any(|h| h.pieces.is_some()) {
+            // The nearest of those that have the digests.
+            true => {
+                peers.retain(|h| h.pieces.is_some());
+                peers.sort_by_key(|h| h.region != self.node.region);
+            }
+            false => {
+                let rank = |h: &Holder| (!h.is_entry, mix(id_hash(&h.vm), target.version));
+                peers.sort_by_cached_key(rank);
+                peers.truncate(FIRST_PROCESSES);
+                fastrand::shuffle(&mut peers);
+            }
+        }
         let path = format!("/piece/{}/{}", target.model, target.version);
-        for peer in peers.iter().take(PEERS_PER_ROUND) {
+        for peer in peers.iter().take(round.peers) {
             let list = fetch_digests(&self.pool, peer.addr, &path).await;
             let agreed = list.and_then(|l| quorum.vote_of_peer(peer.addr, l, count));
             if agreed.is_some() {
