--- a/components/dispatch/tests/upstream_pool.rs
+++ b/components/dispatch/tests/upstream_pool.rs
@@ -382,7 +382,7 @@
 fn idle_upstream_of_the_region_is_found_in_a_large_fleet() {
     const REGIONS: usize = 5;
     let region = |i: usize| format!("r{}", i % REGIONS);
-    let is_idle = |i: usize| i % REGIONS == 0 && i % 10 == 0;
+    let is_idle = |i: usize| i.is_multiple_of(2 * REGIONS);
     let mut pool = dispatch::UpstreamPool::new("llm".into(), "r0".into(), "r0".into());
     for i in 0..235 {
         let id = format!("i-{i}");
