Assign upstreams to entries every 240 ms at most

Cause: a change of any entry's announced demand makes the assignment stale, in a fleet of 53 entries about each tick of 15 ms.

Change: an assignment follows the last one after 240 ms at least.

--- a/components/gateway/src/scheduler/mod.rs
+++ b/components/gateway/src/scheduler/mod.rs
@@ -73,6 +73,7 @@
                 stopping_since: None,
                 demand: Demand::default(),
                 owners_demand: 0,
+                owners_at: Moment::ZERO,
                 owners_stale: true,
                 announced: Vec::new(),
                 entry_count: None,
--- a/components/gateway/src/scheduler/state.rs
+++ b/components/gateway/src/scheduler/state.rs
@@ -19,6 +19,11 @@
 /// Time without notices after which another entry is removed.
 const PEER_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// Shortest interval between two assignments of the upstreams to entries: one of a thousand
+/// upstreams takes milliseconds, and in a large fleet some entry's demand changes in each
+/// round of notices.
+const OWNERS_INTERVAL: Duration = Duration::from_millis(240);
+
 /// Another entry, as of its latest notice.
 pub struct Peer {
     /// Hash of its VM.
@@ -63,6 +68,8 @@
     pub(super) demand: Demand,
     /// Demand of this entry when upstreams were last assigned to entries.
     pub(super) owners_demand: u16,
+    /// When they were.
+    pub(super) owners_at: Moment,
     /// Entries or upstreams have changed since then.
     pub(super) owners_stale: bool,
     /// Entries or limits have changed since limits were last shared out.
@@ -146,11 +153,15 @@
         node: &NodeSettings,
         evacuated: impl Fn(&FailureDomainId) -> bool,
     ) {
+        if now < self.owners_at + OWNERS_INTERVAL {
+            return;
+        }
         let demand = self.demand.announced(now);
         let changed = std::mem::replace(&mut self.owners_demand, demand) != demand;
         if !std::mem::take(&mut self.owners_stale) && !changed {
             return;
         }
+        self.owners_at = now;
         let peers = self.peers.iter().map(|(vm, p)| EntryDemand {
             vm: vm.clone(),
             region: p.region.clone(),
