Count takeovers of pieces from when the digests are known

Cause: the origin was down while all processes searched for digests. The time after which others take over from the importers of a piece was counted from the start of that search: when the digests came, every importer of every region fetched every piece from the origin.

Change: the swarm starts when the digests are known.

--- a/components/pieces/src/downloader.rs
+++ b/components/pieces/src/downloader.rs
@@ -83,7 +83,9 @@
         let (model, version) = (self.target.model.clone(), self.target.version);
         peers.cache.trust_digests(&model, version, digests);
         restore.await;
-        let mut swarm = peers.swarm(started_at, self.target.pieces.count);
+        // Nobody fetched pieces before. Had the search taken seconds, counted from its start
+        // every process would take over from the importers at once.
+        let mut swarm = peers.swarm(agreed_at, self.target.pieces.count);
         let held = peers.cache.held(&model, version);
         let restored = (0..self.target.pieces.count).filter(|n| held.contains(*n));
         restored.for_each(|n| swarm.add_piece(n));
