List a request that is passed over beside an idle slot in a shortage

While any waiting request has time to spare, those at their latest start take no slot, although the first may fit only upstreams that are full: the free slot stays idle and the others are refused.

--- a/components/dispatch/tests/service_scheduler.rs
+++ b/components/dispatch/tests/service_scheduler.rs
@@ -400,3 +400,17 @@
 
     assert_eq!(next, [2]);
 }
+
+/// The request with time to spare may only use `u`, which is full, so the slot of `v` stays
+/// idle until the other one expires.
+#[test]
+fn rushed_request_is_refused_beside_an_idle_slot_for_one_that_fits_elsewhere() {
+    let mut scheduler = scheduler_in_shortage(&[500]);
+    let mut restricted = incoming(3, start(), ms(650), false);
+    restricted.needs.tried = vec!["v".into()];
+    scheduler.submit(start() + ms(141), restricted, |_| false);
+
+    let next = free_slot(&mut scheduler, start() + ms(270), "v");
+
+    assert_eq!(next, [2]);
+}
