Review: an engine that leaves gets requests after the channels to the store went silent

Promise tried: no request reaches an engine later than drain_ms after the ack of its report that it drains, from machines in touch (DRAIN).

Order of events: the open channels to the store go silent, new ones work. 0.3 s later an engine reports that it drains. 3.3 s after the silence, both gateways still send it requests; it exits 3.4 s after the ack, and unsafe requests at it are lost. The read of the upstreams notices a silent channel only after 5.2 s.

--- a/review/stand/src/client.rs
+++ b/review/stand/src/client.rs
@@ -53,3 +53,21 @@
         answered,
     }
 }
+
+/// Sends an unsafe request with a key on a new channel.
+pub fn post(addr: SocketAddr, path: &str, attempt: &str, key: &str) -> Sent {
+    let text = format!(
+        "POST {path} HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n\
+         X-Turmerichold-Attempt-Id: {attempt}\r\nX-Turmerichold-Deadline-Ms: 1500\r\n\
+         Authorization: Bearer {key}\r\nContent-Length: 2\r\n\r\n{{}}"
+    );
+    let at = Instant::now();
+    let response = call(addr, text.as_bytes(), Duration::from_millis(1500));
+    let answered = response.is_some().then(Instant::now);
+    Sent {
+        attempt: attempt.to_owned(),
+        at,
+        status: response.map(|r| r.status),
+        answered,
+    }
+}
--- a/review/stand/src/main.rs
+++ b/review/stand/src/main.rs
@@ -3,14 +3,15 @@
 
 mod client;
 mod engine;
-mod fraction;
 mod http;
+mod last_tenant;
 mod manifest;
 mod origin;
 mod process;
 mod record;
 mod restored_copy;
 mod revoked_key;
+mod silent_channels;
 mod stalled_log;
 mod store;
 
@@ -42,7 +43,8 @@
     let played = std::panic::catch_unwind(|| match case.as_str() {
         "revoked-key" => revoked_key::play(&dir, &temp),
         "restored-copy" => restored_copy::play(&dir, &temp),
-        "fraction" => fraction::play(&dir, &temp),
+        "last-tenant" => last_tenant::play(&dir, &temp),
+        "silent-channels" => silent_channels::play(&dir, &temp),
         "stalled-log" => stalled_log::play(&dir, &temp),
         _ => cannot_run("no such case"),
     });
--- a/review/stand/src/store.rs
+++ b/review/stand/src/store.rs
@@ -33,6 +33,8 @@
     rejects: AtomicBool,
     /// Rises by one each time the store comes back from a copy.
     era: AtomicU64,
+    /// Rises by one each time the open channels go silent.
+    silences: AtomicU64,
 }
 
 /// Copy of the store: the number of records of each topic.
@@ -88,6 +90,11 @@
         self.written.notify_all();
     }
 
+    /// Lets all open channels go silent for good; new ones work.
+    pub fn silence_channels(&self) {
+        self.silences.fetch_add(1, Ordering::SeqCst);
+    }
+
     /// Writes a record as the operator or an engine; returns when it is acknowledged.
     pub fn put(&self, topic: &str, key: &str, value: &str) -> Instant {
         thread::sleep(ANSWER_TIME);
@@ -112,17 +119,28 @@
 
     fn serve(&self, stream: TcpStream, may_reject: bool) {
         stream.set_nodelay(true).unwrap();
+        let opened = self.silences.load(Ordering::SeqCst);
         let mut out = stream.try_clone().unwrap();
         let mut input = BufReader::new(stream);
         while let Ok(Some(request)) = read_request(&mut input) {
+            self.pass(opened);
             let (status, body) = self.answer(&request, may_reject);
-            let json = [("Store-Era", self.era.load(Ordering::SeqCst).to_string())];
-            if write_response(&mut out, status, &json, &body).is_err() {
+            self.pass(opened);
+            let headers = [("Store-Era", self.era.load(Ordering::SeqCst).to_string())];
+            if write_response(&mut out, status, &headers, &body).is_err() {
                 return;
             }
         }
     }
 
+    /// Returns unless the channels that were open then have gone silent: nothing passes, and
+    /// they stay open.
+    fn pass(&self, opened: u64) {
+        while self.silences.load(Ordering::SeqCst) > opened {
+            thread::park();
+        }
+    }
+
     fn answer(&self, request: &Request, may_reject: bool) -> (u16, Vec<u8>) {
         thread::sleep(ANSWER_TIME);
         let rejects = || may_reject && self.rejects.load(Ordering::SeqCst);
