Review: a request that crashes engines silently is sent on and on

Promise tried: a request that crashes the engines that run it reaches engines in no more than three retries, later than stability_window_ms after it has crashed the third (BUDGET).

Order of events: a safe request comes once a second; each engine that begins to run it sends nothing for 3 s and is back as a new start. Both engines of each attempt fall silent, the attempt ends at its time-out, and nothing is learnt of it.

--- a/review/stand/src/main.rs
+++ b/review/stand/src/main.rs
@@ -2,8 +2,8 @@
 //! code 1: the rule was broken, 0: it held, 2: the case could not run.
 
 mod client;
+mod dark_crash;
 mod engine;
-mod fraction;
 mod http;
 mod last_tenant;
 mod manifest;
@@ -42,9 +42,9 @@
     std::fs::create_dir_all(&temp).unwrap();
     let played = std::panic::catch_unwind(|| match case.as_str() {
         "revoked-key" => revoked_key::play(&dir, &temp),
-        "fraction" => fraction::play(&dir, &temp),
         "last-tenant" => last_tenant::play(&dir, &temp),
         "silent-channels" => silent_channels::play(&dir, &temp),
+        "dark-crash" => dark_crash::play(&dir, &temp),
         "stalled-log" => stalled_log::play(&dir, &temp),
         _ => cannot_run("no such case"),
     });
