--- a/review/stand/src/main.rs
+++ b/review/stand/src/main.rs
@@ -5,7 +5,6 @@
 mod dark_crash;
 mod engine;
 mod http;
-mod last_tenant;
 mod manifest;
 mod origin;
 mod process;
@@ -42,7 +41,6 @@
     std::fs::create_dir_all(&temp).unwrap();
     let played = std::panic::catch_unwind(|| match case.as_str() {
         "revoked-key" => revoked_key::play(&dir, &temp),
-        "last-tenant" => last_tenant::play(&dir, &temp),
         "silent-channels" => silent_channels::play(&dir, &temp),
         "dark-crash" => dark_crash::play(&dir, &temp),
         "stalled-log" => stalled_log::play(&dir, &temp),
--- a/review/stand/src/manifest.rs
+++ b/review/stand/src/manifest.rs
@@ -19,13 +19,6 @@
     plain.replace("\"services\":[", &services)
 }
 
-/// A manifest whose list of tenants is empty.
-pub fn without_tenants(version: u64) -> String {
-    let text = manifest(version, 0, "");
-    let at = text.find("\"tenants\":[").unwrap_or_default();
-    format!("{}\"tenants\":[]}}", &text[..at])
-}
-
 /// A manifest with the keys `keys` of one tenant and `others` routes that no client uses, one of
 /// which has another time-out in each version.
 pub fn manifest(version: u64, others: u64, keys: &str) -> String {
