--- a/review/stand/src/silent_channels.rs
+++ b/review/stand/src/silent_channels.rs
@@ -23,15 +23,16 @@
 const REQUESTS: Duration = Duration::from_millis(3300);
 const END: Duration = Duration::from_millis(3700);
 /// Requests to each machine, and the pause between them.
-const COUNT: u32 = 20;
-const PAUSE: Duration = Duration::from_millis(25);
+const COUNT: u32 = 40;
+const PAUSE: Duration = Duration::from_millis(12);
 const IPS: [&str; 2] = ["127.0.0.1", "127.0.0.2"];
 
 pub fn play(dir: &Path, temp: &Path) -> bool {
     let mut record = Record::new(dir);
     let (store, store_addr) = Store::start();
     store.put("keyed.op", "config", &manifest(1, 0, "\"key\""));
-    let engines = [1, 2, 3].map(|n| Engine::start(&store, &format!("i-{n}"), "desk", "a-1"));
+    let engines =
+        [1, 2, 3, 4, 5, 6, 7, 8].map(|n| Engine::start(&store, &format!("i-{n}"), "desk", "a-1"));
     let leaving = &engines[0];
     let ports = free_ports(&IPS);
     let mut gateways = IPS.map(|ip| Gateway::start_at(temp, ip, ports, store_addr));
