--- a/review/stand/src/main.rs
+++ b/review/stand/src/main.rs
@@ -4,6 +4,7 @@
 mod client;
 mod dark_crash;
 mod engine;
+mod fraction;
 mod http;
 mod manifest;
 mod origin;
@@ -43,6 +44,7 @@
         "revoked-key" => revoked_key::play(&dir, &temp),
         "silent-channels" => silent_channels::play(&dir, &temp),
         "dark-crash" => dark_crash::play(&dir, &temp),
+        "fraction" => fraction::play(&dir, &temp),
         "stalled-log" => stalled_log::play(&dir, &temp),
         _ => cannot_run("no such case"),
     });
--- a/review/stand/src/process.rs
+++ b/review/stand/src/process.rs
@@ -87,6 +87,22 @@
         true
     }
 
+    /// Sends a signal by name.
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let sent = Command::new("kill")
+            .args([&format!("-{name}"), &pid])
+            .status();
+        if !sent.is_ok_and(|s| s.success()) {
+            crate::cannot_run("the signal cannot be sent");
+        }
+    }
+
+    /// Waits for its end.
+    pub fn until_ended(&mut self) -> Option<i32> {
+        self.child.wait().ok()?.code()
+    }
+
     /// Whether the process still runs.
     pub fn runs(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
