--- a/components/config/src/raw_declaration.rs
+++ b/components/config/src/raw_declaration.rs
@@ -3,7 +3,7 @@
 
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
-use serde_with::{DurationMilliSeconds, serde_as};
+use serde_with::{DurationMilliSecondsWithFrac, serde_as};
 
 use crate::{
     ClientAccount, ClientAccountId, FailureDomain, FailureDomainId, Fencing, Model, ModelId,
@@ -49,7 +49,7 @@
     /// Most requests that wait at one entry.
     pub queue: usize,
     /// Deadline of a request that sets none, in milliseconds.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "DurationMilliSecondsWithFrac<f64>")]
     #[serde(rename = "deadline_ms")]
     pub deadline: Duration,
     /// Priority of a request that sets none, 0 (lowest) to 9.
--- a/components/config/src/service.rs
+++ b/components/config/src/service.rs
@@ -6,6 +6,8 @@
 use crate::raw_declaration::{RawRoute, RawService};
 use crate::{ConfigError, ModelId, ServiceId};
 
+/// Shortest deadline a service may declare.
+const MIN_DEADLINE: Duration = Duration::from_millis(1);
 /// Longest deadline a service may declare.
 const MAX_DEADLINE: Duration = Duration::from_secs(3600);
 /// Highest priority of a request.
@@ -105,8 +107,8 @@
         let remedy = "give at least the cold_limit";
         return fail("limit", raw.limit.to_string(), remedy);
     }
-    if raw.deadline.is_zero() || raw.deadline > MAX_DEADLINE {
-        let found = raw.deadline.as_millis().to_string();
+    if raw.deadline < MIN_DEADLINE || raw.deadline > MAX_DEADLINE {
+        let found = (raw.deadline.as_secs_f64() * 1000.0).to_string();
         return fail("deadline_ms", found, "give 1 to 3600000");
     }
     if raw.priority > MAX_PRIORITY {
--- a/components/config/src/settings.rs
+++ b/components/config/src/settings.rs
@@ -4,7 +4,7 @@
 
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use serde_with::{DurationMilliSeconds, serde_as};
+use serde_with::{DurationMilliSecondsWithFrac, serde_as};
 
 use crate::{ConfigError, FailureDomainId, RegionId, ServiceId, VmId, parse_json};
 
@@ -36,7 +36,7 @@
     /// Addresses of the platform's services.
     pub platform: PlatformSettings,
     /// Longest graceful shutdown, in milliseconds in the file.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "DurationMilliSecondsWithFrac<f64>")]
     #[serde(rename = "drain_ms")]
     pub drain: Duration,
 }
--- a/components/config/tests/declaration.rs
+++ b/components/config/tests/declaration.rs
@@ -2,7 +2,9 @@
 
 mod fixture;
 
-use config::{AgentSettings, Declaration, parse_json};
+use std::time::Duration;
+
+use config::{AgentSettings, Declaration, EntrySettings, parse_json};
 use fixture::declaration_value;
 use serde_json::{Value, json};
 use testkit::check_seeds;
@@ -62,10 +64,12 @@
 
 #[test]
 fn values_out_of_range_are_refused() {
-    let cases: [(&str, Value, &str); 6] = [
+    let cases: [(&str, Value, &str); 8] = [
         ("limit", json!(0), "cold_limit"),
         ("cold_limit", json!(0), "at least 1"),
         ("deadline_ms", json!(0), "1 to 3600000"),
+        ("deadline_ms", json!(0.5), "1 to 3600000"),
+        ("deadline_ms", json!(3_600_000.5), "1 to 3600000"),
         ("priority", json!(10), "0 to 9"),
         ("routes", json!([]), "at least one route"),
         ("model", json!("soup"), "add it to models"),
@@ -112,6 +116,30 @@
     assert!(!declaration.in_service("fife-b"));
 }
 
+/// Guards against a role that does not start, and a declaration that is refused, because a
+/// time is written as a fraction.
+#[test]
+fn times_may_be_fractions() {
+    let settings = json!({
+        "node": {
+            "vm": "vm-1", "listen": "127.0.0.1:1", "failure_domain": "fife-a", "region": "fife",
+            "platform": { "log": "127.0.0.1:2", "vms": "127.0.0.1:3", "origin": "127.0.0.1:4" },
+            "drain_ms": 7500.5
+        },
+    });
+    let mut text = declaration_value(4);
+    text["services"]["menu-helper"]["deadline_ms"] = json!(1e3);
+    text["services"]["rota-desk"]["deadline_ms"] = json!(999.5);
+
+    let settings = parse_json::<EntrySettings>("entry.json", &settings.to_string()).unwrap();
+    let declaration = Declaration::parse("t", &text.to_string()).unwrap();
+
+    assert_eq!(settings.node.drain, Duration::from_micros(7_500_500));
+    let deadline = |name: &str| declaration.services[name].deadline;
+    assert_eq!(deadline("menu-helper"), Duration::from_secs(1));
+    assert_eq!(deadline("rota-desk"), Duration::from_micros(999_500));
+}
+
 #[test]
 fn settings_with_unknown_or_missing_fields_are_refused() {
     let settings = json!({
