Read a backlog to its end before anything is known to be in force

An entry that the store had rejected for 9 s read 2.6 MB of configurations in several responses.

Cause: a response holds at most 1 MiB; that more follows shows only in its header, the end of the topic, which the client dropped. So the first part confirmed the configuration. Evidence: in a test with answers of one record the status was Fresh from the first part on, at versions 2 to 12 of 13, and Stale before; no peer was there. The same premise dated a version 3.9 s late, ended the outage of the store early, and stood in the entry/agent family: claims and audit read one page, and each page's configuration came into force.

Change: a batch states the end of the topic; a read goes on without a pause up to the end that its first response named, and only then counts. Logs show topic_end, a gauge the backlog. Claims and audit read all pages, an entry activates the configuration of the last one.

--- a/components/dispatch/src/mirror.rs
+++ b/components/dispatch/src/mirror.rs
@@ -175,6 +175,7 @@
         Some(RecordBatch {
             records: changes,
             end,
+            topic_end: end,
             era: self.era,
         })
     }
--- a/components/dispatch/tests/records.rs
+++ b/components/dispatch/tests/records.rs
@@ -20,6 +20,7 @@
 
 fn batch(end: u64, changes: Vec<Record>) -> RecordBatch {
     RecordBatch {
+        topic_end: end,
         records: changes,
         end,
         era: 0,
--- a/components/dispatch/tests/store_eras.rs
+++ b/components/dispatch/tests/store_eras.rs
@@ -16,7 +16,12 @@
 }
 
 fn batch(era: Era, end: u64, records: Vec<Record>) -> RecordBatch {
-    RecordBatch { records, end, era }
+    RecordBatch {
+        records,
+        end,
+        topic_end: end,
+        era,
+    }
 }
 
 /// The record of an upstream after `sequence` writes.
--- a/components/domain/src/record_store.rs
+++ b/components/domain/src/record_store.rs
@@ -18,13 +18,16 @@
     pub value: Option<Bytes>,
 }
 
-/// Records of a topic.
+/// Records of a topic, of a long backlog only the first part.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct RecordBatch {
     /// Records in order of offset.
     pub records: Vec<Record>,
-    /// Offset of the next record that will be written.
+    /// Offset after the last record of the batch.
     pub end: u64,
+    /// Offset of the next record that will be written. The records from `end` on are
+    /// missing in the batch.
+    pub topic_end: u64,
     /// Era of the offsets.
     pub era: Era,
 }
@@ -34,8 +37,8 @@
 pub enum ReadOutcome {
     /// Records from the requested offset.
     Records(RecordBatch),
-    /// The records at the requested offset are deleted, or the store does not have it in
-    /// its present era; read the newest record of each key instead.
+    /// The records at the requested offset are deleted, or the topic ends before it; read
+    /// the newest record of each key instead.
     Gap,
 }
 
@@ -65,7 +68,8 @@
     /// Reads the newest record of each key of a topic.
     fn newest(&self, topic: &str) -> impl Future<Output = Result<RecordBatch, StoreError>> + Send;
 
-    /// Reads records from an offset; waits up to `wait` for the first one.
+    /// Reads records from an offset; waits up to `wait` for the first one. The response may
+    /// hold only a part of those that the topic has.
     fn read(
         &self,
         topic: &str,
--- a/components/entry/src/claims.rs
+++ b/components/entry/src/claims.rs
@@ -132,10 +132,8 @@
         let record = ClaimRecord::Claim(claim.clone());
         let position = self.log.append(&stream, &record).await?;
         let from = position.offset.saturating_sub(CHECKED_RECORDS);
-        let page = self
-            .log
-            .read::<ClaimRecord>(&stream, from, Duration::ZERO)
-            .await?;
+        // Without the records up to the claim, it is not known which were first.
+        let page = self.log.read_all::<ClaimRecord>(&stream, from).await?;
         let now = self.clock.now();
         let mut watch = lock(&self.era);
         // Until the change of an era is observed, no claim of it is decided.
--- a/components/entry/src/config_service.rs
+++ b/components/entry/src/config_service.rs
@@ -152,23 +152,25 @@
                 self.crashes.record_crash(&crash.id, &crash.fingerprints);
             }
         }
-        let (snapshot, result, missing) = {
+        let (newest, result, missing) = {
             let mut state = self.state();
             // A peer's configuration may be of a later era.
             if page.era != state.era() {
                 return;
             }
             let result = state.apply_page(page.first, &page.records);
-            let is_complete = state.next_offset() >= page.end;
+            let is_complete = state.next_offset().max(page.next) >= page.end;
             let missing = state.missing_checkpoint().filter(|_| is_complete);
-            (state.current().cloned(), result, missing)
+            // A later page may replace the configuration of this one.
+            let newest = state.current().filter(|_| is_complete).cloned();
+            (newest, result, missing)
         };
         if let Err(e) = result {
             log::error!("{e}");
             self.load_from_peers().await;
             Timer::after(FAILURE_PAUSE).await;
         }
-        if let Some(snapshot) = snapshot {
+        if let Some(snapshot) = newest {
             self.cell.activate(&snapshot);
             self.checkpoint(snapshot).await;
         }
--- a/components/entry/src/operator_api.rs
+++ b/components/entry/src/operator_api.rs
@@ -110,12 +110,8 @@
 
     async fn read_audit(&self) -> Result<Vec<serde_json::Value>, platform::PlatformError> {
         let log = self.config.log();
-        let page = log
-            .read::<Record>(streams::CONFIG, 0, Duration::ZERO)
-            .await?;
-        let actions = log
-            .read::<serde_json::Value>(streams::AUDIT, 0, Duration::ZERO)
-            .await?;
+        let page = log.read_all::<Record>(streams::CONFIG, 0).await?;
+        let actions = log.read_all::<serde_json::Value>(streams::AUDIT, 0).await?;
         let mut state = ConfigState::default();
         if let Err(e) = state.apply_page(page.first, &page.records) {
             log::warn!("{e}");
--- a/components/feed/src/feed.rs
+++ b/components/feed/src/feed.rs
@@ -201,13 +201,22 @@
         written: WriteTime,
     ) -> Vec<ViewChange> {
         let mirror = &mut state.mirrors[topic.index()];
-        let (era, end, known_end) = (batch.era, batch.end, mirror.end());
+        let known_end = mirror.end();
+        let (era, end, topic_end) = (batch.era, batch.end, batch.topic_end);
         let changed = match kind {
             BatchKind::State => mirror.reset(batch),
             BatchKind::Records => mirror.extend(batch),
         };
         if !changed.is_empty() || Some(end) < known_end {
-            self.log_batch(topic, era, end, known_end, changed.len());
+            let fields = json!({
+                "topic": self.topic_name(topic),
+                "era": era,
+                "end": end,
+                "topic_end": topic_end,
+                "known_end": known_end,
+                "changed": changed.len(),
+            });
+            decision("feed", "records", Outcome::Change, fields);
         }
         let changed = changed.iter();
         changed
@@ -215,18 +224,6 @@
             .collect()
     }
 
-    /// Logs what a batch of records changed, and where the topic ended before.
-    fn log_batch(&self, topic: Topic, era: Era, end: u64, known_end: Option<u64>, changed: usize) {
-        let fields = json!({
-            "topic": self.topic_name(topic),
-            "era": era,
-            "end": end,
-            "known_end": known_end,
-            "changed": changed,
-        });
-        decision("feed", "records", Outcome::Change, fields);
-    }
-
     pub(crate) fn apply_record(
         &self,
         state: &mut State,
--- a/components/feed/src/peer_messages.rs
+++ b/components/feed/src/peer_messages.rs
@@ -62,6 +62,7 @@
         RecordBatch {
             records: raw.records.into_iter().map(record).collect(),
             end: raw.end,
+            topic_end: raw.end,
             era: raw.era,
         }
     }
--- a/components/feed/src/store_reader.rs
+++ b/components/feed/src/store_reader.rs
@@ -2,7 +2,9 @@
 use std::time::Duration;
 
 use dispatch::{Pulse, ReadTiming, WriteBasis};
-use domain::{Moment, Platform, ReadOutcome, RecordStore, StoreError, millis, now};
+use domain::{
+    Era, Moment, Platform, ReadOutcome, RecordBatch, RecordStore, StoreError, millis, now,
+};
 use serde_json::json;
 use smol::{Timer, future};
 use telemetry::{Outcome, decision};
@@ -19,6 +21,30 @@
 /// Time beyond the wait of a read after which its response counts as slow.
 const SLOW_READ: Duration = Duration::from_millis(250);
 
+/// Offset of the next record to read, and its era.
+type Position = (u64, Era);
+
+/// What follows from records that were read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ReadStep {
+    /// All records that the topic had are known.
+    Complete,
+    /// Read the newest record of each key.
+    LoadState,
+    /// The response was of an older era than the records known.
+    Dropped,
+}
+
+impl ReadStep {
+    fn after(result: BatchResult) -> Self {
+        match result {
+            BatchResult::Applied => ReadStep::Complete,
+            BatchResult::NewerEra => ReadStep::LoadState,
+            BatchResult::OlderEra => ReadStep::Dropped,
+        }
+    }
+}
+
 /// Reading of the store's topics.
 impl<P: Platform> Feed<P> {
     /// Reads all topics in a loop until the task is dropped.
@@ -87,67 +113,113 @@
         }
     }
 
+    /// Reads the records that follow those known, or all if none are known.
     async fn read(&self, topic: Topic) -> Result<(), StoreError> {
-        let sent = now();
         let store = self.platform.store();
         let name = self.topic_name(topic);
-        let (from, era, wait, followed) = {
-            let state = self.state();
-            let followed = state.reachable[topic.index()];
-            // The first read after a failure does not wait, so that it returns only
-            // records written during the outage. A removal that a later, waiting read
-            // returns is recent and does not count as a lapse during the outage.
-            // Nor does the one after a change of the operators' records: only an empty
-            // response shows until when all are known, from which a version is dated.
-            let has_backlog = topic == Topic::Fleet && state.has_backlog;
-            let wait = match followed && !has_backlog {
-                true => topic.wait(self.role),
-                false => Duration::ZERO,
-            };
-            let mirror = &state.mirrors[topic.index()];
-            // In a newer era, the offsets mean nothing.
-            let from = mirror.end().filter(|_| mirror.era() >= store.era());
-            (from, mirror.era(), wait, followed)
-        };
-        let read = match from {
-            Some(from) => {
-                let newer_era = async {
-                    store.until_newer_era(era).await;
-                    Ok(ReadOutcome::Gap)
-                };
-                future::or(store.read(name, from, wait), newer_era).await?
-            }
+        let (position, timing) = self.next_read(topic);
+        let read = match position {
+            Some(position) => self.read_from(topic, position, timing.wait).await?,
             None => ReadOutcome::Gap,
         };
-        let timing = ReadTiming {
-            sent,
-            wait,
-            followed,
-        };
         let returned = now();
         self.log_slow_read(topic, &timing, returned);
-        let is_empty = matches!(&read, ReadOutcome::Records(batch) if batch.records.is_empty());
-        let mut result = BatchResult::NewerEra;
-        if let ReadOutcome::Records(batch) = read {
-            let written = self.state().freshness.earliest_write(&timing);
-            result = self.apply(topic, batch, BatchKind::Records, written);
-        }
-        if result == BatchResult::NewerEra {
+        let (mut step, is_empty) = match (read, position) {
+            (ReadOutcome::Records(batch), Some((from, _))) => {
+                let is_empty = batch.topic_end == from;
+                (self.apply_backlog(topic, batch, &timing).await?, is_empty)
+            }
+            _ => (ReadStep::LoadState, false),
+        };
+        if step == ReadStep::LoadState {
             let batch = store.newest(name).await?;
             let written = self.state().freshness.since_last_read(WriteBasis::Newest);
-            result = self.apply(topic, batch, BatchKind::State, written);
+            step = ReadStep::after(self.apply(topic, batch, BatchKind::State, written));
         }
         let mut state = self.state();
         if topic == Topic::Fleet {
             state.has_backlog = !is_empty;
         }
-        let is_current = result == BatchResult::Applied && !state.config_is_lost();
+        let is_current = step == ReadStep::Complete && !state.config_is_lost();
         if topic == Topic::Fleet && is_current {
             state.freshness.record_read(returned, &timing, is_empty);
         }
         Ok(())
     }
 
+    /// Position of the next read of a topic, `None` if all records have to be read, and how
+    /// it waits.
+    fn next_read(&self, topic: Topic) -> (Option<Position>, ReadTiming) {
+        let sent = now();
+        let state = self.state();
+        let followed = state.reachable[topic.index()];
+        // The first read after a failure does not wait, so that it returns only
+        // records written during the outage. A removal that a later, waiting read
+        // returns is recent and does not count as a lapse during the outage.
+        // Nor does the one after a change of the operators' records: only an empty
+        // response shows until when all are known, from which a version is dated.
+        let has_backlog = topic == Topic::Fleet && state.has_backlog;
+        let wait = match followed && !has_backlog {
+            true => topic.wait(self.role),
+            false => Duration::ZERO,
+        };
+        let timing = ReadTiming {
+            sent,
+            wait,
+            followed,
+        };
+        let mirror = &state.mirrors[topic.index()];
+        // In a newer era, the offsets mean nothing.
+        let from = mirror
+            .end()
+            .filter(|_| mirror.era() >= self.platform.store().era());
+        (from.map(|from| (from, mirror.era())), timing)
+    }
+
+    /// Reads records from a position; it means nothing once a newer era is known.
+    async fn read_from(
+        &self,
+        topic: Topic,
+        (from, era): Position,
+        wait: Duration,
+    ) -> Result<ReadOutcome, StoreError> {
+        let store = self.platform.store();
+        let newer_era = async {
+            store.until_newer_era(era).await;
+            Ok(ReadOutcome::Gap)
+        };
+        future::or(store.read(self.topic_name(topic), from, wait), newer_era).await
+    }
+
+    /// Applies the records of a response and reads those that were left out of it, up to the
+    /// end that the topic had. Before that, nothing is known to be in force: a later record
+    /// may take back what an earlier one allows.
+    async fn apply_backlog(
+        &self,
+        topic: Topic,
+        first: RecordBatch,
+        timing: &ReadTiming,
+    ) -> Result<ReadStep, StoreError> {
+        let goal = first.topic_end;
+        let mut batch = first;
+        loop {
+            let (end, era) = (batch.end, batch.era);
+            let missing = goal.saturating_sub(end);
+            metrics::gauge!("turmerichold_store_backlog", "topic" => self.topic_name(topic))
+                .set(missing as f64);
+            let written = self.state().freshness.earliest_write(timing);
+            let result = self.apply(topic, batch, BatchKind::Records, written);
+            if result != BatchResult::Applied || missing == 0 {
+                return Ok(ReadStep::after(result));
+            }
+            batch = match self.read_from(topic, (end, era), Duration::ZERO).await? {
+                ReadOutcome::Records(next) if next.end > end => next,
+                // The records were deleted, or the next one is too long for a response.
+                _ => return Ok(ReadStep::LoadState),
+            };
+        }
+    }
+
     /// Logs a read that took clearly longer than its wait, and since when this process runs
     /// without a stop.
     fn log_slow_read(&self, topic: Topic, read: &ReadTiming, returned: Moment) {
--- a/components/platform/src/log_client.rs
+++ b/components/platform/src/log_client.rs
@@ -29,14 +29,17 @@
 /// lacks its latest records, and their offsets are given out again.
 const ERA: &str = "log-era";
 
-/// Consecutive records of a stream.
+/// Consecutive records of a stream; of many records only the first.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Page<T> {
     /// Era of the log in which it was read.
     pub era: u64,
     /// Offset of the first record that the log retains.
     pub first: u64,
-    /// Offset that the next record will have.
+    /// Offset after the last record of the page.
+    pub next: u64,
+    /// Offset that the next record will have. The records from `next` on are missing in
+    /// the page.
     pub end: u64,
     /// Records with their offsets, without those that do not decode.
     pub records: Vec<(u64, T)>,
@@ -107,7 +110,31 @@
         })
     }
 
-    /// Reads records from an offset; waits up to `wait` if there are none.
+    /// Reads the records from an offset up to the end that the stream has, in as many pages
+    /// as that takes.
+    pub async fn read_all<T: DeserializeOwned>(
+        &self,
+        stream: &str,
+        from: u64,
+    ) -> Result<Page<T>, PlatformError> {
+        let mut all = self.read(stream, from, Duration::ZERO).await?;
+        while all.next < all.end {
+            let page = self.read(stream, all.next, Duration::ZERO).await?;
+            if page.era != all.era {
+                return Err(PlatformError::Outdated { call: "read" });
+            }
+            if page.next == all.next {
+                let reason = format!("it has no records from offset {} on", all.next);
+                let call = "read";
+                return Err(PlatformError::InvalidResponse { call, reason });
+            }
+            all.next = page.next;
+            all.records.extend(page.records);
+        }
+        Ok(all)
+    }
+
+    /// Reads a page of records from an offset; waits up to `wait` if there are none.
     pub async fn read<T: DeserializeOwned>(
         &self,
         stream: &str,
@@ -119,10 +146,12 @@
         let request = Call::new(Method::Get, self.addr, &path)?.head_timeout(wait + LOG_TIMEOUT);
         let (era, bytes) = self.send(call, request).await?;
         let raw: RawPage = serde_json::from_slice(&bytes).map_err(|e| invalid_response(call, e))?;
+        let next = raw.records.last().map_or(from, |r| r.offset + 1);
         let records = raw.records.into_iter().filter_map(decode_record).collect();
         Ok(Page {
             era,
             first: raw.first,
+            next,
             end: raw.end,
             records,
         })
--- a/stand-ins/src/log.rs
+++ b/stand-ins/src/log.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -13,7 +14,7 @@
 use crate::faults::{FaultAction, FaultInjector};
 use crate::http;
 
-/// Most records in one response.
+/// Most records in one response, unless fewer are set.
 const MAX_RECORDS: usize = 1000;
 /// Interval at which a waiting read checks for new records.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
@@ -53,6 +54,7 @@
     faults: FaultInjector,
     rate: f64,
     retention: usize,
+    page_records: AtomicUsize,
 }
 
 impl Log {
@@ -71,9 +73,15 @@
             faults: FaultInjector::default(),
             rate: f64::from(rate),
             retention,
+            page_records: AtomicUsize::new(MAX_RECORDS),
         }
     }
 
+    /// Sets the most records in one response.
+    pub fn set_page_records(&self, count: usize) {
+        self.page_records.store(count, Ordering::Relaxed);
+    }
+
     /// Restores a copy that is `age` old: later records are lost, and their offsets are
     /// given out again.
     pub fn restore(&self, age: Duration) {
@@ -159,7 +167,7 @@
             .records
             .iter()
             .skip(skip)
-            .take(MAX_RECORDS)
+            .take(self.page_records.load(Ordering::Relaxed))
             .zip(first..)
             .map(|(r, offset)| json!({ "offset": offset, "value": r.value }))
             .collect();
