Admit nobody when the last client is removed

Cause: whether a request needs a key hung on the number of clients listed.

Change: it hangs on the list itself, and where that is empty on the contracts of the settings, which name client accounts as a part in force. A configuration without a list needs no keys, as before.

Result: removal_of_the_last_client_opens_the_routes got 200 without the change and gets 401.

--- a/components/domain/src/fleet_config.rs
+++ b/components/domain/src/fleet_config.rs
@@ -40,19 +40,21 @@
     pub limits: CallerLimits,
     /// Routes of each host, longest prefix first.
     routes: HashMap<CompactString, Vec<Route>>,
-    accounts: Vec<Account>,
+    /// `None` if the configuration has no list of accounts.
+    accounts: Option<Vec<Account>>,
     /// Index into `accounts` of each API key.
     keys: HashMap<CompactString, usize>,
 }
 
 impl FleetConfig {
     /// Indexes the parts of a configuration; each account comes with its API keys.
+    /// `accounts` is `None` if the configuration has no list of them.
     pub fn new(
         version: u64,
         services: Vec<ServiceSpec>,
         limits: CallerLimits,
         routes: Vec<Route>,
-        accounts: Vec<(Account, Vec<CompactString>)>,
+        accounts: Option<Vec<(Account, Vec<CompactString>)>>,
     ) -> Self {
         let mut by_host: HashMap<CompactString, Vec<Route>> = HashMap::new();
         for r in routes {
@@ -62,17 +64,20 @@
             routes.sort_by_key(|r| std::cmp::Reverse(r.path_prefix.len()));
         }
         let mut keys = HashMap::new();
-        let mut indexed = Vec::new();
-        for (i, (account, api_keys)) in accounts.into_iter().enumerate() {
-            indexed.push(account);
-            keys.extend(api_keys.into_iter().map(|k| (k, i)));
-        }
+        let accounts = accounts.map(|accounts| {
+            let indexed = accounts.into_iter().enumerate();
+            let indexed = indexed.map(|(i, (account, api_keys))| {
+                keys.extend(api_keys.into_iter().map(|k| (k, i)));
+                account
+            });
+            indexed.collect()
+        });
         FleetConfig {
             version,
             services: services.into_iter().map(|s| (s.name.clone(), s)).collect(),
             limits,
             routes: by_host,
-            accounts: indexed,
+            accounts,
             keys,
         }
     }
@@ -87,11 +92,13 @@
 
     /// Finds the account of an API key.
     pub fn account(&self, api_key: &str) -> Option<&Account> {
-        self.accounts.get(*self.keys.get(api_key)?)
+        self.accounts.as_ref()?.get(*self.keys.get(api_key)?)
     }
 
-    /// Whether any accounts are configured. Without them, requests need no key.
-    pub fn has_accounts(&self) -> bool {
-        !self.accounts.is_empty()
+    /// Whether requests need a key: accounts are listed, or the list is empty in a deployment
+    /// that has accounts.
+    pub fn needs_keys(&self, has_accounts: bool) -> bool {
+        let accounts = self.accounts.as_ref();
+        accounts.is_some_and(|accounts| has_accounts || !accounts.is_empty())
     }
 }
--- a/components/domain/src/settings.rs
+++ b/components/domain/src/settings.rs
@@ -49,6 +49,9 @@
     pub readiness_addr: SocketAddr,
     /// Listen address for other processes of the project.
     pub peer_addr: SocketAddr,
+    /// Whether the deployment has client accounts. Then a configuration whose list of them
+    /// is empty admits nobody.
+    pub has_accounts: bool,
 }
 
 /// Settings of an agent.
--- a/components/gateway/src/front.rs
+++ b/components/gateway/src/front.rs
@@ -27,14 +27,17 @@
 /// HTTP interface for callers: validates, authorizes and routes requests.
 pub struct Front<P: Platform> {
     dispatcher: Arc<Dispatcher<P>>,
+    /// Whether the deployment has client accounts.
+    has_accounts: bool,
     next_id: AtomicU64,
 }
 
 impl<P: Platform> Front<P> {
     /// An interface that passes accepted requests to `dispatcher`.
-    pub fn new(dispatcher: Arc<Dispatcher<P>>) -> Self {
+    pub fn new(dispatcher: Arc<Dispatcher<P>>, has_accounts: bool) -> Self {
         Front {
             dispatcher,
+            has_accounts,
             next_id: AtomicU64::new(1),
         }
     }
@@ -99,7 +102,7 @@
         };
         let route = config.route(&head.host, &head.path);
         let route = route.ok_or_else(|| if_current(Refusal::NoRoute))?;
-        if route.anonymous || !config.has_accounts() {
+        if route.anonymous || !config.needs_keys(self.has_accounts) {
             return Ok((route.clone(), None));
         }
         if status == ConfigStatus::Expired || status == ConfigStatus::Unknown {
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -99,7 +99,7 @@
             idle_timeout: CALLER_IDLE,
         };
         let caller_listener = Arc::new(Listener::new(
-            Arc::new(Front::new(dispatcher.clone())),
+            Arc::new(Front::new(dispatcher.clone(), self.settings.has_accounts)),
             caller_limits,
         ));
         let readiness_limits = ListenerLimits {
