A missing record of an upstream that opens no connection proves no crash

Cause: took an upstream that opens no connection and is not listed for crashed.

Change: that proof is withdrawn.

--- a/components/dispatch/src/crash_watch.rs
+++ b/components/dispatch/src/crash_watch.rs
@@ -100,9 +100,8 @@
 /// Finds the requests, and the parts of prompts, that crash the upstreams which run them.
 ///
 /// A broken exchange may be a lost response, and a silent one may go on. So a crash counts
-/// only once the start of the upstream has provably ended: it refuses connections, another
-/// start has its address, or it opens no connection and is not listed any more. One that only
-/// opens none may stand still, or its link is cut. Each crash counts once, however many
+/// only once the start of the upstream has provably ended: it refuses connections, or another
+/// start has its address. One that opens none may stand still, or its link is cut. Each crash counts once, however many
 /// entries notice it.
 #[derive(Debug, Default)]
 pub struct CrashWatch {
@@ -149,9 +148,8 @@
         NextCheck::Connect
     }
 
-    /// Records that the start of an upstream has ended: it refused a connection, another one
-    /// has its address, or it is not listed any more and opens no connection. Returns whether
-    /// that shows a crash that was not known.
+    /// Records that the start of an upstream has ended: it refused a connection, or another
+    /// one has its address. Returns whether that shows a crash that was not known.
     pub fn record_start_ended(&mut self, start: StartId) -> bool {
         self.record_crash(start)
     }
--- a/components/gateway/src/crash_check.rs
+++ b/components/gateway/src/crash_check.rs
@@ -101,7 +101,7 @@
     /// Looks once whether the start of an upstream has ended. A connection that it accepts is
     /// kept for later requests.
     async fn check_once(&self, suspect: &Suspect, check: NextCheck, timed_out: bool) -> Finding {
-        let Target { id, addr } = &suspect.target;
+        let addr = &suspect.target.addr;
         let started_ms = suspect.started_ms;
         if check == NextCheck::AwaitStart {
             return match self.scheduler.has_later_start(*addr, started_ms) {
@@ -119,7 +119,6 @@
                 self.connections.put(connection, suspect.max_idle);
                 Finding::Accepts
             }
-            Err(_) if !self.scheduler.is_listed(id, started_ms) => Finding::Ended,
             Err(e) => {
                 log::debug!("gateway: {e}");
                 Finding::TimedOut
--- a/components/gateway/src/scheduler/crashes.rs
+++ b/components/gateway/src/scheduler/crashes.rs
@@ -71,12 +71,6 @@
         self.feed.view(|v| v.upstreams().any(is_later))
     }
 
-    /// Whether the start of an upstream is listed.
-    pub fn is_listed(&self, id: &str, started_ms: u64) -> bool {
-        let listed = self.feed.view(|v| v.upstream(id).map(|u| u.started_ms));
-        listed == Some(started_ms)
-    }
-
     /// Records that a request got a complete response.
     pub fn request_completed(&self, request: &CallerRequest, lease: &Lease<P>) {
         let mut state = self.lock();
