Never wait for the reader of standard error

Cause: log lines were written to standard error by the thread that serves the requests. Only decision lines had a queue.

Change: both outputs have a bounded queue and a thread (LineQueue). Lost lines are counted in turmerichold_log_lines_lost_total, and the next line that gets through is preceded by their number. Panics and the reason of an end take the same way.

--- a/components/telemetry/src/decisions.rs
+++ b/components/telemetry/src/decisions.rs
@@ -1,21 +1,18 @@
 use std::collections::HashMap;
 use std::io::Write;
-use std::sync::mpsc::{Sender, SyncSender, TrySendError, channel, sync_channel};
 use std::sync::{Mutex, OnceLock, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use serde_json::{Value, json};
 
-/// Most lines that wait for a slow reader of standard output.
-const QUEUE_LINES: usize = 2048;
+use crate::line_queue::LineQueue;
+
 /// Most lines of one kind per second about successes, which rarely explain a fault.
 const SUCCESSES_PER_SECOND: u32 = 10;
 /// Most lines of one kind per second about refusals and failures.
 const FAILURES_PER_SECOND: u32 = 60;
 /// Most lines of one kind per second about changes in the view of the system.
 const CHANGES_PER_SECOND: u32 = 200;
-/// Pause between attempts to flush while the queue is full.
-const FLUSH_RETRY: Duration = Duration::from_millis(1);
 
 /// Outcome of a decision, which sets the rate limit of its lines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -34,15 +31,8 @@
     left_out: u32,
 }
 
-/// What the writing thread does next.
-enum Task {
-    Write(String),
-    /// Signals that all lines before it are written.
-    Acknowledge(Sender<()>),
-}
-
 struct Writer {
-    tasks: SyncSender<Task>,
+    queue: LineQueue,
     windows: Mutex<HashMap<(&'static str, &'static str), RateWindow>>,
     vm: String,
 }
@@ -56,23 +46,15 @@
 }
 
 /// Writes decisions to `out`, as [`init_decisions`] does to standard output.
-pub fn init_decisions_to(vm: &str, mut out: impl Write + Send + 'static) -> std::io::Result<()> {
-    let (tasks, queue) = sync_channel::<Task>(QUEUE_LINES);
-    std::thread::Builder::new()
-        .name("decisions".to_owned())
-        .stack_size(64 << 10)
-        .spawn(move || {
-            while let Ok(task) = queue.recv() {
-                // If standard output is closed, there is nowhere to report it, and a flush
-                // that has given up waits for nothing.
-                match task {
-                    Task::Write(line) => drop(out.write_all(line.as_bytes())),
-                    Task::Acknowledge(written) => drop(written.send(())),
-                }
-            }
-        })?;
+pub fn init_decisions_to(vm: &str, out: impl Write + Send + 'static) -> std::io::Result<()> {
+    let queue = LineQueue::start("decisions", out, |lost| {
+        format!(
+            "{}\n",
+            json!({ "part": "log", "what": "lines lost", "lines": lost })
+        )
+    })?;
     let writer = Writer {
-        tasks,
+        queue,
         windows: Mutex::default(),
         vm: vm.to_owned(),
     };
@@ -84,22 +66,7 @@
 /// Waits until the lines written so far are on their way to the reader, for at most
 /// `limit`; false if they are not. To be called before the process ends.
 pub fn flush_decisions(limit: Duration) -> bool {
-    let Some(writer) = WRITER.get() else {
-        return true;
-    };
-    let end = Instant::now() + limit;
-    let (written, done) = channel();
-    let mut task = Task::Acknowledge(written);
-    loop {
-        match writer.tasks.try_send(task) {
-            Ok(()) => break,
-            Err(TrySendError::Full(unsent)) if Instant::now() < end => task = unsent,
-            Err(_) => return false,
-        }
-        std::thread::sleep(FLUSH_RETRY);
-    }
-    let left = end.saturating_duration_since(Instant::now());
-    done.recv_timeout(left).is_ok()
+    WRITER.get().is_none_or(|writer| writer.queue.flush(limit))
 }
 
 /// Writes a line about a decision of `part`, unless the rate limit of its kind, that
@@ -159,7 +126,5 @@
     }
     let mut text = line.to_string();
     text.push('\n');
-    if let Err(TrySendError::Full(_)) = writer.tasks.try_send(Task::Write(text)) {
-        metrics::counter!("turmerichold_log_lines_lost_total").increment(1);
-    }
+    writer.queue.write(text);
 }
--- a/components/telemetry/tests/decisions.rs
+++ b/components/telemetry/tests/decisions.rs
@@ -1,29 +1,14 @@
 //! Decision lines while the reader of the output is blocked, and at the end of a process.
 
-use std::io::{Result, Write};
-use std::sync::mpsc::{Receiver, Sender, channel};
+mod fixture;
+
+use std::sync::mpsc::channel;
 use std::time::Duration;
 
+use fixture::BlockedOutput;
 use serde_json::json;
 use telemetry::{Outcome, decision, flush_decisions, init_decisions_to};
 
-/// An output that blocks until the sender of its channel is dropped, and then passes on
-/// what is written.
-struct BlockedOutput(Receiver<()>, Sender<Vec<u8>>);
-
-impl Write for BlockedOutput {
-    fn write(&mut self, bytes: &[u8]) -> Result<usize> {
-        // Returns an error once the sender is dropped.
-        let _ = self.0.recv();
-        let _ = self.1.send(bytes.to_vec());
-        Ok(bytes.len())
-    }
-
-    fn flush(&mut self) -> Result<()> {
-        Ok(())
-    }
-}
-
 /// The last lines of a process were lost, as it ended before they were written.
 #[test]
 fn blocked_output_does_not_delay_decisions_and_last_lines_are_written() {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,6 +1,7 @@
 use std::ffi::OsString;
 use std::fmt;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use pico_args::Arguments;
 
@@ -10,6 +11,8 @@
 const EXIT_FAILED: u8 = 1;
 /// Exit code for wrong arguments.
 const EXIT_USAGE: u8 = 2;
+/// Time for the last log lines of a process to be written.
+const FLUSH_LIMIT: Duration = Duration::from_millis(200);
 
 const HELP: &str = "\
 turmerichold: distributes model weights to VMs and routes requests to upstreams
@@ -59,9 +62,12 @@
 /// Runs the command named by the arguments and returns its exit code.
 pub fn run(args: Vec<OsString>) -> ExitCode {
     match dispatch(Arguments::from_vec(args)) {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(()) => {
+            telemetry::flush_logs(FLUSH_LIMIT);
+            ExitCode::SUCCESS
+        }
         Err(e) => {
-            eprintln!("turmerichold: {e:#}");
+            telemetry::report_error(&format!("turmerichold: {e:#}"), FLUSH_LIMIT);
             ExitCode::from(match e.is::<UsageError>() {
                 true => EXIT_USAGE,
                 false => EXIT_FAILED,
