Switch engines in turn when a version is complete late

Cause: the window of orders ended 2.1 s before the bound at the latest for pieces that arrive late, since its start was clamped to its end: all 40 engines were ordered to load a version at the same moment when it was complete 1.1 s before its bound.

Change: the announcement and the closing margin shrink with the time that is left, to an eighth of it, before the spread of the orders drops below 1.2 s. Past the bound an engine switches at once. The loader wakes at its turn instead of up to 100 ms later. The loader of a bound too short for the first planned order starts earlier.

--- a/components/dispatch/src/switch_plan.rs
+++ b/components/dispatch/src/switch_plan.rs
@@ -11,6 +11,12 @@
 /// Time from the announcement of a switch to the order: about half of the requests
 /// in a batch end within it.
 const ANNOUNCE_TIME: Duration = Duration::from_millis(900);
+/// Shortest time over which the orders are spread while at least a little more is left: an
+/// engine is closed for 0.3 to 0.75 s, so about half of the engines go on serving.
+const LATE_SPREAD: Duration = Duration::from_millis(1200);
+/// Part of the time that is left, as a divisor, which the announcement and the closing margin
+/// keep in any case: orders take some tens of milliseconds.
+const RESERVED_PART: u32 = 8;
 /// An older version is skipped if a newer one is expected to leave at least this much time
 /// for announced switches before the older one's bound. All engines that skip it switch in
 /// that time.
@@ -42,11 +48,29 @@
     Wait,
 }
 
+/// Time in which the engines of a service are ordered to load a version.
+#[derive(Debug, Clone, Copy)]
+struct OrderWindow {
+    /// Time from the announcement of a switch to the order.
+    announced: Duration,
+    first: Moment,
+    last: Moment,
+}
+
+impl OrderWindow {
+    /// When the engine at `position` in the order of switches has its turn.
+    fn turn(&self, position: f64) -> Moment {
+        let spread = self.last.saturating_sub(self.first);
+        self.first + spread.mul_f64(position.clamp(0.0, 1.0))
+    }
+}
+
 /// Decides which declared version an engine loads and when.
 ///
 /// An engine that switches serves no requests for some seconds, so the engines of a
 /// service switch at different times, evenly spread from when they hold all pieces to the
-/// bound. Of two versions in quick succession the first is skipped if the second leaves
+/// bound. The less time is left, the shorter are the announcement and the margin before the
+/// bound; past the bound an engine serves nothing and switches at once. Of two versions in quick succession the first is skipped if the second leaves
 /// time to spread the switches, and loaded if it does not: engines that skip it all switch
 /// at the same moment otherwise.
 #[derive(Debug, Clone, Copy)]
@@ -97,20 +121,42 @@
         oldest: &'a VersionCandidate,
         newest: &'a VersionCandidate,
     ) -> (&'a VersionCandidate, Moment) {
-        let last = self.last_order(oldest);
-        let first = oldest.declared_at + FIRST_ORDER;
+        // If the oldest is still missing, the newest is loaded in its place.
+        let basis = if oldest.complete_since.is_some() {
+            oldest
+        } else {
+            newest
+        };
+        let window = self.window(oldest, basis.complete_since);
+        let turn = window.turn(self.position);
+        let announced = |c: &VersionCandidate| c.complete_since.map(|at| at + window.announced);
+        match announced(newest) {
+            Some(at) if at <= turn => (newest, turn),
+            _ => (basis, turn),
+        }
+    }
+
+    /// The time in which the engines are ordered to load `oldest` or a newer version in its
+    /// place, all pieces of which are held since `complete_since`.
+    fn window(&self, oldest: &VersionCandidate, complete_since: Option<Moment>) -> OrderWindow {
+        let bound = oldest.declared_at + self.bound;
+        let reserved = ANNOUNCE_TIME + LAST_ORDER;
+        // A calm start, unless the bound is too short for one.
+        let calm = (oldest.declared_at + FIRST_ORDER.saturating_sub(ANNOUNCE_TIME))
+            .min(bound.saturating_sub(reserved + LATE_SPREAD));
+        let from = complete_since.unwrap_or(bound).max(calm);
+        let left = bound.saturating_sub(from);
+        let kept = left
+            .saturating_sub(LATE_SPREAD)
+            .max(left / RESERVED_PART)
+            .min(reserved);
         // The switch is announced in advance, so that entries send long requests to
         // other engines.
-        let announced = |c: &VersionCandidate| c.complete_since.map(|at| at + ANNOUNCE_TIME);
-        let since = |c| announced(c).unwrap_or(last).max(first).min(last);
-        let turn = |start: Moment| start + (last - start).mul_f64(self.position.clamp(0.0, 1.0));
-        if oldest.complete_since.is_none() {
-            return (newest, turn(since(newest)));
-        }
-        let turn = turn(since(oldest));
-        match announced(newest) {
-            Some(at) if at <= turn.min(last) => (newest, turn),
-            _ => (oldest, turn),
+        let announced = kept.mul_f64(ANNOUNCE_TIME.div_duration_f64(reserved));
+        OrderWindow {
+            announced,
+            first: from + announced,
+            last: from + announced + left.saturating_sub(kept),
         }
     }
 
--- a/components/dispatch/tests/switch_plan.rs
+++ b/components/dispatch/tests/switch_plan.rs
@@ -133,6 +133,92 @@
     }
 }
 
+/// Moments after the declaration of version 2 at which 40 engines load it, which hold all its
+/// pieces `complete_ms` after the declaration; the bound is 10.3 s.
+fn late_orders(complete_ms: u64) -> Vec<u64> {
+    let mut late = candidate(2, 0, 1.0);
+    late.complete_since = Some(start() + ms(complete_ms));
+    let order = |engine: u32| {
+        let plan = SwitchPlan {
+            bound: ms(10_300),
+            position: (f64::from(engine) * 0.618_034).fract(),
+        };
+        let loads = |t: &u64| plan.next(start() + ms(*t), Some(1), &[late]) == SwitchStep::Load(2);
+        (complete_ms..12_000).find(loads).expect("an order")
+    };
+    (0..40).map(order).collect()
+}
+
+/// Most engines that are closed at once, each for 0.5 s from its order.
+fn most_closed(orders: &[u64]) -> usize {
+    let closed_at = |t: &u64| {
+        orders
+            .iter()
+            .filter(|at| (**at..**at + 500).contains(t))
+            .count()
+    };
+    orders.iter().map(closed_at).max().unwrap_or(0)
+}
+
+/// Measured release of 40 engines whose origin was unavailable for 6 s: version 2 was complete
+/// 1.1 s before its bound, and all engines were ordered to load it at the same moment.
+#[test]
+fn engines_switch_in_turn_when_pieces_are_complete_late() {
+    for (left_ms, limit) in [(1100, 22), (1500, 20), (2100, 20), (3300, 20)] {
+        let orders = late_orders(10_300 - left_ms);
+
+        let most = most_closed(&orders);
+
+        assert!(most <= limit, "{left_ms} ms left: {most} of 40 closed");
+        let in_time = orders.iter().all(|at| *at < 10_300);
+        assert!(in_time, "{left_ms} ms left: {orders:?}");
+    }
+}
+
+/// Pieces that arrive at or after the bound: the engines serve nothing meanwhile, and waiting
+/// for a turn would only close them for longer.
+#[test]
+fn engines_past_the_bound_switch_at_once() {
+    for complete_ms in [10_300, 11_000] {
+        let orders = late_orders(complete_ms);
+
+        assert!(orders.iter().all(|at| *at == complete_ms), "{orders:?}");
+    }
+}
+
+/// Pieces that arrive within 3 s leave the orders as they were: from 3.9 s after the declaration
+/// to 1.2 s before the bound.
+#[test]
+fn calm_release_keeps_its_announcement_and_its_margin() {
+    let mut orders = late_orders(3000);
+
+    orders.sort_unstable();
+
+    assert_eq!(orders.first(), Some(&3900));
+    assert!(*orders.last().unwrap() > 8900 && *orders.last().unwrap() <= 9100);
+}
+
+/// A bound that is too short for the usual times: all engines were ordered at once, or, had the
+/// first order waited for its usual moment, after the bound.
+#[test]
+fn short_bound_leaves_time_to_switch_in_turn() {
+    let mut declared = candidate(2, 0, 1.0);
+    declared.complete_since = Some(start() + ms(300));
+    let ordered = |position| {
+        let plan = SwitchPlan {
+            bound: secs(2),
+            position,
+        };
+        let loads =
+            |t: &u64| plan.next(start() + ms(*t), Some(1), &[declared]) == SwitchStep::Load(2);
+        (300..2000).find(loads)
+    };
+
+    let (first, last) = (ordered(0.0), ordered(0.999));
+
+    assert!(last >= first.map(|at| at + 1000), "{first:?} {last:?}");
+}
+
 /// The origin goes down between two versions.
 #[test]
 fn version_is_not_skipped_for_one_that_does_not_arrive() {
--- a/components/loader/src/agent.rs
+++ b/components/loader/src/agent.rs
@@ -178,6 +178,11 @@
         self.status().closes_at = closes_at;
     }
 
+    /// When the engine will be closed for a switch.
+    pub(crate) fn closes_at(&self) -> Option<Moment> {
+        self.status().closes_at
+    }
+
     /// Sends the entries a notice of what the engine holds and whether it accepts
     /// requests, if one is due.
     async fn notify_entries(&self) {
--- a/components/loader/src/switching.rs
+++ b/components/loader/src/switching.rs
@@ -20,6 +20,8 @@
 
 /// Longest interval between two steps.
 const STEP_INTERVAL: Duration = Duration::from_millis(100);
+/// Shortest pause between two steps of which the first failed.
+const MIN_STEP: Duration = Duration::from_millis(20);
 /// Time that the notice of a switch takes to reach the entries.
 const CLOSE_DELAY: Duration = Duration::from_millis(60);
 /// Longest age of the oldest check of a staged piece when an order is sent. A piece
@@ -59,7 +61,10 @@
                 let fields = json!({ "error": format!("{e:#}") });
                 decision("loader", "not loaded", Outcome::Failure, fields);
             }
-            with_timeout(STEP_INTERVAL, changed).await;
+            // Late in a release, turns are some tens of milliseconds apart.
+            let turn = self.closes_at().map(|at| at.saturating_sub(now()));
+            let pause = turn.map_or(STEP_INTERVAL, |t| t.clamp(MIN_STEP, STEP_INTERVAL));
+            with_timeout(pause, changed).await;
         }
     }
 
