Keep the queue at the origin short and fetch the older version first

Cause: 24 to 29 fetches were in flight at the origin, over a second of its link. Digests of the next version waited behind them, and a crash lost all of them. After an outage, the last pieces of a version and all of the next one came in turn.

Change: three importers a region instead of five, each with a fetch in flight (a single one has two). The origin is reserved for the version with the nearer bound while pieces of it are missing everywhere, as far as the process knows (dispatch::OriginOrder). The reservation ends when that version makes no progress for 1.2 s although the origin responds, after 10 s in any case, when the version is dropped, or when the bound of the later one has passed. The pause after a failure of the origin is 0.3 instead of 0.6 s, and ends when a piece arrives after a standstill.

--- a/components/dispatch/src/swarm.rs
+++ b/components/dispatch/src/swarm.rs
@@ -7,8 +7,10 @@
 
 use crate::PieceSet;
 
-/// Pause before another fetch from a holder or an origin that failed.
+/// Pause before another fetch from a holder that failed.
 const FAILED_PAUSE: Duration = Duration::from_millis(600);
+/// The same for the origin, which few processes ask: they notice its return sooner.
+const ORIGIN_PAUSE: Duration = Duration::from_millis(300);
 /// Pause before another fetch from a busy holder: about one piece on its link.
 const BUSY_PAUSE: Duration = Duration::from_millis(40);
 /// Time for which every listed agent is part of the import order; after it, only
@@ -23,14 +25,16 @@
 /// Time after which importers outside of a piece's first region fetch it from the
 /// origin.
 const FAR_ORIGIN_DELAY: Duration = Duration::from_millis(2600);
-/// Fetches from the origin that a region has in flight. The number is the same for
-/// every region, whether one entry or five agents import, and all of them together
-/// stay within the few dozen connections that an origin accepts.
-const ORIGIN_FETCHES: usize = 8;
-
-/// Most processes of a region that fetch pieces from outside of it. The origin
-/// accepts a few dozen connections in all.
-const MAX_IMPORTERS: usize = 5;
+/// Fetches from the origin that a region has in flight, one for each importer at least. The
+/// number is the same for every region, whether one entry or some agents import. A piece
+/// takes up to 44 ms on the origin's link and the round trip some milliseconds, so two keep it
+/// busy. With eight, digests of the next version waited behind a second of pieces, all of
+/// which were lost in a crash.
+const ORIGIN_FETCHES: usize = 2;
+
+/// Most processes of a region that fetch pieces from outside of it. Each has a fetch in flight
+/// at the origin: those of three regions take 0.4 s on a link on which a piece takes 44 ms.
+const MAX_IMPORTERS: usize = 3;
 /// Fetches that an entry serves over its wide link in the time in which an agent
 /// serves one.
 const ENTRY_FETCHES: usize = 4;
@@ -118,6 +122,8 @@
     paused_until: HashMap<SocketAddr, Moment>,
     /// Moment until which no fetch is sent to the origin.
     origin_paused_until: Moment,
+    /// The origin is asked for no piece, because an older version goes first.
+    origin_reserved: bool,
     started_at: Moment,
     /// Hashes of the names of processes and regions.
     hashes: HashMap<VmId, u64>,
@@ -147,6 +153,7 @@
             order,
             paused_until: HashMap::new(),
             origin_paused_until: Duration::ZERO,
+            origin_reserved: false,
             started_at: now,
             hashes: HashMap::new(),
             known_pieces: 0,
@@ -179,12 +186,29 @@
         }
         if now.saturating_sub(self.grown_at) > STANDSTILL {
             self.started_at = now;
+            // The piece shows that the origin responds again.
+            self.origin_paused_until = now;
         }
         self.known_pieces = known_pieces;
         self.grown_at = now;
     }
 
-    /// When the first pieces were fetched, or pieces arrived after a standstill.
+    /// Sets whether the origin is reserved for an older version. Once it is not, the takeover
+    /// times start again.
+    pub fn set_origin_reserved(&mut self, now: Moment, reserved: bool) {
+        if self.origin_reserved && !reserved {
+            self.started_at = now;
+        }
+        self.origin_reserved = reserved;
+    }
+
+    /// Number of pieces that this process or another one holds.
+    pub fn known_pieces(&self) -> usize {
+        self.known_pieces
+    }
+
+    /// When the first pieces were fetched, pieces arrived after a standstill, or the origin was
+    /// no longer reserved.
     pub fn started_at(&self) -> Moment {
         self.started_at
     }
@@ -253,13 +277,13 @@
     /// Records that a fetch failed; its source is avoided for a while.
     pub fn record_failure(&mut self, now: Moment, fetch: &PieceFetch, failure: FetchFailure) {
         self.fetching.remove(&fetch.piece);
-        let pause = match failure {
-            FetchFailure::Busy => BUSY_PAUSE,
-            FetchFailure::Failed => FAILED_PAUSE,
-        };
         match fetch.source {
-            PieceSource::Origin => self.origin_paused_until = now + pause,
+            PieceSource::Origin => self.origin_paused_until = now + ORIGIN_PAUSE,
             PieceSource::Holder(addr) => {
+                let pause = match failure {
+                    FetchFailure::Busy => BUSY_PAUSE,
+                    FetchFailure::Failed => FAILED_PAUSE,
+                };
                 self.paused_until.insert(addr, now + pause);
             }
         }
@@ -331,7 +355,8 @@
             .fetching
             .values()
             .filter(|s| **s == PieceSource::Origin);
-        let allowed = from_origin.count() < share && self.origin_paused_until <= now;
+        let allowed =
+            !self.origin_reserved && from_origin.count() < share && self.origin_paused_until <= now;
         let waited = now.saturating_sub(self.started_at);
         (allowed && (is_first || waited >= FAR_ORIGIN_DELAY)).then_some(PieceSource::Origin)
     }
--- a/components/dispatch/tests/swarm.rs
+++ b/components/dispatch/tests/swarm.rs
@@ -356,6 +356,26 @@
     }
 }
 
+/// Eight fetches of each region were in flight at an origin that takes 44 ms for a piece. The
+/// digests of the next version waited for a second, until the origin crashed. Required: less
+/// than half a second, and no more time until all hold all pieces.
+#[test]
+fn queue_at_the_origin_is_short_and_its_link_busy() {
+    for (agents, entries) in [(40, 12), (24, 0)] {
+        let mut fleet = Fleet::with_entries(agents, entries);
+        fleet.shared_link = true;
+
+        let took = fleet.run(secs(20)).expect("complete");
+
+        let queue = ms(44) * u32::try_from(fleet.most_at_origin).unwrap();
+        assert!(queue < ms(500), "{agents}, {entries}: {queue:?}");
+        assert!(fleet.from_origin <= PIECES * 3 / 2, "{}", fleet.from_origin);
+        // With eight fetches a region, 2.98 and 5.0 s.
+        let limit = if entries > 0 { ms(3200) } else { ms(5300) };
+        assert!(took < limit, "{agents}, {entries}: {took:?}");
+    }
+}
+
 #[test]
 fn lost_piece_is_fetched_again() {
     let mut swarm = Swarm::new(start(), "a".into(), "north".into(), false, 1);
--- a/components/pieces/src/downloader.rs
+++ b/components/pieces/src/downloader.rs
@@ -116,6 +116,8 @@
         let mut quorum = DigestQuorum::default();
         let mut search = DigestSearch::default();
         loop {
+            // Later versions wait for the pieces of this one, too.
+            peers.reserve_origin(target, 0);
             let (rank, count) = peers.rank(target);
             let announced = peers.count_announced(target);
             let round = search.next(rank, count, announced);
@@ -126,6 +128,7 @@
             let end = now() + round.pause.mul_f64(0.7 + 0.6 * fastrand::f64());
             while now() < end {
                 Timer::after(DIGESTS_CHECK_INTERVAL.min(end.saturating_sub(now()))).await;
+                peers.reserve_origin(target, 0);
                 if announced == 0 && peers.count_announced(target) > 0 {
                     break;
                 }
@@ -140,6 +143,9 @@
         let mut running = 0;
         loop {
             swarm.set_holders(now(), self.peers.holders(&self.target));
+            let known = swarm.known_pieces();
+            let reserved = self.peers.reserve_origin(&self.target, known);
+            swarm.set_origin_reserved(now(), reserved);
             let max = self.max_fetches(swarm);
             let mut step = SwarmStep::Wait;
             while running < max {
@@ -219,9 +225,7 @@
         let started = now();
         spawn(async move {
             let result = match fetching.source {
-                PieceSource::Origin => {
-                    fetch_from_origin(peers.platform.engines(), &target, fetching.piece).await
-                }
+                PieceSource::Origin => fetch_from_origin(&peers, &target, fetching.piece).await,
                 PieceSource::Holder(addr) => {
                     fetch_from_peer(&peers.pool, addr, &target, fetching.piece).await
                 }
@@ -263,15 +267,18 @@
     }
 }
 
-async fn fetch_from_origin<E: EngineApi>(
-    engines: &E,
+async fn fetch_from_origin<P: Platform>(
+    peers: &Peers<P>,
     target: &TargetVersion,
     piece: u32,
 ) -> Result<Bytes, FetchFailure> {
     let origin = target.origin.ok_or(FetchFailure::Failed)?;
-    let read = engines
+    let read = peers
+        .platform
+        .engines()
         .origin_piece(origin, &target.model, target.version, piece)
         .await;
+    peers.record_origin(&target.model, &read);
     read.map_err(|e| {
         log::info!("pieces: piece {piece} not fetched from the origin {origin}: {e}");
         FetchFailure::Failed
--- a/components/pieces/src/peers.rs
+++ b/components/pieces/src/peers.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use dispatch::{DigestRound, DigestSearch, Holder, PieceSet, Swarm};
+use dispatch::{DigestRound, DigestSearch, Holder, OriginOrder, PieceSet, Swarm};
 use domain::{
-    EngineApi, HeldModel, ModelId, Moment, NodeSettings, Platform, Upstream, WeightVersion, now,
+    EngineApi, EngineError, HeldModel, ModelId, Moment, NodeSettings, Platform, Upstream,
+    WeightVersion, now,
 };
 use event_listener::Event;
 use feed::{Feed, Member, Notice, NoticeSocket, PiecesNotice};
@@ -41,6 +42,8 @@
     notice_socket: Arc<NoticeSocket>,
     /// The last announcement of each peer for each version.
     announcements: Mutex<HashMap<(SocketAddr, WeightVersion), Announcement>>,
+    /// For each model, which version the origin is asked for.
+    origin_orders: Mutex<HashMap<ModelId, OriginOrder>>,
 }
 
 /// The pieces of a version that a peer holds, as it announced them.
@@ -71,6 +74,7 @@
             announced: Event::new(),
             notice_socket,
             announcements: Mutex::default(),
+            origin_orders: Mutex::default(),
         }
     }
 
@@ -173,6 +177,34 @@
             .await
     }
 
+    /// Records how many pieces of a version processes hold, and returns whether the origin is
+    /// reserved for an older one.
+    pub(crate) fn reserve_origin(&self, target: &TargetVersion, known: usize) -> bool {
+        let now = now();
+        let due = target.declared_at + self.node.bounds.weight_rollout;
+        let mut orders = self.origin_orders();
+        let order = orders.entry(target.model.clone()).or_default();
+        order.record_progress(now, target.version, known, target.pieces.count);
+        order.is_reserved(now, target.version, due)
+    }
+
+    /// Records whether the origin of a model responded to a request.
+    pub(crate) fn record_origin<T>(&self, model: &ModelId, result: &Result<T, EngineError>) {
+        let responded = match result {
+            Ok(_) | Err(EngineError::Refused { .. }) => true,
+            Err(EngineError::NotSent { .. } | EngineError::NoResponse { .. }) => false,
+        };
+        let mut orders = self.origin_orders();
+        let order = orders.entry(model.clone()).or_default();
+        order.record_response(now(), responded);
+    }
+
+    fn origin_orders(&self) -> MutexGuard<'_, HashMap<ModelId, OriginOrder>> {
+        self.origin_orders
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Rank of this process among those that get the digests of a version, and their number.
     pub(crate) fn rank(&self, target: &TargetVersion) -> (usize, usize) {
         // Entries come first, because agents get the pieces from them.
@@ -205,7 +237,9 @@
         let count = usize::try_from(target.pieces.count).unwrap_or(usize::MAX);
         if let Some(origin) = target.origin.filter(|_| round.from_origin) {
             let engines = self.platform.engines();
-            match engines.digests(origin, &target.model, target.version).await {
+            let read = engines.digests(origin, &target.model, target.version).await;
+            self.record_origin(&target.model, &read);
+            match read {
                 Ok(list) => {
                     self.cache
                         .store_origin_digests(&target.model, target.version, list.clone());
