Agree on digests in one round once the origin is back

Cause: a process trusts digests that two responses agree on, but read one list from the origin in a round and then paused for 0.4 to 0.8 s, as if the origin had not responded.

Change: a process that asks the origin reads until two lists agree, three at most. Its pause ends when the origin responds to another of its requests, for example with a piece of an older version. Who asks the origin, and how often while it is down, is as before.

--- a/components/dispatch/src/digest_search.rs
+++ b/components/dispatch/src/digest_search.rs
@@ -3,6 +3,10 @@
 /// Processes that read the digests of a version from the origin in each round, without
 /// waiting for peers.
 const ORIGIN_READERS: usize = 6;
+/// Lists that a process reads from the origin in one round, as long as it responds: two that
+/// agree, and one more in case that one is wrong. Read in separate rounds, the second came only
+/// after the long pause.
+const READS_PER_ROUND: usize = 3;
 /// Round from which others read them from the origin, too.
 const ORIGIN_ROUND: u32 = 6;
 /// Peers that a process asks in a round if any has announced that it has the digests.
@@ -17,6 +21,9 @@
 pub struct DigestRound {
     /// Whether it asks the origin.
     pub from_origin: bool,
+    /// Lists that it reads there at most, one after the other, until two agree or the origin
+    /// does not respond.
+    pub origin_reads: usize,
     /// Number of peers that it asks.
     pub peers: usize,
     /// Mean pause after the round, which ends early if a peer announces the digests.
@@ -41,6 +48,7 @@
     pub fn once(rank: usize) -> DigestRound {
         DigestRound {
             from_origin: is_origin_reader(rank),
+            origin_reads: READS_PER_ROUND,
             peers: PEERS_PER_ROUND,
             pause: SHORT_PAUSE,
         }
@@ -53,6 +61,7 @@
         self.round += 1;
         DigestRound {
             from_origin: is_origin_reader(rank) || is_in_turn(rank, count, round),
+            origin_reads: READS_PER_ROUND,
             peers: if announced > 0 { PEERS_PER_ROUND } else { 1 },
             pause: match announced > 0 || round < ORIGIN_ROUND {
                 true => SHORT_PAUSE,
--- a/components/dispatch/src/origin_order.rs
+++ b/components/dispatch/src/origin_order.rs
@@ -70,6 +70,11 @@
         };
     }
 
+    /// Since when each request of this process got a response; `None` if the last one did not.
+    pub fn responds_since(&self) -> Option<Moment> {
+        self.responds_since
+    }
+
     /// Whether the origin is reserved for an older version than `version`, whose bound ends at
     /// `due`. After that, no older version is of use.
     pub fn is_reserved(&self, now: Moment, version: WeightVersion, due: Moment) -> bool {
--- a/components/pieces/src/downloader.rs
+++ b/components/pieces/src/downloader.rs
@@ -125,11 +125,15 @@
             if let Some(agreed) = agreed {
                 return agreed;
             }
-            let end = now() + round.pause.mul_f64(0.7 + 0.6 * fastrand::f64());
+            let asked_at = now();
+            let end = asked_at + round.pause.mul_f64(0.7 + 0.6 * fastrand::f64());
             while now() < end {
                 Timer::after(DIGESTS_CHECK_INTERVAL.min(end.saturating_sub(now()))).await;
                 peers.reserve_origin(target, 0);
-                if announced == 0 && peers.count_announced(target) > 0 {
+                // A piece of another version may have arrived.
+                let returned =
+                    round.from_origin && peers.has_origin_returned(&target.model, asked_at);
+                if returned || announced == 0 && peers.count_announced(target) > 0 {
                     break;
                 }
             }
--- a/components/pieces/src/peers.rs
+++ b/components/pieces/src/peers.rs
@@ -199,6 +199,13 @@
         order.record_response(now(), responded);
     }
 
+    /// Whether the origin of a model has begun to respond since `since`.
+    pub(crate) fn has_origin_returned(&self, model: &ModelId, since: Moment) -> bool {
+        let orders = self.origin_orders();
+        let responds_since = orders.get(model).and_then(OriginOrder::responds_since);
+        responds_since.is_some_and(|at| at >= since)
+    }
+
     fn origin_orders(&self) -> MutexGuard<'_, HashMap<ModelId, OriginOrder>> {
         self.origin_orders
             .lock()
@@ -235,19 +242,17 @@
         round: DigestRound,
     ) -> Option<Digests> {
         let count = usize::try_from(target.pieces.count).unwrap_or(usize::MAX);
-        if let Some(origin) = target.origin.filter(|_| round.from_origin) {
-            let engines = self.platform.engines();
-            let read = engines.digests(origin, &target.model, target.version).await;
-            self.record_origin(&target.model, &read);
-            match read {
-                Ok(list) => {
-                    self.cache
-                        .store_origin_digests(&target.model, target.version, list.clone());
-                    if let Some(agreed) = quorum.vote_of_origin(list, count) {
-                        return Some(agreed);
-                    }
-                }
-                Err(e) => log::info!("pieces: no digests from the origin {origin}: {e}"),
+        let reads = if round.from_origin {
+            round.origin_reads
+        } else {
+            0
+        };
+        for _ in 0..reads {
+            let Some(list) = self.origin_digests(target).await else {
+                break;
+            };
+            if let Some(agreed) = quorum.vote_of_origin(list, count) {
+                return Some(agreed);
             }
         }
         let mut peers = self.holders(target);
@@ -276,6 +281,26 @@
         None
     }
 
+    /// One list of digests that the origin sends, which is kept for other processes.
+    async fn origin_digests(&self, target: &TargetVersion) -> Option<Digests> {
+        let (model, version) = (&target.model, target.version);
+        let origin = target.origin?;
+        let engines = self.platform.engines();
+        let read = engines.digests(origin, model, version).await;
+        self.record_origin(model, &read);
+        match read {
+            Ok(list) => {
+                self.cache
+                    .store_origin_digests(model, version, list.clone());
+                Some(list)
+            }
+            Err(e) => {
+                log::info!("pieces: no digests from the origin {origin}: {e}");
+                None
+            }
+        }
+    }
+
     fn announcements(&self) -> MutexGuard<'_, HashMap<(SocketAddr, WeightVersion), Announcement>> {
         self.announcements
             .lock()
