Show in logs and metrics why engines switch when they do

Cause: the log of a release named orders, but not whether an engine waited for pieces, for its turn or for a successor, nor which orders were late.

Change: SwitchPlan gives the reason of a step; the loader logs each change of it (switch planned) and counts switches by reason. Processes log when the origin is reserved for an older version.

The lines and metrics have not been seen in a running fleet.

--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -32,6 +32,7 @@
 mod service_scheduler;
 mod swarm;
 mod switch_plan;
+mod switch_reason;
 mod upstream_owners;
 mod upstream_pool;
 mod upstream_start;
@@ -69,6 +70,7 @@
 };
 pub use swarm::{FetchFailure, Holder, PieceFetch, PieceSource, Swarm, SwarmStep};
 pub use switch_plan::{SwitchPlan, SwitchStep, VersionCandidate};
+pub use switch_reason::SwitchReason;
 pub use upstream_owners::{EntryDemand, Ownership, UpstreamOwners};
 pub use upstream_pool::{Choice, Requirements, UpstreamPool};
 pub use upstream_start::{upstream_start, upstream_tag};
--- a/components/dispatch/src/switch_plan.rs
+++ b/components/dispatch/src/switch_plan.rs
@@ -2,6 +2,8 @@
 
 use domain::{Moment, WeightVersion};
 
+use crate::SwitchReason;
+
 /// Time before the bound on a version at which the last engine is ordered to load it:
 /// no request starts on older weights after the order.
 const LAST_ORDER: Duration = Duration::from_millis(1200);
@@ -53,6 +55,8 @@
 struct OrderWindow {
     /// Time from the announcement of a switch to the order.
     announced: Duration,
+    /// The announcement and the closing margin are shorter than usual.
+    is_short: bool,
     first: Moment,
     last: Moment,
 }
@@ -113,6 +117,39 @@
         SwitchStep::Load(chosen.version)
     }
 
+    /// Why [`SwitchPlan::next`] returned `step` for the same arguments.
+    pub fn reason(
+        &self,
+        now: Moment,
+        held: Option<WeightVersion>,
+        candidates: &[VersionCandidate],
+        step: SwitchStep,
+    ) -> SwitchReason {
+        let newer = |c: &&VersionCandidate| held.is_none_or(|h| c.version > h);
+        let mut newer = candidates.iter().filter(newer);
+        let is_complete = |c: &VersionCandidate| c.complete_since.is_some();
+        match step {
+            SwitchStep::Prepare(..) => SwitchReason::NotItsTurn,
+            SwitchStep::Wait if newer.any(is_complete) => SwitchReason::SuccessorNear,
+            SwitchStep::Wait => SwitchReason::PiecesMissing,
+            SwitchStep::Load(_) if held.is_none() => SwitchReason::NoWeights,
+            SwitchStep::Load(version) => match newer.next() {
+                Some(oldest) if now >= oldest.declared_at + self.bound => SwitchReason::PastBound,
+                Some(oldest) => {
+                    let loaded = candidates.iter().find(|c| c.version == version);
+                    let basis = oldest
+                        .complete_since
+                        .or(loaded.and_then(|c| c.complete_since));
+                    match self.window(oldest, basis).is_short {
+                        true => SwitchReason::InShortTurn,
+                        false => SwitchReason::InTurn,
+                    }
+                }
+                None => SwitchReason::InTurn,
+            },
+        }
+    }
+
     /// The version that the engine loads in its turn, and when that is: before the bound on
     /// `oldest`, the oldest version that it does not hold. `newest` is the newest of which it
     /// holds all pieces.
@@ -155,6 +192,7 @@
         let announced = kept.mul_f64(ANNOUNCE_TIME.div_duration_f64(reserved));
         OrderWindow {
             announced,
+            is_short: kept < reserved,
             first: from + announced,
             last: from + announced + left.saturating_sub(kept),
         }
--- a/components/dispatch/tests/switch_plan.rs
+++ b/components/dispatch/tests/switch_plan.rs
@@ -2,7 +2,7 @@
 
 mod fixture;
 
-use dispatch::{SwitchPlan, SwitchStep, VersionCandidate};
+use dispatch::{SwitchPlan, SwitchReason, SwitchStep, VersionCandidate};
 use fixture::{ms, secs, start};
 
 fn plan(position: f64) -> SwitchPlan {
@@ -246,3 +246,37 @@
 
     assert_eq!(step, SwitchStep::Wait);
 }
+
+/// From the log of a release it could not be told whether engines waited for pieces, for their
+/// turn or for a successor, nor which were ordered late.
+#[test]
+fn reason_tells_why_an_engine_is_held_back_or_ordered() {
+    let mut late = candidate(2, 0, 1.0);
+    late.complete_since = Some(start() + ms(7000));
+    let mut overdue = late;
+    overdue.complete_since = Some(start() + ms(8200));
+    let calm = candidate(2, 0, 1.0);
+    let near = candidate(3, 0, 0.99);
+    let cases = [
+        (
+            1000,
+            Some(1),
+            vec![candidate(2, 0, 0.5)],
+            SwitchReason::PiecesMissing,
+        ),
+        (1000, Some(1), vec![calm], SwitchReason::NotItsTurn),
+        (3000, Some(1), vec![calm, near], SwitchReason::SuccessorNear),
+        (100, None, vec![calm], SwitchReason::NoWeights),
+        (6000, Some(1), vec![calm], SwitchReason::InTurn),
+        (7900, Some(1), vec![late], SwitchReason::InShortTurn),
+        (8200, Some(1), vec![overdue], SwitchReason::PastBound),
+    ];
+    for (at, held, candidates, expected) in cases {
+        let now = start() + ms(at);
+        let step = plan(0.0).next(now, held, &candidates);
+
+        let reason = plan(0.0).reason(now, held, &candidates, step);
+
+        assert_eq!(reason, expected, "{at} ms: {step:?}");
+    }
+}
--- a/components/loader/src/agent.rs
+++ b/components/loader/src/agent.rs
@@ -2,7 +2,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use dispatch::{StartId, upstream_start, upstream_tag};
+use dispatch::{StartId, SwitchReason, upstream_start, upstream_tag};
 use domain::{
     AgentSettings, EngineApi, EngineError, EngineStatus, Moment, Platform, Upstream, UpstreamId,
     WeightVersion, now,
@@ -49,6 +49,8 @@
     switching: bool,
     /// When the engine will be closed for a switch.
     closes_at: Option<Moment>,
+    /// The last step of the plan for switches that was logged.
+    planned: Option<(SwitchReason, WeightVersion)>,
     /// The last notice, without its countdown, and when it was sent.
     last_notice: Option<(EngineNotice, Moment)>,
 }
@@ -170,6 +172,7 @@
     /// Marks the engine as closed for a switch or as open, and notifies the entries.
     pub async fn set_switching(&self, switching: bool) {
         self.status().switching = switching;
+        metrics::gauge!("turmerichold_engine_switching").set(f64::from(u8::from(switching)));
         self.notify_entries().await;
     }
 
@@ -178,6 +181,13 @@
         self.status().closes_at = closes_at;
     }
 
+    /// Records the step of the plan for a version, or that there is none; returns whether it is
+    /// another one than the last.
+    pub(crate) fn record_planned(&self, planned: Option<(SwitchReason, WeightVersion)>) -> bool {
+        let mut status = self.status();
+        std::mem::replace(&mut status.planned, planned) != planned
+    }
+
     /// When the engine will be closed for a switch.
     pub(crate) fn closes_at(&self) -> Option<Moment> {
         self.status().closes_at
--- a/components/loader/src/switching.rs
+++ b/components/loader/src/switching.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use anyhow::ensure;
-use dispatch::{SwitchPlan, SwitchStep, VersionCandidate};
+use dispatch::{SwitchPlan, SwitchReason, SwitchStep, VersionCandidate};
 use domain::{
     EngineApi, EngineError, EngineSession, EngineStatus, LoadOrder, Moment, Platform,
     WeightVersion, millis, now,
@@ -125,6 +125,7 @@
         }
         let Some(first) = targets.first() else {
             self.set_closes_at(None);
+            self.record_planned(None);
             self.share_loaded().await;
             return Ok(());
         };
@@ -137,7 +138,10 @@
             position: self.position(first),
         };
         let target = |v| targets.iter().find(|t| t.version == v);
-        let step = plan.next(now(), self.held(&first.model), &candidates);
+        let (moment, held) = (now(), self.held(&first.model));
+        let step = plan.next(moment, held, &candidates);
+        let reason = plan.reason(moment, held, &candidates, step);
+        self.log_step(moment, &plan, &candidates, step, reason);
         self.set_closes_at(match step {
             SwitchStep::Prepare(_, switch_at) => Some(switch_at),
             SwitchStep::Load(_) | SwitchStep::Wait => None,
@@ -152,12 +156,54 @@
                 _ => Ok(()),
             },
             SwitchStep::Load(version) => match target(version) {
-                Some(target) => self.switch(target).await,
+                Some(target) => {
+                    self.switch(target).await?;
+                    let reason = reason.name();
+                    metrics::counter!("turmerichold_switches_total", "reason" => reason)
+                        .increment(1);
+                    Ok(())
+                }
                 None => Ok(()),
             },
         }
     }
 
+    /// Logs a step of the plan that differs from the last one, and sets the gauges by which a
+    /// release is followed.
+    fn log_step(
+        &self,
+        now: Moment,
+        plan: &SwitchPlan,
+        candidates: &[VersionCandidate],
+        step: SwitchStep,
+        reason: SwitchReason,
+    ) {
+        let Some(oldest) = candidates.first() else {
+            return;
+        };
+        let (version, turn) = match step {
+            SwitchStep::Prepare(version, at) => (version, Some(at)),
+            SwitchStep::Load(version) => (version, None),
+            SwitchStep::Wait => (oldest.version, None),
+        };
+        let bound = oldest.declared_at + plan.bound;
+        let left = bound.as_secs_f64() - now.as_secs_f64();
+        metrics::gauge!("turmerichold_switch_time_left_seconds").set(left);
+        metrics::gauge!("turmerichold_pieces_held_ratio").set(oldest.fraction);
+        if !self.record_planned(Some((reason, version))) {
+            return;
+        }
+        let fields = json!({
+            "version": version,
+            "reason": reason.name(),
+            "position": plan.position,
+            "turn_in_ms": turn.map(|at| millis(at.saturating_sub(now))),
+            "left_s": left,
+            "pieces": candidates.iter().map(|c| (c.version, c.fraction)).collect::<Vec<_>>(),
+        });
+        decision("loader", "switch planned", Outcome::Change, fields);
+    }
+
     fn candidate(&self, target: &TargetVersion) -> VersionCandidate {
         let held = self.local.cache.held(&target.model, target.version).len();
         VersionCandidate {
--- a/components/pieces/src/downloader.rs
+++ b/components/pieces/src/downloader.rs
@@ -58,6 +58,8 @@
     last_notice: Option<(PieceSet, Moment)>,
     last_broadcast: Moment,
     stats: FetchStats,
+    /// An older version is fetched from the origin first.
+    is_reserved: bool,
 }
 
 impl<P: Platform> Downloader<P> {
@@ -69,6 +71,7 @@
             last_notice: None,
             last_broadcast: Duration::ZERO,
             stats: FetchStats::default(),
+            is_reserved: false,
         }
     }
 
@@ -149,6 +152,7 @@
             swarm.set_holders(now(), self.peers.holders(&self.target));
             let known = swarm.known_pieces();
             let reserved = self.peers.reserve_origin(&self.target, known);
+            self.record_reserved(reserved, known);
             swarm.set_origin_reserved(now(), reserved);
             let max = self.max_fetches(swarm);
             let mut step = SwarmStep::Wait;
@@ -189,6 +193,28 @@
         }
     }
 
+    /// Logs that the origin is now, or no longer, reserved for an older version while processes
+    /// hold `known` pieces of this one.
+    fn record_reserved(&mut self, reserved: bool, known: usize) {
+        if self.is_reserved == reserved {
+            return;
+        }
+        self.is_reserved = reserved;
+        let what = match reserved {
+            true => "origin reserved",
+            false => "origin free",
+        };
+        let fields = json!({
+            "model": self.target.model,
+            "version": self.target.version,
+            "known": known,
+        });
+        decision("pieces", what, Outcome::Change, fields);
+        if reserved {
+            metrics::counter!("turmerichold_origin_reserved_total").increment(1);
+        }
+    }
+
     fn max_fetches(&self, swarm: &Swarm) -> usize {
         match (self.peers.is_entry, swarm.has_entry_nearby()) {
             (true, _) => MAX_ENTRY_FETCHES,
--- a/components/pieces/src/peers.rs
+++ b/components/pieces/src/peers.rs
@@ -190,6 +190,12 @@
 
     /// Records whether the origin of a model responded to a request.
     pub(crate) fn record_origin<T>(&self, model: &ModelId, result: &Result<T, EngineError>) {
+        let outcome = match result {
+            Ok(_) => "ok",
+            Err(EngineError::Refused { .. }) => "refused",
+            Err(EngineError::NotSent { .. } | EngineError::NoResponse { .. }) => "no response",
+        };
+        metrics::counter!("turmerichold_origin_requests_total", "outcome" => outcome).increment(1);
         let responded = match result {
             Ok(_) | Err(EngineError::Refused { .. }) => true,
             Err(EngineError::NotSent { .. } | EngineError::NoResponse { .. }) => false,
