Fetch later versions after 0.6 s without progress of the older one

Cause: with 1.2 s, the link of the origin was idle for that long while the importers of the last pieces of a version had failed, whose takeover takes 1.5 s.

Change: 0.6 s, longer than the queue at the origin and a notice.

--- a/components/dispatch/src/origin_order.rs
+++ b/components/dispatch/src/origin_order.rs
@@ -4,9 +4,9 @@
 use domain::{Moment, WeightVersion};
 
 /// Time without a new piece of a version, while the origin responds, after which later
-/// versions are fetched beside it: the importers of all regions announce pieces to each other
-/// at least once a second.
-const PATIENCE: Duration = Duration::from_millis(1200);
+/// versions are fetched beside it. The pieces in the queue of the origin take 0.4 s and the
+/// notice of a piece 0.1 s; longer, and the link would be idle when importers have failed.
+const PATIENCE: Duration = Duration::from_millis(600);
 /// The same whether the origin responds or not, in case that it refuses pieces of the older
 /// version in a way that looks like an outage.
 const LONGEST_WAIT: Duration = Duration::from_secs(10);
--- a/components/dispatch/tests/origin_order.rs
+++ b/components/dispatch/tests/origin_order.rs
@@ -47,12 +47,15 @@
 fn version_without_progress_at_a_responding_origin_holds_up_no_other() {
     let mut order = OriginOrder::default();
     order.record_response(start(), true);
+    waiting(&mut order, 57, 500);
+    let at_first = order.is_reserved(start() + ms(500), 3, due());
     waiting(&mut order, 57, 1300);
 
     let reserved = order.is_reserved(start() + ms(1300), 3, due());
     order.record_progress(start() + ms(1310), 2, 58, PIECES);
     let grown = order.is_reserved(start() + ms(1310), 3, due());
 
+    assert!(at_first);
     assert!(!reserved);
     assert!(grown, "a new piece reserves the origin again");
 }
