Parse the pace that upstreams state

Upstreams may state how long work takes on their machine, as a fourth figure of the load header (percent) and as pace in the engine's report (1 = usual). Neither was read.

Both become a checked Pace.

--- a/components/domain/src/lib.rs
+++ b/components/domain/src/lib.rs
@@ -5,6 +5,7 @@
 mod ids;
 mod message_head;
 mod model_source;
+mod pace;
 mod platform;
 mod record_store;
 mod route;
@@ -18,6 +19,7 @@
 pub use ids::*;
 pub use message_head::{PromptPart, RequestHead, ResponseHead, StatedLimit, TokenCount};
 pub use model_source::ModelSource;
+pub use pace::{Pace, PaceError};
 pub use platform::{
     BadRecord, Dialect, EngineApi, EngineError, EngineSession, FleetRecord, ForwardParams,
     LoadOrder, Platform, RequestError, Target,
--- a/components/domain/src/message_head.rs
+++ b/components/domain/src/message_head.rs
@@ -2,7 +2,7 @@
 
 use compact_str::CompactString;
 
-use crate::{AttemptId, ModelId, UpstreamId};
+use crate::{AttemptId, ModelId, Pace, UpstreamId};
 
 /// Token counts of a generation request.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -72,6 +72,8 @@
     pub upstream: Option<UpstreamId>,
     /// Running and waiting requests at the upstream, if it reports them.
     pub load: Option<(u32, u32)>,
+    /// Pace of the upstream, if it states a readable one.
+    pub pace: Option<Pace>,
     /// The upstream closes the connection after this response.
     pub closing: bool,
     /// Idle time after which the upstream closes the connection, if it announces one.
--- a/components/domain/src/upstream.rs
+++ b/components/domain/src/upstream.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::{FailureDomainId, ModelId, ServiceId, UpstreamId, WeightVersion};
+use crate::{FailureDomainId, ModelId, Pace, ServiceId, UpstreamId, WeightVersion};
 
 /// Whether an upstream accepts requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -64,4 +64,6 @@
     pub started_ms: u64,
     /// It is about to end and accepts no further requests.
     pub leaving: bool,
+    /// Its pace, if it reports a readable one.
+    pub pace: Option<Pace>,
 }
