Send a slow engine less while it states to be slow

An engine that is 2.5 times slower for 600 ms was chosen like any other, and requests became late there.

PaceState keeps the newest statement of a start of an upstream. It scales the expected first token and generation time, adds a bounded penalty to the score and limits the slots in use (divided by the root of the slowdown, as requests stay longer there anyway).

--- a/components/dispatch/src/pooled_upstream.rs
+++ b/components/dispatch/src/pooled_upstream.rs
@@ -1,9 +1,9 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use domain::{GateStatus, HeldModel, Moment, SendGate, Upstream, UpstreamState};
+use domain::{GateStatus, HeldModel, Moment, Pace, SendGate, Upstream, UpstreamState};
 
-use crate::{LimitStatement, Ownership, RateLimit};
+use crate::{LimitStatement, Ownership, PaceState, RateLimit};
 
 /// Pause after a first failed exchange.
 const FIRST_PAUSE: Duration = Duration::from_millis(400);
@@ -20,6 +20,8 @@
 const NOTICE_LAG: Duration = Duration::from_millis(80);
 /// Fraction of an upstream's slots that is reserved for the entry that owns it.
 const OWNER_FRACTION: f64 = 0.25;
+/// Power of the slowdown by which the slots of a slow upstream are divided.
+const SLOT_EXPONENT: f64 = 0.5;
 /// Time after which the next entry may send to an upstream that has opened: about what an
 /// engine needs to prefill a prompt.
 const TURN_INTERVAL: Duration = Duration::from_millis(50);
@@ -73,6 +75,8 @@
     pub rate_limit: Option<RateLimit>,
     /// Whether it accepts requests, by its own statements.
     pub gate: SendGate,
+    /// Its pace, as this start of it stated.
+    pub pace: PaceState,
     /// When it last asked for a pause, in milliseconds of Unix time.
     pause_asked_ms: Option<u64>,
     /// When its agent last sent a notice.
@@ -106,6 +110,7 @@
             failure_rate: 0.0,
             rate_limit: None,
             gate: SendGate::default(),
+            pace: PaceState::default(),
             pause_asked_ms: None,
             noticed_at: None,
             paused_until: Duration::ZERO,
@@ -226,6 +231,26 @@
         }
     }
 
+    /// Records the pace that its start at `started_ms` stated; the statement of another
+    /// start is dropped.
+    pub fn record_pace(&mut self, now: Moment, started_ms: u64, pace: Pace) {
+        if started_ms == self.upstream.started_ms {
+            self.pace.record(now, pace);
+        }
+    }
+
+    /// Of `slots`, those that may be in use at its present pace; at least one, so that it
+    /// is not abandoned.
+    pub fn paced_slots(&self, now: Moment, slots: u32) -> u32 {
+        let slowdown = self.pace.slowdown(now);
+        if slowdown <= 1.0 {
+            return slots;
+        }
+        let paced = f64::from(slots) / slowdown.powf(SLOT_EXPONENT);
+        // Between 1 and `slots`, as the slowdown is at least 1.
+        (paced.ceil() as u32).clamp(1.min(slots), slots)
+    }
+
     /// Whether it is still warming up after its start.
     pub fn is_cold(&self, now: Moment) -> bool {
         now < self.cold_until
--- a/components/dispatch/src/upstream_pool.rs
+++ b/components/dispatch/src/upstream_pool.rs
@@ -20,9 +20,12 @@
 const FOREIGN_PENALTY: f64 = 0.1;
 /// Penalty for each second of expected time to first token.
 const LATENCY_PENALTY: f64 = 4.0;
-/// Prefill backlog, in tokens, up to which an upstream takes a request that is
+/// Largest penalty for the pace of an upstream. Without a bound, all entries would leave a
+/// slow engine at the same moment and come back to it at the same moment.
+const MAX_PACE_PENALTY: f64 = 0.3;
+/// Prefill backlog, in tokens at the usual pace, up to which an upstream takes a request that is
 /// already late.
-const LATE_PREFILL: u64 = 1500;
+const LATE_PREFILL: f64 = 1500.0;
 /// Penalty of an upstream whose exchanges all fail.
 const FAILURE_PENALTY: f64 = 2.0;
 /// Penalty of an upstream that is still warming up after its start.
@@ -326,20 +329,25 @@
         if !self.has_capacity(now, pooled, load) {
             return None;
         }
-        let first_token = self
-            .latency_model
-            .first_token(load.prefill_tokens, needs.prompt_tokens);
+        let slowdown = pooled.pace.slowdown(now);
+        let (backlog, prompt) = (load.prefill_tokens, needs.prompt_tokens);
+        let first_token = self.latency_model.first_token_at(slowdown, backlog, prompt);
         let in_time = match needs.due {
             Some(due) => now + first_token + needs.margin <= due,
             // A late request must not delay others.
-            None => load.prefill_tokens <= LATE_PREFILL,
+            None => load.prefill_tokens as f64 * slowdown <= LATE_PREFILL,
         };
         let stays_open = || {
-            let generation = self.latency_model.generation(needs.output_tokens);
+            let generation = self.latency_model.generation(slowdown, needs.output_tokens);
             pooled.stays_open_until(now, now + first_token + generation)
         };
         let usable = in_time && (pooled.closes_at.is_none() || stays_open());
-        usable.then(|| self.score(now, pooled, load, first_token))
+        usable.then(|| {
+            let usual = self.latency_model.first_token(backlog, prompt);
+            let delay = (first_token.saturating_sub(usual).as_secs_f64() * LATENCY_PENALTY)
+                .min(MAX_PACE_PENALTY);
+            self.score(now, pooled, load, usual) + delay
+        })
     }
 
     fn meets_needs(&self, pooled: &PooledUpstream, needs: &Requirements) -> bool {
@@ -353,6 +361,7 @@
     fn has_capacity(&self, now: Moment, pooled: &PooledUpstream, load: UpstreamLoad) -> bool {
         let slots = pooled.upstream.slots;
         let slots = self.connections.map_or(slots, |b| b.requests(slots));
+        let slots = pooled.paced_slots(now, slots);
         if load.requests >= pooled.capacity(slots) {
             return false;
         }
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -58,6 +58,7 @@
             match silence_limit(request.route.kind) {
                 Some(limit) => {
                     Timer::after(limit).await;
+                    Timer::after(self.scheduler.explained_delay(lease, limit)).await;
                     self.record_silence(request, lease, lease.leased_at);
                     is_silent = true;
                 }
--- a/components/gateway/src/scheduler/gates.rs
+++ b/components/gateway/src/scheduler/gates.rs
@@ -29,6 +29,16 @@
         if let Some(pause) = head.wanted_pause {
             self.record_pause(lease, pause);
         }
+        if let Some(pace) = head.pace {
+            self.with_upstream(lease, |u| u.record_pace(now(), lease.started_ms, pace));
+        }
+    }
+
+    /// Time beyond `limit` for which the leased upstream may be silent, as it stated to be
+    /// slow.
+    pub fn explained_delay(&self, lease: &Lease<P>, limit: Duration) -> Duration {
+        let delay = self.with_upstream(lease, |u| u.pace.explained_delay(lease.leased_at, limit));
+        delay.unwrap_or_default()
     }
 
     fn record_pause(&self, lease: &Lease<P>, pause: Duration) {
