Announce the pace of an engine to the gateways

A gateway sees the load header of an engine 0.4 times a second, and a slow stretch lasts 600 ms. The loader beside the engine reads its report every 150 ms.

EngineNotice has the pace. The loader sends a notice at once when the pace changed by 25 % of the usual time or more, and otherwise at the interval as before. Notices of older processes are read as before.

--- a/components/feed/src/notice.rs
+++ b/components/feed/src/notice.rs
@@ -22,6 +22,18 @@
     Pieces(PiecesNotice),
 }
 
+impl Notice {
+    /// The notice as a datagram.
+    pub fn encode(&self) -> Result<Vec<u8>, rmp_serde::encode::Error> {
+        match self {
+            // A reader ignores unknown fields of a map, but rejects an array with more
+            // elements than it knows.
+            Notice::Engine(_) => rmp_serde::to_vec_named(self),
+            _ => rmp_serde::to_vec(self),
+        }
+    }
+}
+
 /// Load and requests in flight of an entry.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct EntryNotice {
@@ -80,6 +92,10 @@
     pub switch_in_ms: Option<u32>,
     /// Model versions that it has loaded.
     pub held: Vec<(CompactString, u64)>,
+    /// Its pace in percent of the usual time, if it stated one. Older processes neither send
+    /// nor know it.
+    #[serde(default)]
+    pub pace: Option<u16>,
 }
 
 /// Pieces of a version that an agent holds.
--- a/components/feed/src/notice_socket.rs
+++ b/components/feed/src/notice_socket.rs
@@ -23,7 +23,7 @@
 
     /// Sends a notice to each address. Datagrams may be lost.
     pub async fn send(&self, notice: &Notice, to: &[SocketAddr]) {
-        let bytes = match rmp_serde::to_vec(notice) {
+        let bytes = match notice.encode() {
             Ok(bytes) => bytes,
             Err(e) => {
                 log::error!("feed: notice does not encode: {e}");
--- a/components/gateway/src/scheduler/notices.rs
+++ b/components/gateway/src/scheduler/notices.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use dispatch::{PooledUpstream, UpstreamLoad};
-use domain::{Platform, RegionId, ServiceId, now};
+use domain::{Pace, Platform, RegionId, ServiceId, now};
 use feed::{EngineNotice, EntryNotice, Member};
 use serde_json::json;
 use std::sync::Arc;
@@ -154,6 +154,9 @@
                     decision("desk", "engine", Outcome::Change, fields);
                 }
                 upstream.record_notice(now());
+                if let Some(pace) = notice.pace.and_then(|p| Pace::try_from(p).ok()) {
+                    upstream.record_pace(now(), notice.started_ms, pace);
+                }
                 let closes = notice.switch_in_ms.map(|m| Duration::from_millis(m.into()));
                 upstream.closes_at = closes.map(|c| now() + c);
                 let held = notice.held.iter().map(|(m, v)| domain::HeldModel {
--- a/components/loader/src/agent.rs
+++ b/components/loader/src/agent.rs
@@ -4,8 +4,8 @@
 
 use dispatch::{StartId, SwitchReason, upstream_start, upstream_tag};
 use domain::{
-    AgentSettings, EngineApi, EngineError, EngineStatus, Moment, Platform, Upstream, UpstreamId,
-    WeightVersion, now,
+    AgentSettings, EngineApi, EngineError, EngineStatus, Moment, Pace, Platform, Upstream,
+    UpstreamId, WeightVersion, now,
 };
 use feed::{EngineNotice, Feed, Notice, NoticeSocket};
 use pieces::Peers;
@@ -22,6 +22,10 @@
 /// The same while a switch to another version is announced.
 const CLOSING_NOTICE_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Change of the engine's pace, in percent of the usual time, of which the entries are told
+/// at once. Less changes their expected times by less than their margin.
+const PACE_CHANGE: u16 = 25;
+
 /// Watches the engine, informs the entries about it, and loads declared versions.
 pub struct Agent<P: Platform> {
     pub(crate) platform: P,
@@ -234,6 +238,7 @@
             switching: status.switching || report.busy,
             switch_in_ms: None,
             held: held.map(|h| (h.model.clone(), h.version)).collect(),
+            pace: report.pace.map(Pace::percent),
         };
         let now = now();
         let interval = match status.closes_at {
@@ -241,7 +246,7 @@
             None => NOTICE_INTERVAL,
         };
         let last = status.last_notice.as_ref();
-        if last.is_some_and(|(n, at)| *n == notice && now < *at + interval) {
+        if last.is_some_and(|(n, at)| is_known(n, &notice) && now < *at + interval) {
             return None;
         }
         status.last_notice = Some((notice.clone(), now));
@@ -267,3 +272,16 @@
         self.status.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Whether the entries know from the notice `last` what `notice` says, except for small
+/// changes of the pace.
+fn is_known(last: &EngineNotice, notice: &EngineNotice) -> bool {
+    let usual = Pace::USUAL.percent();
+    let paces = [last, notice].map(|n| n.pace.unwrap_or(usual));
+    let same_pace = paces[0].abs_diff(paces[1]) < PACE_CHANGE;
+    let without_pace = EngineNotice {
+        pace: last.pace,
+        ..notice.clone()
+    };
+    same_pace && *last == without_pace
+}
