Emulate engines that are slow for moments

Two patterns: 15 % of the engines are 2.5 times slower for 600 ms at a time, others in turn, at the base load and at 1.3 times of it. The entries learn of a change at the next read of the engine's report, every 150 ms. The policy ignore-pace is that of production without the figure.

--- a/components/emulator/src/emulation.rs
+++ b/components/emulator/src/emulation.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use dispatch::UpstreamLoad;
-use domain::{EngineSpec, Moment};
+use domain::{EngineSpec, Moment, Pace};
 use fastrand::Rng;
 
 use crate::kind::random_request;
@@ -39,6 +39,12 @@
 const LOAD_TIME: Duration = Duration::from_millis(300);
 /// Time from the announcement of a switch until the engine is closed, as in production.
 const SWITCH_NOTICE: Duration = Duration::from_millis(900);
+/// Length of a slow stretch of an engine.
+const SLOW_TIME: Duration = Duration::from_millis(600);
+/// Pace during a slow stretch, in percent of the usual time.
+const SLOW_PERCENT: u16 = 250;
+/// Interval between two reads of an engine's pace, as in production.
+const PACE_INTERVAL: Duration = Duration::from_millis(150);
 /// Number of accounts; account 0 sends the most requests, the last one the fewest.
 const ACCOUNTS: usize = 10;
 
@@ -69,6 +75,10 @@
     Notice(usize),
     /// A caller's timeout ends, or it cancels its request.
     GiveUp(u64),
+    /// The slow stretch of an engine ends, and that of another one begins.
+    SlowNext(Option<usize>),
+    /// The entries learn of the pace of an engine if it has changed since they last did.
+    ReadPace(usize, Pace),
     /// The state of an engine changes.
     Change(usize, EngineChange),
 }
@@ -158,6 +168,15 @@
 
     fn schedule_pattern(&mut self) {
         let engines = self.size.engines;
+        let slow = (engines as f64 * self.pattern.slow_share()).round() as usize;
+        for _ in 0..slow {
+            let offset = self.random_time(SLOW_TIME);
+            self.schedule(offset, Event::SlowNext(None));
+        }
+        for engine in 0..if slow > 0 { engines } else { 0 } {
+            let offset = self.random_time(PACE_INTERVAL);
+            self.schedule(offset, Event::ReadPace(engine, Pace::USUAL));
+        }
         match self.pattern {
             Pattern::Lost => {
                 for engine in (0..engines).step_by(3) {
@@ -196,6 +215,36 @@
         }
     }
 
+    fn random_time(&mut self, limit: Duration) -> Duration {
+        limit.mul_f64(self.rng.f64())
+    }
+
+    fn slow_next(&mut self, previous: Option<usize>) {
+        let Ok(slow) = Pace::try_from(SLOW_PERCENT) else {
+            return;
+        };
+        let usual = (0..self.size.engines).filter(|e| self.engines[*e].pace == Pace::USUAL);
+        let usual: Vec<usize> = usual.collect();
+        if let Some(previous) = previous {
+            self.engines[previous].pace = Pace::USUAL;
+        }
+        let next = usual.get(self.rng.usize(0..usual.len().max(1))).copied();
+        if let Some(next) = next {
+            self.engines[next].pace = slow;
+        }
+        self.schedule(SLOW_TIME, Event::SlowNext(next));
+    }
+
+    fn read_pace(&mut self, engine: usize, known: Pace) {
+        let pace = self.engines[engine].pace;
+        if pace != known {
+            for entry in &mut self.entries {
+                entry.record_pace(self.now, engine, pace);
+            }
+        }
+        self.schedule(PACE_INTERVAL, Event::ReadPace(engine, pace));
+    }
+
     fn add_engine(&mut self, engine: usize) {
         self.engines
             .push(Engine::new(self.spec.clone(), QUEUE_LIMIT));
@@ -252,6 +301,8 @@
             Event::CheckQueue(entry) => self.check_queue(entry),
             Event::Notice(entry) => self.send_notice(entry),
             Event::GiveUp(id) => self.give_up(id),
+            Event::SlowNext(previous) => self.slow_next(previous),
+            Event::ReadPace(engine, known) => self.read_pace(engine, known),
             Event::Change(engine, change) => self.change_engine(engine, change),
         }
     }
--- a/components/emulator/src/engine.rs
+++ b/components/emulator/src/engine.rs
@@ -1,7 +1,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use domain::{EngineSpec, Moment, PieceSpec};
+use domain::{EngineSpec, Moment, Pace, PieceSpec};
 
 /// Time that each decoding request adds to a step, from the published cost model.
 const STEP_PER_REQUEST: Duration = Duration::from_nanos(23_200);
@@ -61,6 +61,8 @@
     pass: Option<(Vec<u64>, Moment)>,
     /// Whether it refuses new requests, for example because it loads weights.
     pub closed: bool,
+    /// Pace at which it works.
+    pub pace: Pace,
     /// Number of times that a request was removed from the KV cache, to be prefilled
     /// again.
     pub preempted: u32,
@@ -76,6 +78,7 @@
             batch: Vec::new(),
             pass: None,
             closed: false,
+            pace: Pace::USUAL,
             preempted: 0,
         }
     }
@@ -149,7 +152,7 @@
                 + STEP_PER_1000_TOKENS.mul_f64(f64::from(context) / 1000.0);
             time += step * self.spec.stride;
         }
-        let end = now + time;
+        let end = now + time.mul_f64(self.pace.factor());
         self.pass = Some((ids, end));
         Some(end)
     }
--- a/components/emulator/src/main.rs
+++ b/components/emulator/src/main.rs
@@ -15,8 +15,9 @@
                 [--engines N] [--domains N] [--lines FILE] [--plot FILE]
 
   --patterns   steady, backlog, step, hot-account, impatient, leaving, lost, joining,
-               switch, domain-out, double, fivefold (all of them)
-  --policies   ours, no-objectives, first-come, round-robin, refuse-full (all of them)
+               switch, domain-out, double, fivefold, uneven, uneven-step (all of them)
+  --policies   ours, no-objectives, ignore-pace, first-come, round-robin,
+               refuse-full (all of them)
   --seeds      seeds of the runs, TO excluded (1..4)
   --entries    number of entries (3)
   --engines    number of engines (14)
--- a/components/emulator/src/pattern.rs
+++ b/components/emulator/src/pattern.rs
@@ -28,6 +28,10 @@
     Double,
     /// Five times the capacity of the engines, all the time.
     Fivefold,
+    /// The base load; 15 % of the engines are 2.5 times slower, others every 600 ms.
+    Uneven,
+    /// As `Uneven`; the load rises to 1.3 times the base load.
+    UnevenStep,
 }
 
 /// Time from the start of the load to the change that a pattern makes.
@@ -43,7 +47,7 @@
 
 impl Pattern {
     /// All patterns, in the order of reports.
-    pub const ALL: [Pattern; 12] = [
+    pub const ALL: [Pattern; 14] = [
         Pattern::Steady,
         Pattern::Backlog,
         Pattern::Step,
@@ -56,6 +60,8 @@
         Pattern::DomainOut,
         Pattern::Double,
         Pattern::Fivefold,
+        Pattern::Uneven,
+        Pattern::UnevenStep,
     ];
 
     /// Name on the command line and in reports.
@@ -73,6 +79,8 @@
             Pattern::DomainOut => "domain-out",
             Pattern::Double => "double",
             Pattern::Fivefold => "fivefold",
+            Pattern::Uneven => "uneven",
+            Pattern::UnevenStep => "uneven-step",
         }
     }
 
@@ -86,7 +94,7 @@
             Pattern::Step | Pattern::Impatient | Pattern::Leaving | Pattern::Joining if during => {
                 1.7
             }
-            Pattern::HotAccount | Pattern::Switch if during => 1.3,
+            Pattern::HotAccount | Pattern::Switch | Pattern::UnevenStep if during => 1.3,
             Pattern::Double => 2.0,
             Pattern::Fivefold => 5.0,
             _ => 1.0,
@@ -98,6 +106,14 @@
         matches!(self, Pattern::Double | Pattern::Fivefold)
     }
 
+    /// Share of the engines that are slow at any time, 0 to 1.
+    pub(crate) fn slow_share(self) -> f64 {
+        match self {
+            Pattern::Uneven | Pattern::UnevenStep => 0.15,
+            _ => 0.0,
+        }
+    }
+
     /// Share of the callers that retry often and at once, 0 to 1.
     pub(crate) fn impatient_share(self) -> f64 {
         if self == Pattern::Impatient { 0.4 } else { 0.0 }
--- a/components/emulator/src/policy.rs
+++ b/components/emulator/src/policy.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use dispatch::UpstreamLoad;
-use domain::{EngineSpec, Moment};
+use domain::{EngineSpec, Moment, Pace};
 
 use crate::{FirstCome, FleetSize, ProductionPolicy, RefuseFull, Request, RoundRobin};
 
@@ -57,6 +57,8 @@
     fn record_peer_loads(&mut self, from: usize, loads: &[(usize, UpstreamLoad)]);
     /// Records the new state of an engine.
     fn update_engine(&mut self, now: Moment, engine: usize, state: EngineState);
+    /// Records the pace that an engine stated.
+    fn record_pace(&mut self, _now: Moment, _engine: usize, _pace: Pace) {}
 }
 
 /// A policy that can be emulated.
@@ -67,6 +69,8 @@
     /// The same with a target latency as long as callers wait, so that every request
     /// counts as on time.
     NoObjectives,
+    /// The scheduler that runs in production, without the pace that engines state.
+    IgnorePace,
     /// An unlimited queue; the least loaded engine with a free slot.
     FirstCome,
     /// Each engine in turn, regardless of its load.
@@ -77,9 +81,10 @@
 
 impl PolicyName {
     /// All policies, in the order of reports.
-    pub const ALL: [PolicyName; 5] = [
+    pub const ALL: [PolicyName; 6] = [
         PolicyName::Production,
         PolicyName::NoObjectives,
+        PolicyName::IgnorePace,
         PolicyName::FirstCome,
         PolicyName::RoundRobin,
         PolicyName::RefuseFull,
@@ -90,6 +95,7 @@
         match self {
             PolicyName::Production => "ours",
             PolicyName::NoObjectives => "no-objectives",
+            PolicyName::IgnorePace => "ignore-pace",
             PolicyName::FirstCome => "first-come",
             PolicyName::RoundRobin => "round-robin",
             PolicyName::RefuseFull => "refuse-full",
@@ -104,10 +110,11 @@
     size: FleetSize,
     spec: &EngineSpec,
 ) -> Box<dyn Policy> {
-    let production = |use_targets| {
+    let production = |use_targets, use_pace| {
         let entries = u32::try_from(size.entries).unwrap_or(u32::MAX);
         let domain = entry % size.domains;
         let mut policy = ProductionPolicy::new(domain, entries, spec, use_targets);
+        policy.use_pace = use_pace;
         for engine in 0..size.engines + size.engines / 2 {
             let now = Duration::from_secs(1000);
             policy.add_engine(now, engine, engine % size.domains, spec.slots);
@@ -120,8 +127,9 @@
         Box::new(policy)
     };
     match policy {
-        PolicyName::Production => production(true),
-        PolicyName::NoObjectives => production(false),
+        PolicyName::Production => production(true, true),
+        PolicyName::NoObjectives => production(false, true),
+        PolicyName::IgnorePace => production(true, false),
         PolicyName::FirstCome => Box::new(FirstCome::new(spec.slots)),
         PolicyName::RoundRobin => Box::new(RoundRobin::new(spec.slots, entry * 3)),
         PolicyName::RefuseFull => Box::new(RefuseFull::new(spec.slots)),
--- a/components/emulator/src/production_policy.rs
+++ b/components/emulator/src/production_policy.rs
@@ -7,7 +7,7 @@
     PooledUpstream, QueueLimits, RequestQueue, Requirements, ServiceScheduler, UpstreamLoad,
     UpstreamOwners, UpstreamPool,
 };
-use domain::{EngineSpec, Moment, Upstream, UpstreamId, UpstreamState};
+use domain::{EngineSpec, Moment, Pace, Upstream, UpstreamId, UpstreamState};
 
 use crate::{Decision, EngineState, Policy, Request, kinds};
 
@@ -23,6 +23,8 @@
     /// Loads of the other entries.
     peer_loads: PeerLoads,
     use_targets: bool,
+    /// Whether it uses the pace that engines state.
+    pub use_pace: bool,
 }
 
 impl ProductionPolicy {
@@ -41,6 +43,7 @@
             first_attempts: FirstAttemptEstimator::default(),
             peer_loads: PeerLoads::default(),
             use_targets,
+            use_pace: true,
         }
     }
 
@@ -200,6 +203,13 @@
         }
     }
 
+    fn record_pace(&mut self, now: Moment, engine: usize, pace: Pace) {
+        let use_pace = self.use_pace;
+        if let Some(upstream) = self.upstream(engine).filter(|_| use_pace) {
+            upstream.record_pace(now, upstream.upstream.started_ms, pace);
+        }
+    }
+
     fn update_engine(&mut self, now: Moment, engine: usize, state: EngineState) {
         if let EngineState::Removed = state {
             self.scheduler.upstreams.remove(&upstream_id(engine));
--- a/components/emulator/tests/decisions.rs
+++ b/components/emulator/tests/decisions.rs
@@ -17,6 +17,13 @@
     domains: 5,
 };
 
+/// Fleet of the deployment whose engines become slow for moments.
+const UNEVEN_FLEET: FleetSize = FleetSize {
+    entries: 26,
+    engines: 58,
+    domains: 5,
+};
+
 /// Number of seeds over which a result is averaged: one run has too few requests of
 /// small groups.
 const SEEDS: u64 = 6;
@@ -98,6 +105,36 @@
     );
 }
 
+/// 15 % of the engines are 2.5 times slower for 600 ms at a time. Required: more value and
+/// fewer late responses than without the pace that the engines state.
+#[test]
+fn pace_of_uneven_engines_earns_more() {
+    let mean = |policy, value: fn(&Report) -> f64| {
+        let run = |s| Emulation::new(UNEVEN_FLEET, Pattern::Uneven, policy, s).run(|_| {});
+        (1..=4).map(|s| value(&run(s))).sum::<f64>() / 4.0
+    };
+    let both = |value| [PolicyName::Production, PolicyName::IgnorePace].map(|p| mean(p, value));
+
+    let worth = both(|r| r.worth);
+    let on_time = both(|r| r.on_time);
+
+    assert!(worth[0] > worth[1], "{worth:?}");
+    assert!(on_time[0] > on_time[1], "{on_time:?}");
+}
+
+/// The same while the load rises to 1.3 times the base load.
+#[test]
+fn pace_of_uneven_engines_earns_more_under_a_load_step() {
+    let mean = |policy| {
+        let run = |s| Emulation::new(FLEET, Pattern::UnevenStep, policy, s).run(|_| {});
+        (1..=SEEDS).map(|s| run(s).worth).sum::<f64>() / SEEDS as f64
+    };
+
+    let (used, ignored) = (mean(PolicyName::Production), mean(PolicyName::IgnorePace));
+
+    assert!(used > ignored, "{used} {ignored}");
+}
+
 #[test]
 fn immediate_retries_do_not_increase_overload() {
     let patient = run(Pattern::Step, PolicyName::Production);
--- a/components/emulator/tests/engine.rs
+++ b/components/emulator/tests/engine.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use domain::Pace;
 use emulator::{Engine, EngineEvent, engine_spec};
 
 fn run(engine: &mut Engine, from: Duration) -> (Duration, Vec<EngineEvent>) {
@@ -23,6 +24,18 @@
     assert_eq!(second_end.as_millis(), 100);
 }
 
+#[test]
+fn pass_takes_longer_at_a_slow_pace() {
+    let mut engine = Engine::new(engine_spec(), 24);
+    engine.enqueue(1, 2070, 5);
+    engine.pace = Pace::try_from(250_u16).unwrap();
+
+    let (first_end, _) = run(&mut engine, Duration::ZERO);
+    let (second_end, _) = run(&mut engine, first_end);
+
+    assert_eq!(second_end.as_millis(), 250);
+}
+
 #[test]
 fn full_engine_refuses_requests() {
     let mut engine = Engine::new(engine_spec(), 1);
