--- a/components/dispatch/tests/pace.rs
+++ b/components/dispatch/tests/pace.rs
@@ -3,7 +3,8 @@
 mod fixture;
 
 use dispatch::{
-    Choice, EntryDemand, LatencyModel, PaceState, UpstreamLoad, UpstreamOwners, UpstreamPool,
+    Choice, EntryDemand, LatencyModel, PaceState, PaceSummary, UpstreamLoad, UpstreamOwners,
+    UpstreamPool,
 };
 use domain::{Moment, Pace};
 use fixture::{engine, ms, needs, pool, secs, start, upstream};
@@ -134,6 +135,22 @@
     assert_eq!(stated(100).explained_delay(start(), expected), ms(0));
 }
 
+#[test]
+fn summary_counts_slow_upstreams() {
+    let mut pool = pool(&["u", "v", "w", "x"].map(|id| upstream(id, "a", Some(1))));
+    for (id, percent) in [("u", 250), ("v", 110), ("w", 140)] {
+        let pooled = pool.get_mut(id).unwrap();
+        pooled.record_pace(start(), 1, pace(percent));
+    }
+
+    let summary = PaceSummary::new(start(), pool.iter());
+    let empty = PaceSummary::new(start(), std::iter::empty());
+
+    assert_eq!((summary.listed, summary.slow), (4, 2));
+    assert_eq!((summary.slowest, summary.mean), (2.5, 1.5));
+    assert_eq!((empty.slow, empty.mean), (0, 1.0));
+}
+
 /// Entries of the deployment with uneven engines.
 const ENTRIES: usize = 26;
 const ENGINES: u32 = 58;
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -58,7 +58,11 @@
             match silence_limit(request.route.kind) {
                 Some(limit) => {
                     Timer::after(limit).await;
-                    Timer::after(self.scheduler.explained_delay(lease, limit)).await;
+                    let delay = self.scheduler.explained_delay(lease, limit);
+                    if !delay.is_zero() {
+                        metrics::counter!("turmerichold_delays_explained_total").increment(1);
+                        Timer::after(delay).await;
+                    }
                     self.record_silence(request, lease, lease.leased_at);
                     is_silent = true;
                 }
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -328,5 +328,8 @@
             let held = u32::try_from(dispatcher.body_buffers.held()).unwrap_or(u32::MAX);
             metrics::gauge!("turmerichold_held_bytes").set(held);
         }
+        if round % 640 == 0 {
+            scheduler.log_paces();
+        }
     }
 }
--- a/components/gateway/src/scheduler/report.rs
+++ b/components/gateway/src/scheduler/report.rs
@@ -1,6 +1,9 @@
 use std::time::Duration;
 
+use dispatch::PaceSummary;
 use domain::{Platform, WeightVersion, now};
+use serde_json::json;
+use telemetry::{Outcome, decision};
 use transport::Pool;
 
 use super::Scheduler;
@@ -58,6 +61,21 @@
         }
     }
 
+    /// Logs the pace of the upstreams of services with slow ones.
+    pub fn log_paces(&self) {
+        let state = self.lock();
+        for (name, service) in &state.services {
+            let paces = PaceSummary::new(now(), service.scheduler.upstreams.iter());
+            if paces.slow > 0 {
+                let fields = json!({
+                    "service": name, "slow": paces.slow, "listed": paces.listed,
+                    "slowest": paces.slowest, "mean": paces.mean,
+                });
+                decision("desk", "slow upstreams", Outcome::Change, fields);
+            }
+        }
+    }
+
     /// Updates the gauges of upstreams, connections, requests and peers.
     pub fn publish_metrics(&self, connections: &Pool) {
         let state = self.lock();
@@ -68,6 +86,7 @@
                 .iter()
                 .filter(|u| u.is_open(now()))
                 .count();
+            let paces = PaceSummary::new(now(), service.scheduler.upstreams.iter());
             let own: u32 = service
                 .scheduler
                 .upstreams
@@ -77,6 +96,9 @@
             let gauge =
                 |metric: &'static str| metrics::gauge!(metric, "service" => name.to_string());
             gauge("turmerichold_upstreams_open").set(open as f64);
+            gauge("turmerichold_upstreams_slow").set(paces.slow);
+            gauge("turmerichold_slowest_pace").set(paces.slowest);
+            gauge("turmerichold_mean_pace").set(paces.mean);
             gauge("turmerichold_requests_in_flight").set(own);
             gauge("turmerichold_requests_waiting").set(service.scheduler.queue.len() as f64);
             let upstreams = service.scheduler.upstreams.iter();
