--- a/components/emulator/src/emulation.rs
+++ b/components/emulator/src/emulation.rs
@@ -282,7 +282,7 @@
                 progress(fraction);
             }
         }
-        let mut report = Report::new(&self.finished, LOAD_DURATION);
+        let mut report = Report::new(&self.finished, LOAD_DURATION, self.pattern.kinds());
         report.preempted = self.engines.iter().map(|e| e.preempted).sum();
         report.pattern = self.pattern.name();
         report
@@ -326,7 +326,13 @@
             false => (self.rng.f64().powi(2) * ACCOUNTS as f64) as usize,
         };
         self.last_number += 1;
-        let mut request = random_request(&mut self.rng, self.last_number, self.now, account);
+        let mut request = random_request(
+            &mut self.rng,
+            self.last_number,
+            self.now,
+            account,
+            (self.pattern.kinds().start, self.pattern.rates(at)),
+        );
         request.impatient = self.rng.f64() < self.pattern.impatient_share();
         let cancels = self.rng.f64() < self.pattern.cancelling_share();
         request.cancel_after = cancels.then_some(CANCEL_AFTER);
--- a/components/emulator/src/kind.rs
+++ b/components/emulator/src/kind.rs
@@ -1,3 +1,4 @@
+use std::ops::Range;
 use std::time::Duration;
 
 use domain::Moment;
@@ -10,7 +11,9 @@
 pub struct Kind {
     /// Name.
     pub name: &'static str,
-    /// Share of all requests, 0 to 1.
+    /// Priority, 0 first.
+    pub priority: u8,
+    /// Share of all requests of its pattern, 0 to 1.
     pub share: f64,
     /// Mean tokens in a prompt.
     pub mean_prompt: f64,
@@ -33,32 +36,50 @@
 /// Largest token count, relative to the mean.
 const MAX_FACTOR: f64 = 3.0;
 
-/// The kinds of requests that model engines serve.
-pub fn kinds() -> [Kind; 3] {
-    let kind = |name, share, mean_prompt, mean_output, target_latency, value| Kind {
-        name,
-        share,
-        mean_prompt,
-        mean_output,
-        target_latency: Duration::from_millis(target_latency),
-        value,
-    };
+/// Indices of the kinds of one priority, which most patterns use.
+pub(crate) const EQUAL_KINDS: Range<usize> = 0..3;
+/// Indices of the kinds of priorities 0, 1 and 2.
+pub(crate) const RANKED_KINDS: Range<usize> = 3..6;
+
+/// The kinds of requests that model engines serve: three of equal priority, then three of
+/// priorities 0, 1 and 2.
+pub fn kinds() -> [Kind; 6] {
+    let kind =
+        |name, priority, share, mean_prompt, mean_output, target_latency, value: (f64, f64)| Kind {
+            name,
+            priority,
+            share,
+            mean_prompt,
+            mean_output,
+            target_latency: Duration::from_millis(target_latency),
+            value,
+        };
     [
-        kind("draft", 0.406, 1330.0, 104.0, 500, (2.4, 0.6)),
-        kind("summary", 0.308, 827.0, 104.0, 400, (2.0, 0.5)),
-        kind("note", 0.286, 647.0, 70.0, 400, (1.5, 0.37)),
+        kind("draft", 1, 0.406, 1330.0, 104.0, 500, (2.4, 0.6)),
+        kind("summary", 1, 0.308, 827.0, 104.0, 400, (2.0, 0.5)),
+        kind("note", 1, 0.286, 647.0, 70.0, 400, (1.5, 0.37)),
+        kind("first", 0, 0.426, 827.0, 104.0, 400, (3.2, 0.8)),
+        kind("second", 1, 0.235, 647.0, 70.0, 400, (1.3, 0.33)),
+        kind("third", 2, 0.339, 1330.0, 104.0, 1000, (1.0, 0.25)),
     ]
 }
 
-/// A random request of `account` that arrives at `now`.
-pub fn random_request(rng: &mut Rng, id: u64, now: Moment, account: usize) -> Request {
+/// A random request of `account` that arrives at `now`; `rates` are those of the kinds of its
+/// pattern, which begin at index `first`.
+pub fn random_request(
+    rng: &mut Rng,
+    id: u64,
+    now: Moment,
+    account: usize,
+    (first, rates): (usize, [f64; 3]),
+) -> Request {
     let kinds = kinds();
-    let mut remaining = rng.f64();
-    let found = kinds.iter().position(|k| {
-        remaining -= k.share;
+    let mut remaining = rng.f64() * rates.iter().sum::<f64>();
+    let found = rates.iter().position(|rate| {
+        remaining -= rate;
         remaining <= 0.0
     });
-    let kind = found.unwrap_or(kinds.len() - 1);
+    let kind = first + found.unwrap_or(rates.len() - 1);
     let tokens = |mean: f64, factor: f64| (mean * factor.min(MAX_FACTOR)).max(4.0) as u32;
     let prompt = tokens(kinds[kind].mean_prompt, random_factor(rng, SIZE_SPREAD));
     let output = tokens(kinds[kind].mean_output, random_factor(rng, SIZE_SPREAD));
--- a/components/emulator/src/pattern.rs
+++ b/components/emulator/src/pattern.rs
@@ -1,5 +1,8 @@
+use std::ops::Range;
 use std::time::Duration;
 
+use crate::kind::{EQUAL_KINDS, RANKED_KINDS, kinds};
+
 /// A load on the fleet, or a change of its engines under load.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Pattern {
@@ -32,6 +35,9 @@
     Uneven,
     /// As `Uneven`; the load rises to 1.3 times the base load.
     UnevenStep,
+    /// Kinds of priorities 0, 1 and 2 in a shortage: the first sends 2.6 times its base load,
+    /// then the second twice its own.
+    Ranked,
 }
 
 /// Time from the start of the load to the change that a pattern makes.
@@ -45,9 +51,14 @@
 /// Time within which a backlog arrives.
 const BACKLOG_TIME: Duration = Duration::from_millis(300);
 
+/// Load of the kind of priority 0 in the first half of a shortage, relative to its base load.
+const FIRST_SURGE: f64 = 2.6;
+/// Load of the kind of priority 1 in the second half.
+const SECOND_SURGE: f64 = 2.0;
+
 impl Pattern {
     /// All patterns, in the order of reports.
-    pub const ALL: [Pattern; 14] = [
+    pub const ALL: [Pattern; 15] = [
         Pattern::Steady,
         Pattern::Backlog,
         Pattern::Step,
@@ -62,6 +73,7 @@
         Pattern::Fivefold,
         Pattern::Uneven,
         Pattern::UnevenStep,
+        Pattern::Ranked,
     ];
 
     /// Name on the command line and in reports.
@@ -81,6 +93,7 @@
             Pattern::Fivefold => "fivefold",
             Pattern::Uneven => "uneven",
             Pattern::UnevenStep => "uneven-step",
+            Pattern::Ranked => "ranked",
         }
     }
 
@@ -97,13 +110,38 @@
             Pattern::HotAccount | Pattern::Switch | Pattern::UnevenStep if during => 1.3,
             Pattern::Double => 2.0,
             Pattern::Fivefold => 5.0,
+            Pattern::Ranked => self.rates(at).iter().sum(),
             _ => 1.0,
         }
     }
 
+    /// Indices of the kinds of its requests.
+    pub(crate) fn kinds(self) -> Range<usize> {
+        match self {
+            Pattern::Ranked => RANKED_KINDS,
+            _ => EQUAL_KINDS,
+        }
+    }
+
+    /// Rates of its kinds at a time after the start, relative to the base load of all.
+    pub(crate) fn rates(self, at: Duration) -> [f64; 3] {
+        let kinds = kinds();
+        let [first, second, third] = std::array::from_fn(|k| kinds[self.kinds().start + k].share);
+        let middle = EVENT_START + (EVENT_END - EVENT_START) / 2;
+        match self {
+            Pattern::Ranked if at >= EVENT_START && at < middle => {
+                [first * FIRST_SURGE, second, third]
+            }
+            Pattern::Ranked if at >= middle && at < EVENT_END => {
+                [first, second * SECOND_SURGE, third]
+            }
+            _ => [first, second, third],
+        }
+    }
+
     /// Whether the base load is the capacity of the engines, instead of a calm day's load.
     pub(crate) fn scales_capacity(self) -> bool {
-        matches!(self, Pattern::Double | Pattern::Fivefold)
+        matches!(self, Pattern::Double | Pattern::Fivefold | Pattern::Ranked)
     }
 
     /// Share of the engines that are slow at any time, 0 to 1.
--- a/components/emulator/src/production_policy.rs
+++ b/components/emulator/src/production_policy.rs
@@ -121,7 +121,7 @@
         };
         let incoming = IncomingRequest {
             id: request.id,
-            priority: 1,
+            priority: kind.priority,
             first_attempt: first,
             target_latency: target,
             deadline: request.deadline,
--- a/components/emulator/src/report.rs
+++ b/components/emulator/src/report.rs
@@ -1,7 +1,9 @@
+use std::ops::Range;
 use std::time::Duration;
 
 use serde::Serialize;
 
+use crate::pattern::{EVENT_END, EVENT_START};
 use crate::{Request, kinds};
 
 /// How a request ended for its caller, after all attempts.
@@ -63,13 +65,17 @@
     pub small_account: f64,
     /// Share on time of the largest tenth of each kind, relative to `on_time`.
     pub largest: [f64; 3],
+    /// Earned value as a share of the value of each kind during the change of the pattern.
+    pub kind_worth: [f64; 3],
+    /// Share of each kind with a response on time during the change of the pattern.
+    pub kind_on_time: [f64; 3],
     /// Number of times that an engine preempted a request.
     pub preempted: u32,
 }
 
 impl Report {
-    /// Results of `calls`, which arrived within `length`.
-    pub(crate) fn new(calls: &[FinishedCall], length: Duration) -> Self {
+    /// Results of `calls` of `kinds`, which arrived within `length`.
+    pub(crate) fn new(calls: &[FinishedCall], length: Duration, kinds: Range<usize>) -> Self {
         let counted: Vec<&FinishedCall> = calls
             .iter()
             .filter(|c| c.outcome != CallOutcome::Cancelled)
@@ -92,7 +98,15 @@
             group.truncate(group.len() / 10);
             group
         };
-        let all = 0..kinds().len();
+        let first = kinds.start;
+        let during = |k: usize| -> Vec<&FinishedCall> {
+            let start = counted.iter().map(|c| c.request.first_attempt).min();
+            let start = start.unwrap_or_default();
+            let event = start + EVENT_START..start + EVENT_END;
+            let of_kind = of_kind(k).into_iter();
+            let inside = of_kind.filter(|c| event.contains(&c.request.first_attempt));
+            inside.collect()
+        };
         let worst = |shares: Vec<f64>| shares.into_iter().fold(f64::INFINITY, f64::min);
         Report {
             requests: counted.len(),
@@ -107,9 +121,12 @@
             goodput: on_time * counted.len() as f64 / length.as_secs_f64(),
             start_p50_ms: quantile(&latencies, 0.5),
             start_p99_ms: quantile(&latencies, 0.99),
-            worst_kind: worst(all.map(|k| relative(of_kind(k))).collect()),
+            worst_kind: worst(kinds.map(|k| relative(of_kind(k))).collect()),
             small_account: relative(smallest_account(&counted)),
-            largest: [0, 1, 2].map(|k| relative(largest(k))),
+            largest: [0, 1, 2].map(|k| relative(largest(first + k))),
+            kind_worth: [0, 1, 2].map(|k| worth(&during(first + k))),
+            kind_on_time: [0, 1, 2]
+                .map(|k| share(&during(first + k), |c| c.outcome == CallOutcome::OnTime)),
             ..Report::default()
         }
     }
--- a/components/emulator/tests/decisions.rs
+++ b/components/emulator/tests/decisions.rs
@@ -196,6 +196,30 @@
     assert!(largest.iter().all(|share| *share >= 0.8), "{largest:?}");
 }
 
+/// Fleet of the workload with priorities.
+const RANKED_FLEET: FleetSize = FleetSize {
+    entries: 12,
+    engines: 40,
+    domains: 5,
+};
+
+/// In a shortage the kind of priority 0 earned less of its value than that of priority 2, as
+/// requests with long targets were started before those with short ones, and their prompts
+/// then left no engine on which those could be on time.
+#[test]
+fn higher_priority_earns_less_than_lower_one_in_a_shortage() {
+    let run = |seed| Emulation::new(RANKED_FLEET, Pattern::Ranked, PolicyName::Production, seed);
+    let reports: Vec<Report> = (1..=3).map(|seed| run(seed).run(|_| {})).collect();
+
+    let worths = [0, 1, 2].map(|k| reports.iter().map(|r| r.kind_worth[k]).sum::<f64>() / 3.0);
+
+    println!(
+        "{worths:?} {:?}",
+        reports.iter().map(|r| r.worth).collect::<Vec<_>>()
+    );
+    assert!(worths[0] > worths[1] && worths[1] > worths[2], "{worths:?}");
+}
+
 #[test]
 fn equal_seeds_give_equal_reports() {
     let first = run(Pattern::Step, PolicyName::Production);
