Keep room for higher priorities that lose requests

Cause: in a shortage a request near its latest start was passed over while any other had time to spare, also one of a lower priority, or one that could not use the free slot, which then stayed idle. And requests with long targets started behind deep backlogs of prompts, which left no engine on which those with short targets could be on time.

Change: a request near its latest start is passed over only for others of its rank; a restricted one counts only where it fits a free slot. While a priority loses requests that could have been on time, lower ones start only where a typical request of it is still on time after them (`PriorityReserve`), and do not hold back new requests of a higher priority.

--- a/components/dispatch/src/request_queue.rs
+++ b/components/dispatch/src/request_queue.rs
@@ -29,6 +29,8 @@
     pub id: u64,
     /// Priority, 0 first.
     pub priority: u8,
+    /// Rank among priorities: its own, or a higher one of which it gets a share.
+    pub rank: u8,
     /// Latest moment at which it may still be started.
     pub start_by: Moment,
     /// Whether its response can still be on time.
@@ -55,7 +57,7 @@
 ///
 /// In a burst, more requests arrive than upstreams can start. A request that cannot
 /// be started by its latest moment is refused at once. Requests that can be on time
-/// go first, then by priority, then those whose response has begun, then by latest start.
+/// go first, then by rank among priorities, then those whose response has begun, then by latest start.
 #[derive(Debug)]
 pub struct RequestQueue {
     limits: QueueLimits,
@@ -191,6 +193,6 @@
 }
 
 fn goes_before(a: &QueuedRequest, b: &QueuedRequest) -> bool {
-    let rank = |w: &QueuedRequest| (!w.on_time, w.priority, !w.begun, w.start_by);
+    let rank = |w: &QueuedRequest| (!w.on_time, w.rank, !w.begun, w.start_by);
     rank(a) <= rank(b)
 }
--- a/components/dispatch/src/service_scheduler.rs
+++ b/components/dispatch/src/service_scheduler.rs
@@ -4,7 +4,8 @@
 
 use crate::request_queue::spread_retry;
 use crate::{
-    Acceptance, Choice, EnqueueResult, QueuedRequest, RequestQueue, Requirements, UpstreamPool,
+    Acceptance, Choice, EnqueueResult, PriorityReserve, QueuedRequest, RequestQueue, Requirements,
+    UpstreamPool,
 };
 
 /// Longest wait of a late request, one that can no longer be on time.
@@ -18,8 +19,8 @@
 /// Time after the loss of a request that could have been on time in which free
 /// slots are kept for other such requests: some engine frees a slot within it.
 const SHORTAGE_TIME: Duration = Duration::from_millis(250);
-/// Largest time to spare that a request must have to be started in a shortage, if others have
-/// it: those that start at their latest moment are often late after all.
+/// Largest time to spare that a request must have to be started in a shortage, if others of its
+/// priority have it: those that start at their latest moment are often late after all.
 const MAX_SLACK: Duration = Duration::from_millis(50);
 /// Restricted requests, such as those with home regions, that one pass over the
 /// queue skips. A request that any upstream could serve is never overtaken: a small
@@ -72,9 +73,10 @@
 ///
 /// Under overload, requests that can still be on time are assigned before late ones,
 /// and a request that would expire in the queue is refused at once. While requests that
-/// could be on time are refused, late ones are not assigned at all, and those with time to
-/// spare go before those at their latest start: throughput stays the same and more
-/// responses are on time.
+/// could be on time are refused, late ones are not assigned at all, those of the same priority
+/// with time to spare go before those at their latest start, and lower priorities leave room
+/// for the higher ones that are refused: throughput stays the same and more responses are on
+/// time.
 #[derive(Debug)]
 pub struct ServiceScheduler {
     /// The upstreams.
@@ -84,6 +86,8 @@
     /// When a request that could have been on time, and had not begun, was last refused or
     /// expired.
     shortage: Option<Moment>,
+    /// What lower priorities leave to the higher ones.
+    reserve: PriorityReserve,
 }
 
 impl ServiceScheduler {
@@ -93,6 +97,7 @@
             upstreams,
             queue,
             shortage: None,
+            reserve: PriorityReserve::default(),
         }
     }
 
@@ -120,11 +125,20 @@
         let start_by = due.saturating_sub(best_case);
         let on_time = start_by > now;
         needs.due = on_time.then_some(due);
+        let rank = match on_time {
+            true => {
+                let reserve = &mut self.reserve;
+                reserve.record_arrival(now, priority, &needs, target_latency)
+            }
+            false => priority,
+        };
+        needs.reserved = self.reserve.reserved(now, rank, latency);
         let served = on_time || !self.has_shortage(now);
-        if served && self.is_next(now, on_time, &evacuated) {
+        if served && self.is_next(now, on_time, rank, &evacuated) {
             match self.upstreams.choose(now, &needs, &evacuated) {
                 Choice::Send(upstream) => {
                     self.queue.record_start(now);
+                    self.count_start(now, priority, on_time);
                     return Placement::Assigned(self.assign(now, id, upstream, needs));
                 }
                 Choice::NoMatch => {
@@ -146,6 +160,7 @@
         let queued = QueuedRequest {
             id,
             priority,
+            rank,
             start_by,
             on_time,
             begun,
@@ -154,7 +169,9 @@
         match self.queue.enqueue(now, queued) {
             EnqueueResult::Queued => Placement::Queued,
             EnqueueResult::Refused { retry_after } => {
-                self.record_shortage(now, on_time && !begun);
+                if on_time && !begun {
+                    self.record_loss(now, priority);
+                }
                 Placement::Refused(retry_after)
             }
         }
@@ -172,20 +189,24 @@
         let mut assigned = Vec::new();
         let (mut index, mut skipped) = (0, 0);
         let shortage = self.has_shortage(now);
-        let has_time = |w: &QueuedRequest| w.on_time && !is_rushed(now, w);
-        let others_have_time = shortage && self.queue.iter().any(has_time);
         while skipped < MAX_SKIPPED {
             let Some(queued) = self.queue.get_mut(index) else {
                 break;
             };
             queued.needs.raise_version(&in_force);
+            let latency = self.upstreams.latency_model();
+            queued.needs.reserved = self.reserve.reserved(now, queued.rank, latency);
             if !queued.on_time && shortage {
                 break;
             }
-            if others_have_time && is_rushed(now, queued) {
+            let rushed = shortage && is_rushed(now, queued);
+            if rushed && self.has_successor(now, index, &in_force, &evacuated) {
                 index += 1;
                 continue;
             }
+            let Some(queued) = self.queue.get_mut(index) else {
+                break;
+            };
             let Choice::Send(id) = self.upstreams.choose(now, &queued.needs, &evacuated) else {
                 if !queued.needs.is_restricted() {
                     break;
@@ -197,6 +218,7 @@
             let Some(queued) = self.queue.take(now, index) else {
                 break;
             };
+            self.count_start(now, queued.priority, queued.on_time);
             assigned.push(self.assign(now, queued.id, id, queued.needs));
         }
         assigned
@@ -261,25 +283,75 @@
     /// Removes the requests that waited for too long; returns their ids.
     pub fn expire(&mut self, now: Moment) -> Vec<u64> {
         let expired = self.queue.expire(now);
-        let lost = expired.iter().any(|w| w.on_time && !w.begun);
-        self.record_shortage(now, lost);
+        for lost in expired.iter().filter(|w| w.on_time && !w.begun) {
+            self.record_loss(now, lost.priority);
+        }
         expired.into_iter().map(|w| w.id).collect()
     }
 
+    /// Whether a request that has time waits after the one at `index`, has its rank and may use
+    /// the free slots. One that any upstream could serve counts even if it fits none now: a
+    /// small prompt would take the slot for which a large one waits.
+    fn has_successor(
+        &mut self,
+        now: Moment,
+        index: usize,
+        in_force: impl Fn(&str) -> Option<WeightVersion>,
+        evacuated: impl Fn(&str) -> bool,
+    ) -> bool {
+        let rank = self.queue.iter().nth(index).map(|w| w.rank);
+        let mut examined = 0;
+        for successor in self.queue.iter_mut().skip(index + 1) {
+            if Some(successor.rank) != rank || !successor.on_time || examined == MAX_SKIPPED {
+                return false;
+            }
+            if is_rushed(now, successor) {
+                continue;
+            }
+            let needs = &mut successor.needs;
+            if !needs.is_restricted() {
+                return true;
+            }
+            needs.raise_version(&in_force);
+            needs.reserved =
+                self.reserve
+                    .reserved(now, successor.rank, self.upstreams.latency_model());
+            if let Choice::Send(_) = self.upstreams.choose(now, needs, &evacuated) {
+                return true;
+            }
+            examined += 1;
+        }
+        false
+    }
+
     /// Whether a new request may take a free slot: each one that waits is late and the new one
-    /// is not, or it has begun and fits no upstream now.
-    fn is_next(&self, now: Moment, on_time: bool, evacuated: impl Fn(&str) -> bool) -> bool {
+    /// is not, or has begun and fits no upstream now, or leaves room for higher priorities.
+    fn is_next(
+        &self,
+        now: Moment,
+        on_time: bool,
+        rank: u8,
+        evacuated: impl Fn(&str) -> bool,
+    ) -> bool {
         let waits_elsewhere = |needs| {
             let choice = self.upstreams.choose(now, needs, &evacuated);
             !matches!(choice, Choice::Send(_))
         };
-        let mut before = self.queue.iter().filter(|w| w.on_time || !on_time);
+        let leaves_room = |w: &QueuedRequest| rank < w.rank && self.reserve.is_active(now, w.rank);
+        let waiting = self.queue.iter().filter(|w| w.on_time || !on_time);
+        let mut before = waiting.filter(|w| !leaves_room(w));
         before.clone().all(|w| w.begun) && before.all(|w| waits_elsewhere(&w.needs))
     }
 
-    fn record_shortage(&mut self, now: Moment, lost: bool) {
-        if lost {
-            self.shortage = Some(now);
+    /// Records the loss of a request that could have been on time.
+    fn record_loss(&mut self, now: Moment, priority: u8) {
+        self.shortage = Some(now);
+        self.reserve.record_loss(now, priority);
+    }
+
+    fn count_start(&mut self, now: Moment, priority: u8, on_time: bool) {
+        if on_time {
+            self.reserve.record_start(now, priority);
         }
     }
 
--- a/components/dispatch/src/upstream_pool.rs
+++ b/components/dispatch/src/upstream_pool.rs
@@ -7,8 +7,8 @@
 };
 
 use crate::{
-    Acceptance, ConnectionBudget, LatencyModel, Ownership, PooledUpstream, UpstreamLoad,
-    UpstreamOwners, WindowBudget,
+    Acceptance, ConnectionBudget, LatencyModel, Ownership, PooledUpstream, ReservedRequest,
+    UpstreamLoad, UpstreamOwners, WindowBudget,
 };
 
 /// Penalty of an upstream in another region, as a fraction of its slots. Links
@@ -59,6 +59,8 @@
     pub due: Option<Moment>,
     /// Time to spare between the expected first event and that moment.
     pub margin: Duration,
+    /// Request of a higher priority that must still be on time behind it.
+    pub reserved: Option<ReservedRequest>,
 }
 
 impl Requirements {
@@ -341,7 +343,11 @@
             let generation = self.latency_model.generation(slowdown, needs.output_tokens);
             pooled.stays_open_until(now, now + first_token + generation)
         };
-        let usable = in_time && (pooled.closes_at.is_none() || stays_open());
+        let leaves_room = needs.reserved.is_none_or(|reserved| {
+            let backlog = backlog + u64::from(prompt);
+            reserved.fits_behind(&self.latency_model, slowdown, backlog)
+        });
+        let usable = in_time && leaves_room && (pooled.closes_at.is_none() || stays_open());
         usable.then(|| {
             let usual = self.latency_model.first_token(backlog, prompt);
             let delay = (first_token.saturating_sub(usual).as_secs_f64() * LATENCY_PENALTY)
--- a/components/dispatch/tests/priority_reserve.rs
+++ b/components/dispatch/tests/priority_reserve.rs
@@ -46,7 +46,7 @@
         upstream.own.requests = 16;
     }
     scheduler.submit(start(), incoming(1, start(), priority), |_| false);
-    assert_eq!(scheduler.expire(start() + ms(390)), [1]);
+    assert_eq!(scheduler.expire(start() + ms(990)), [1]);
     for upstream in scheduler.upstreams.iter_mut() {
         upstream.own.requests = 0;
     }
@@ -148,7 +148,7 @@
 #[test]
 fn lower_priority_leaves_no_engine_for_a_higher_one_that_was_lost() {
     let mut scheduler = scheduler_after_loss(0);
-    let now = start() + ms(400);
+    let now = start() + secs(1);
     for id in 10..20 {
         scheduler.submit(now, incoming(id, now, 2), |_| false);
     }
@@ -167,3 +167,39 @@
     println!("{shares:?}");
     assert!(shares[0] > shares[1] && shares[1] > shares[2], "{shares:?}");
 }
+
+/// Kept room while nothing was lost, so that requests waited beside free slots.
+#[test]
+fn room_is_kept_for_a_priority_that_loses_nothing() {
+    let now = start() + secs(1);
+    let assigned = |mut scheduler: ServiceScheduler| {
+        let placements = (10..30).map(|id| scheduler.submit(now, incoming(id, now, 2), |_| false));
+        let assigned = placements.filter(|p| matches!(p, Placement::Assigned(_)));
+        assigned.count()
+    };
+
+    let [without_loss, own_loss, higher_loss] = [
+        assigned(scheduler()),
+        assigned(scheduler_after_loss(2)),
+        assigned(scheduler_after_loss(0)),
+    ];
+
+    assert_eq!(own_loss, without_loss);
+    assert!(higher_loss < without_loss, "{higher_loss} {without_loss}");
+}
+
+/// Lower priorities got nothing where the highest one alone sends more than the engines can
+/// start. Required: a quarter of the share of all.
+#[test]
+fn lower_priorities_starve_beside_a_higher_one() {
+    for rates in [[60, 6, 9], [150, 20, 20]] {
+        let shares = on_time_shares(rates);
+
+        let rates = rates.map(|rate| rate as f64);
+        let on_time: f64 = shares.iter().zip(rates).map(|(s, r)| s * r).sum();
+        let all = on_time / rates.iter().sum::<f64>();
+        println!("{shares:?} {all}");
+        assert!(shares.iter().all(|s| *s >= all / 4.0), "{shares:?} {all}");
+        assert!(shares[0] >= shares[1].max(shares[2]), "{shares:?}");
+    }
+}
--- a/components/dispatch/tests/request_queue.rs
+++ b/components/dispatch/tests/request_queue.rs
@@ -14,6 +14,7 @@
     QueuedRequest {
         id,
         priority: 1,
+        rank: 1,
         start_by,
         on_time: true,
         begun: false,
@@ -44,7 +45,7 @@
     let now = start();
     queue.enqueue(now, request(1, now + ms(100)));
     let urgent = QueuedRequest {
-        priority: 0,
+        rank: 0,
         ..request(2, now + ms(300))
     };
     queue.enqueue(now, urgent);
@@ -60,7 +61,7 @@
     let mut queue = queue();
     let now = start();
     let urgent = QueuedRequest {
-        priority: 0,
+        rank: 0,
         ..request(1, now + ms(900))
     };
     let begun = |id, start_by| QueuedRequest {
--- a/components/emulator/src/main.rs
+++ b/components/emulator/src/main.rs
@@ -15,7 +15,7 @@
                 [--engines N] [--domains N] [--lines FILE] [--plot FILE]
 
   --patterns   steady, backlog, step, hot-account, impatient, leaving, lost, joining,
-               switch, domain-out, double, fivefold, uneven, uneven-step (all of them)
+               switch, domain-out, double, fivefold, uneven, uneven-step, ranked (all of them)
   --policies   ours, no-objectives, ignore-pace, first-come, round-robin,
                refuse-full (all of them)
   --seeds      seeds of the runs, TO excluded (1..4)
