--- a/components/dispatch/src/priority_reserve.rs
+++ b/components/dispatch/src/priority_reserve.rs
@@ -56,6 +56,8 @@
     /// Moment to which they are weighted.
     counted_at: Moment,
     typical: ReservedRequest,
+    /// Number lost, and when the last one was.
+    lost: u64,
     lost_at: Option<Moment>,
 }
 
@@ -89,6 +91,8 @@
 pub struct PriorityReserve {
     /// At most one for each priority, in their order.
     uses: Vec<PriorityUse>,
+    /// Number of requests that did not start at once to leave room.
+    held: u64,
 }
 
 impl PriorityReserve {
@@ -113,6 +117,7 @@
                     started: 0.0,
                     counted_at: now,
                     typical: request,
+                    lost: 0,
                     lost_at: None,
                 };
                 self.uses.insert(index, first);
@@ -138,10 +143,32 @@
     /// Records that a request that could have been on time was refused or has expired.
     pub fn record_loss(&mut self, now: Moment, priority: u8) {
         if let Some(lost) = self.find(priority) {
+            lost.lost += 1;
             lost.lost_at = Some(now);
         }
     }
 
+    /// Records that a request did not start at an upstream to leave room there.
+    pub fn record_held(&mut self) {
+        self.held += 1;
+    }
+
+    /// Number of requests that did not start at once to leave room.
+    pub fn held(&self) -> u64 {
+        self.held
+    }
+
+    /// Number of requests of each priority that could have been on time and were lost.
+    pub fn losses(&self) -> impl Iterator<Item = (u8, u64)> {
+        self.uses.iter().map(|u| (u.priority, u.lost))
+    }
+
+    /// The highest priority that is losing requests.
+    pub fn losing(&self, now: Moment) -> Option<u8> {
+        let losing = self.uses.iter().find(|u| u.is_losing(now));
+        losing.map(|u| u.priority)
+    }
+
     /// The request for which those of rank `rank` leave room: of the higher priorities that
     /// are losing requests, that with the least time to spare.
     pub fn reserved(
--- a/components/dispatch/src/request_queue.rs
+++ b/components/dispatch/src/request_queue.rs
@@ -37,6 +37,8 @@
     pub on_time: bool,
     /// Whether its response has begun.
     pub begun: bool,
+    /// Whether it has been counted as held back for a higher priority.
+    pub held: bool,
     /// What it requires of an upstream.
     pub needs: Requirements,
 }
--- a/components/dispatch/src/service_scheduler.rs
+++ b/components/dispatch/src/service_scheduler.rs
@@ -134,6 +134,7 @@
         };
         needs.reserved = self.reserve.reserved(now, rank, latency);
         let served = on_time || !self.has_shortage(now);
+        let mut held = false;
         if served && self.is_next(now, on_time, rank, &evacuated) {
             match self.upstreams.choose(now, &needs, &evacuated) {
                 Choice::Send(upstream) => {
@@ -145,9 +146,12 @@
                     let wait = self.no_match_retry(now, &needs, &evacuated);
                     return Placement::Refused(wait);
                 }
-                Choice::Full => {}
+                Choice::Full => held = is_held(&self.upstreams, now, &needs, &evacuated),
             }
         }
+        if held {
+            self.reserve.record_held();
+        }
         let time_left = deadline.saturating_sub(now);
         let start_by = match on_time {
             true => start_by,
@@ -164,6 +168,7 @@
             start_by,
             on_time,
             begun,
+            held,
             needs,
         };
         match self.queue.enqueue(now, queued) {
@@ -208,6 +213,10 @@
                 break;
             };
             let Choice::Send(id) = self.upstreams.choose(now, &queued.needs, &evacuated) else {
+                if !queued.held && is_held(&self.upstreams, now, &queued.needs, &evacuated) {
+                    queued.held = true;
+                    self.reserve.record_held();
+                }
                 if !queued.needs.is_restricted() {
                     break;
                 }
@@ -343,6 +352,11 @@
         before.clone().all(|w| w.begun) && before.all(|w| waits_elsewhere(&w.needs))
     }
 
+    /// What lower priorities leave to the higher ones.
+    pub fn reserve(&self) -> &PriorityReserve {
+        &self.reserve
+    }
+
     /// Records the loss of a request that could have been on time.
     fn record_loss(&mut self, now: Moment, priority: u8) {
         self.shortage = Some(now);
@@ -378,6 +392,21 @@
     }
 }
 
+/// Whether a request that can't start would, if it left no room for a higher priority.
+fn is_held(
+    upstreams: &UpstreamPool,
+    now: Moment,
+    needs: &Requirements,
+    evacuated: impl Fn(&str) -> bool,
+) -> bool {
+    let unreserved = || Requirements {
+        reserved: None,
+        ..needs.clone()
+    };
+    let would_start = || upstreams.choose(now, &unreserved(), evacuated);
+    needs.reserved.is_some() && matches!(would_start(), Choice::Send(_))
+}
+
 /// Whether a waiting request is so close to its latest start that it may be late after all.
 /// Large prompts, which never have much time to spare, need less.
 fn is_rushed(now: Moment, queued: &QueuedRequest) -> bool {
--- a/components/dispatch/tests/priority_reserve.rs
+++ b/components/dispatch/tests/priority_reserve.rs
@@ -155,7 +155,10 @@
 
     let placement = scheduler.submit(now, incoming(30, now, 0), |_| false);
 
+    let losses: Vec<(u8, u64)> = scheduler.reserve().losses().collect();
     assert!(matches!(placement, Placement::Assigned(_)), "{placement:?}");
+    assert!(scheduler.reserve().held() > 0);
+    assert_eq!(losses, [(0, 1), (2, 0)]);
 }
 
 /// Both causes under the load in which they were seen: of the priorities 0, 1 and 2, in the
--- a/components/dispatch/tests/request_queue.rs
+++ b/components/dispatch/tests/request_queue.rs
@@ -18,6 +18,7 @@
         start_by,
         on_time: true,
         begun: false,
+        held: false,
         needs: Requirements::default(),
     }
 }
--- a/components/gateway/src/scheduler/mod.rs
+++ b/components/gateway/src/scheduler/mod.rs
@@ -397,6 +397,7 @@
                     // Dropping the sender refuses the request.
                     service.waiters.remove(&id);
                 }
+                service.log_reserve(now);
             }
         }
         self.serve_queues();
--- a/components/gateway/src/scheduler/report.rs
+++ b/components/gateway/src/scheduler/report.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
-use dispatch::PaceSummary;
-use domain::{Platform, WeightVersion, now};
+use dispatch::{PaceSummary, PriorityReserve};
+use domain::{Platform, ServiceId, WeightVersion, now};
 use serde_json::json;
 use telemetry::{Outcome, decision};
 use transport::Pool;
@@ -101,6 +101,7 @@
             gauge("turmerichold_mean_pace").set(paces.mean);
             gauge("turmerichold_requests_in_flight").set(own);
             gauge("turmerichold_requests_waiting").set(service.scheduler.queue.len() as f64);
+            publish_reserve(name, service.scheduler.reserve());
             let upstreams = service.scheduler.upstreams.iter();
             let idle = upstreams.map(|u| (connections.idle_count(u.upstream.addr), u.own.requests));
             let idle: Vec<(usize, u32)> = idle.collect();
@@ -114,3 +115,17 @@
         metrics::gauge!("turmerichold_entries_heard").set(state.peers.len() as f64);
     }
 }
+
+/// Updates the counters of the room that lower priorities leave to higher ones.
+fn publish_reserve(service: &ServiceId, reserve: &PriorityReserve) {
+    let service = service.to_string();
+    metrics::counter!("turmerichold_starts_held_total", "service" => service.clone())
+        .absolute(reserve.held());
+    for (priority, losses) in reserve.losses() {
+        let labels = [
+            ("service", service.clone()),
+            ("priority", priority.to_string()),
+        ];
+        metrics::counter!("turmerichold_priority_losses_total", &labels).absolute(losses);
+    }
+}
--- a/components/gateway/src/scheduler/state.rs
+++ b/components/gateway/src/scheduler/state.rs
@@ -43,6 +43,26 @@
     /// Channels to the queued requests, by the number of the request.
     pub(super) waiters: HashMap<u64, Sender<Lease<P>>>,
     pub(super) budget: RetryBudget,
+    /// The highest priority that was losing requests when it was last logged.
+    pub(super) losing: Option<u8>,
+}
+
+impl<P: Platform> ServiceState<P> {
+    /// Logs for which priority the lower ones leave room, when this changes.
+    pub(super) fn log_reserve(&mut self, now: Moment) {
+        let reserve = self.scheduler.reserve();
+        let losing = reserve.losing(now);
+        if losing == self.losing {
+            return;
+        }
+        let fields = json!({
+            "service": self.scheduler.upstreams.service(),
+            "priority": losing,
+            "held": reserve.held(),
+        });
+        decision("desk", "priority reserve", Outcome::Change, fields);
+        self.losing = losing;
+    }
 }
 
 /// State of a scheduler, guarded by its lock.
@@ -100,6 +120,7 @@
                 scheduler: ServiceScheduler::new(upstreams, queue),
                 waiters: HashMap::new(),
                 budget: RetryBudget::new(&node.bounds),
+                losing: None,
             }
         })
     }
