Heads of admitted requests count towards the budget

A queued request holds its head of up to 32 KiB and the map of its fields as long as its body, and only the body was counted. A request whose head is too long or has too many fields (431) is counted by reason.

--- a/components/gateway/src/body_buffers.rs
+++ b/components/gateway/src/body_buffers.rs
@@ -53,6 +53,11 @@
         Ok(())
     }
 
+    /// Bytes that it holds.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// For whom the bytes are held.
     pub fn holder(&self) -> &MemoryHolder {
         &self.holder
--- a/components/gateway/src/body_reader.rs
+++ b/components/gateway/src/body_reader.rs
@@ -15,14 +15,18 @@
     limit: usize,
     pace: BodyPace,
     memory: Reservation,
+    /// Bytes of the reservation for the head of the request.
+    head: usize,
     bytes: Vec<u8>,
 }
 
 impl BodyReader {
+    /// `memory` holds the head of the request.
     pub fn new(limit: usize, least: LeastPace, memory: Reservation) -> Self {
         BodyReader {
             limit,
             pace: BodyPace::new(least, now()),
+            head: memory.bytes(),
             memory,
             bytes: Vec::new(),
         }
@@ -64,7 +68,8 @@
                 self.limit
             };
             let capacity = (2 * self.bytes.capacity()).min(most).max(len);
-            self.memory.grow_to(capacity).map_err(Refusal::NoMemory)?;
+            let held = self.head + capacity;
+            self.memory.grow_to(held).map_err(Refusal::NoMemory)?;
             self.bytes.reserve_exact(capacity - self.bytes.len());
         }
         self.bytes.extend_from_slice(data);
--- a/components/gateway/src/front.rs
+++ b/components/gateway/src/front.rs
@@ -24,6 +24,9 @@
 /// Timeout of a request that does not state one.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Memory of a header field beside its name and value: an entry of the map and its index.
+const FIELD_BYTES: usize = 112;
+
 /// HTTP interface for callers: validates, authorizes and routes requests.
 pub struct Front<P: Platform> {
     dispatcher: Arc<Dispatcher<P>>,
@@ -60,10 +63,13 @@
         self.dispatcher
             .check_lifetime(arrived + timeout.min(route.timeout))?;
         let patience = route.max_gap.unwrap_or(timeout).min(timeout);
-        let memory = self.dispatcher.body_buffers.reserve(MemoryHolder {
+        let mut memory = self.dispatcher.body_buffers.reserve(MemoryHolder {
             address: parts.extensions.get().map(|a: &ClientAddr| a.0.ip()),
             account: account.as_ref().map(|a| a.name.clone()),
         });
+        memory
+            .grow_to(head_size(&parts))
+            .map_err(Refusal::NoMemory)?;
         let reader = BodyReader::new(config.limits.body_bytes, self.least_pace, memory);
         let read = with_timeout(timeout.min(route.timeout), reader.read(body)).await;
         let (body, memory) = read.ok_or(Refusal::OutOfTime)??;
@@ -133,6 +139,10 @@
     }
 
     fn connection_failed(&self, peer: SocketAddr, error: &hyper::Error) {
+        if error.is_parse_too_large() {
+            metrics::counter!("turmerichold_connections_limited_total", "reason" => "large head")
+                .increment(1);
+        }
         let fields = json!({ "caller": peer, "why": transport::reason_of(error) });
         decision("front", "connection failed", Outcome::Failure, fields);
     }
@@ -165,6 +175,13 @@
     }
 }
 
+/// Approximate memory of a head.
+fn head_size(parts: &request::Parts) -> usize {
+    let fields = parts.headers.iter();
+    let fields = fields.map(|(n, v)| n.as_str().len() + v.len() + FIELD_BYTES);
+    parts.uri.path().len() + fields.sum::<usize>()
+}
+
 /// Chooses a service among the weighted targets of a route. The choice follows
 /// a hash of `head`, so that retries of a request reach the same service.
 fn choose_service(route: &Route, head: &RequestHead) -> ServiceId {
