--- a/components/dispatch/tests/pace.rs
+++ b/components/dispatch/tests/pace.rs
@@ -253,8 +253,9 @@
     assert!(rushed * 4 <= all, "{rushed} of {all}");
 }
 
-/// Entries send for two seconds to engines one of which is slow all the time, and all answer
-/// as the model expects. Its share must be near that of its speed, and not zero.
+/// An entry sends for six seconds to engines one of which is slow all the time, and all answer
+/// as the model expects. It may get no more than its speed allows, 0.4 of what another one
+/// gets, and must get half of that. Without the statement it got 0.5.
 #[test]
 fn slow_engine_gets_proportionally_less() {
     fastrand::seed(7);
@@ -297,5 +298,5 @@
 
     let mean = f64::from(counts[1..].iter().sum::<u32>()) / 5.0;
     let share = f64::from(counts[0]) / mean;
-    assert!((0.1..=0.6).contains(&share), "{share} {counts:?}");
+    assert!((0.2..=0.4).contains(&share), "{share} {counts:?}");
 }
