Let accounts with few starts go first among requests of one rank

Cause: the queue of a gateway knew no accounts. In a shortage caused by one account, the others lost as large a part of their requests.

Requests without an account, and accounts that send alike, keep their order. Accounts have no weight in the platform's configuration, so all weigh the same.

--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each type takes the current moment and an event and returns what to do next.
 
 mod acceptance;
+mod account_starts;
 mod attempts;
 mod body_pace;
 mod config_freshness;
@@ -45,6 +46,7 @@
 mod write_time;
 
 pub use acceptance::Acceptance;
+pub use account_starts::AccountStarts;
 pub use attempts::{AttemptEnd, Attempts};
 pub use body_pace::{BodyPace, LeastPace};
 pub use config_freshness::{ConfigFreshness, ConfigStatus, ReadTiming};
--- a/components/dispatch/src/request_queue.rs
+++ b/components/dispatch/src/request_queue.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use domain::Moment;
+use domain::{AccountId, Moment};
 
 use crate::Requirements;
 
@@ -31,6 +31,10 @@
     pub priority: u8,
     /// Rank among priorities: its own, or a higher one of which it gets a share.
     pub rank: u8,
+    /// Level of its account among those of the same rank, 0 first.
+    pub level: u8,
+    /// Account of its caller, if any.
+    pub account: Option<AccountId>,
     /// Latest moment at which it may still be started.
     pub start_by: Moment,
     /// Whether its response can still be on time.
@@ -59,7 +63,8 @@
 ///
 /// In a burst, more requests arrive than upstreams can start. A request that cannot
 /// be started by its latest moment is refused at once. Requests that can be on time
-/// go first, then by rank among priorities, then those whose response has begun, then by latest start.
+/// go first, then by rank among priorities, then those whose response has begun, then by the level of
+/// their account, then by latest start.
 #[derive(Debug)]
 pub struct RequestQueue {
     limits: QueueLimits,
@@ -195,6 +200,6 @@
 }
 
 fn goes_before(a: &QueuedRequest, b: &QueuedRequest) -> bool {
-    let rank = |w: &QueuedRequest| (!w.on_time, w.rank, !w.begun, w.start_by);
+    let rank = |w: &QueuedRequest| (!w.on_time, w.rank, !w.begun, w.level, w.start_by);
     rank(a) <= rank(b)
 }
--- a/components/dispatch/src/service_scheduler.rs
+++ b/components/dispatch/src/service_scheduler.rs
@@ -1,11 +1,11 @@
 use std::time::Duration;
 
-use domain::{Moment, UpstreamId, WeightVersion};
+use domain::{AccountId, Moment, UpstreamId, WeightVersion};
 
 use crate::request_queue::spread_retry;
 use crate::{
-    Acceptance, Choice, EnqueueResult, PriorityReserve, QueuedRequest, RequestQueue, Requirements,
-    UpstreamPool,
+    Acceptance, AccountStarts, Choice, EnqueueResult, PriorityReserve, QueuedRequest, RequestQueue,
+    Requirements, UpstreamPool,
 };
 
 /// Longest wait of a late request, one that can no longer be on time.
@@ -35,6 +35,8 @@
     pub id: u64,
     /// Priority, 0 first.
     pub priority: u8,
+    /// Account of its caller, if any.
+    pub account: Option<AccountId>,
     /// When its caller sent the first attempt.
     pub first_attempt: Moment,
     /// Time from the first attempt within which a response counts as on time.
@@ -88,6 +90,8 @@
     shortage: Option<Moment>,
     /// What lower priorities leave to the higher ones.
     reserve: PriorityReserve,
+    /// Starts of the requests of each account.
+    account_starts: AccountStarts,
 }
 
 impl ServiceScheduler {
@@ -98,6 +102,7 @@
             queue,
             shortage: None,
             reserve: PriorityReserve::default(),
+            account_starts: AccountStarts::default(),
         }
     }
 
@@ -112,6 +117,7 @@
         let IncomingRequest {
             id,
             priority,
+            account,
             first_attempt,
             target_latency,
             deadline,
@@ -139,7 +145,7 @@
             match self.upstreams.choose(now, &needs, &evacuated) {
                 Choice::Send(upstream) => {
                     self.queue.record_start(now);
-                    self.count_start(now, priority, on_time);
+                    self.count_start(now, priority, account.as_ref(), on_time);
                     return Placement::Assigned(self.assign(now, id, upstream, needs));
                 }
                 Choice::NoMatch => {
@@ -161,10 +167,14 @@
         if !accepts_by(acceptance, start_by) {
             return Placement::Refused(self.no_match_retry(now, &needs, &evacuated));
         }
+        let starts = &mut self.account_starts;
+        let level = account.as_ref().map_or(0, |a| starts.level(now, a));
         let queued = QueuedRequest {
             id,
             priority,
             rank,
+            level,
+            account,
             start_by,
             on_time,
             begun,
@@ -227,7 +237,8 @@
             let Some(queued) = self.queue.take(now, index) else {
                 break;
             };
-            self.count_start(now, queued.priority, queued.on_time);
+            let account = queued.account.as_ref();
+            self.count_start(now, queued.priority, account, queued.on_time);
             assigned.push(self.assign(now, queued.id, id, queued.needs));
         }
         assigned
@@ -298,7 +309,7 @@
         expired.into_iter().map(|w| w.id).collect()
     }
 
-    /// Whether a request that has time waits after the one at `index`, has its rank and may use
+    /// Whether a request that has time waits after the one at `index`, has its rank and level and may use
     /// the free slots. One that any upstream could serve counts even if it fits none now: a
     /// small prompt would take the slot for which a large one waits.
     fn has_successor(
@@ -308,10 +319,13 @@
         in_force: impl Fn(&str) -> Option<WeightVersion>,
         evacuated: impl Fn(&str) -> bool,
     ) -> bool {
-        let rank = self.queue.iter().nth(index).map(|w| w.rank);
+        let order = self.queue.iter().nth(index).map(|w| (w.rank, w.level));
         let mut examined = 0;
         for successor in self.queue.iter_mut().skip(index + 1) {
-            if Some(successor.rank) != rank || !successor.on_time || examined == MAX_SKIPPED {
+            if Some((successor.rank, successor.level)) != order
+                || !successor.on_time
+                || examined == MAX_SKIPPED
+            {
                 return false;
             }
             if is_rushed(now, successor) {
@@ -363,7 +377,16 @@
         self.reserve.record_loss(now, priority);
     }
 
-    fn count_start(&mut self, now: Moment, priority: u8, on_time: bool) {
+    fn count_start(
+        &mut self,
+        now: Moment,
+        priority: u8,
+        account: Option<&AccountId>,
+        on_time: bool,
+    ) {
+        if let Some(account) = account {
+            self.account_starts.record(now, account);
+        }
         if on_time {
             self.reserve.record_start(now, priority);
         }
--- a/components/dispatch/tests/priority_reserve.rs
+++ b/components/dispatch/tests/priority_reserve.rs
@@ -22,6 +22,7 @@
     IncomingRequest {
         id,
         priority,
+        account: None,
         first_attempt: now,
         target_latency: ms(target),
         deadline: now + secs(6),
--- a/components/dispatch/tests/request_queue.rs
+++ b/components/dispatch/tests/request_queue.rs
@@ -15,6 +15,8 @@
         id,
         priority: 1,
         rank: 1,
+        level: 0,
+        account: None,
         start_by,
         on_time: true,
         begun: false,
--- a/components/dispatch/tests/service_scheduler.rs
+++ b/components/dispatch/tests/service_scheduler.rs
@@ -21,6 +21,7 @@
     let request = IncomingRequest {
         id: 1,
         priority: 1,
+        account: None,
         first_attempt: start(),
         target_latency: ms(500),
         deadline: start() + secs(6),
@@ -162,6 +163,7 @@
     let request = IncomingRequest {
         id: 1,
         priority: 1,
+        account: None,
         first_attempt: start(),
         target_latency: ms(500),
         deadline: start() + secs(6),
@@ -181,6 +183,7 @@
     IncomingRequest {
         id,
         priority: 1,
+        account: None,
         first_attempt: now,
         target_latency: target,
         deadline: now + secs(6),
--- a/components/emulator/src/production_policy.rs
+++ b/components/emulator/src/production_policy.rs
@@ -122,6 +122,7 @@
         let incoming = IncomingRequest {
             id: request.id,
             priority: kind.priority,
+            account: Some(format_compact!("account-{}", request.account)),
             first_attempt: first,
             target_latency: target,
             deadline: request.deadline,
--- a/components/gateway/src/scheduler/mod.rs
+++ b/components/gateway/src/scheduler/mod.rs
@@ -245,6 +245,7 @@
         let incoming = IncomingRequest {
             id: request.id,
             priority: request.priority(),
+            account: request.account.as_ref().map(|a| a.name.clone()),
             first_attempt: since,
             target_latency,
             deadline: request.end_by(),
