Pass prompt prefixes from the header to the scheduler

The scheduler did not learn the parts of a prompt, so its choice could not weigh them.

No test covers the path from the header to the choice through a running gateway yet.

--- a/components/gateway/src/lease.rs
+++ b/components/gateway/src/lease.rs
@@ -2,6 +2,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dispatch::PrefixGuess;
 use domain::{HeldModel, Moment, Platform, SendGate, ServiceId, Target, WeightVersion, now};
 use smol::Timer;
 use transport::SendTicket;
@@ -38,6 +39,9 @@
     pub begin_by: Option<domain::Moment>,
     /// Prompt tokens that the upstream has not processed yet.
     pub prefill_tokens: u32,
+    /// What is assumed about the prompt until the upstream has processed it, if upstreams
+    /// retain prompts.
+    pub guess: Option<Box<PrefixGuess>>,
     /// When the slot was reserved.
     pub leased_at: domain::Moment,
     /// When the first event of the response arrived.
@@ -71,6 +75,10 @@
             u.record_heard(now);
             u.record_prefill(prefill_tokens);
         });
+        if let Some(guess) = self.guess.take() {
+            let waited = now.saturating_sub(self.leased_at);
+            self.scheduler.record_prompt(self, &guess, waited);
+        }
         if prefill_tokens > 0 {
             self.scheduler.serve_queue(&self.service);
         }
--- a/components/gateway/src/scheduler/mod.rs
+++ b/components/gateway/src/scheduler/mod.rs
@@ -3,6 +3,7 @@
 mod gates;
 mod limits;
 mod notices;
+mod prompts;
 mod report;
 mod state;
 mod stopping;
@@ -14,8 +15,8 @@
 use async_channel::{Receiver, bounded};
 use dispatch::{
     Assignment, CrashWatch, Demand, FirstAttemptEstimator, FleetView, IncomingRequest,
-    LatencyModel, NO_MATCH_RETRY, NoticeRounds, PeerLoads, Placement, Requirements, SendGates,
-    ViewChange, WindowBudget, upstream_start, upstream_tag,
+    LatencyModel, NO_MATCH_RETRY, NoticeRounds, PeerLoads, Placement, PromptPrefix, Requirements,
+    SendGates, ViewChange, WindowBudget, upstream_start, upstream_tag,
 };
 use domain::{
     HeldModel, Moment, NodeSettings, Platform, SendGate, ServiceId, Target, UpstreamId,
@@ -207,7 +208,7 @@
         };
         let min_weight_version = needs.min_weight_version;
         let receiver = match self.try_acquire(request, needs, resume_by) {
-            QueueOutcome::Leased(lease) => return AcquireOutcome::Leased(lease),
+            QueueOutcome::Leased(lease) => return AcquireOutcome::Leased(*lease),
             QueueOutcome::Refused(wait) => {
                 return AcquireOutcome::Refused(self.shortage(request, min_weight_version, wait));
             }
@@ -258,7 +259,7 @@
             .view(|v| scheduler.submit(now, incoming, |d| v.is_evacuated(d)));
         match placement {
             Placement::Assigned(assignment) => {
-                QueueOutcome::Leased(self.lease(service, now, &assignment))
+                QueueOutcome::Leased(Box::new(self.lease(service, now, &assignment)))
             }
             Placement::Refused(wait) => QueueOutcome::Refused(wait),
             Placement::Queued => {
@@ -279,6 +280,7 @@
             model: request.head.model.clone(),
             min_weight_version: weight_version,
             prompt_tokens: request.head.tokens.map_or(0, |t| t.prompt),
+            prefix: PromptPrefix::new(model, &request.head.prompt_parts),
             output_tokens: request.head.expected_tokens,
             ..Requirements::default()
         })
@@ -303,6 +305,11 @@
         assignment: &Assignment,
     ) -> Lease<P> {
         let needs = &assignment.needs;
+        let guess = assignment.guess.clone();
+        let prefill_tokens = guess.as_ref().map(|g| g.prefill_tokens());
+        if let Some(guess) = &guess {
+            prompts::count_saved(guess);
+        }
         let pool = &mut service.scheduler.upstreams;
         let mut lease = Lease {
             scheduler: self.clone(),
@@ -318,7 +325,8 @@
             weight_version: None,
             held: None,
             begin_by: None,
-            prefill_tokens: needs.prompt_tokens,
+            prefill_tokens: prefill_tokens.unwrap_or(needs.prompt_tokens),
+            guess,
             leased_at: now,
             first_event: None,
         };
@@ -456,7 +464,7 @@
 
 /// Outcome of [`Scheduler::try_acquire`].
 enum QueueOutcome<P: Platform> {
-    Leased(Lease<P>),
+    Leased(Box<Lease<P>>),
     /// Refused with an advised wait.
     Refused(Duration),
     /// Queued; the channel closes without a lease when the request is refused.
