Stop using older weights in other regions half a second earlier

The request took 0.35 and 0.44 s to an upstream of another region. The gateway cancelled it 0.28 s before the bound, and the cancellation took as long, so the engine began the request meanwhile. Margins before the bound (0.6 s until the last request, 0.15 s until the cancellation) assumed a short way.

Change: both are 0.5 s longer for upstreams of other regions; in the pool as the oldest version that such upstreams may be sent requests for.

--- a/components/dispatch/src/upstream_pool.rs
+++ b/components/dispatch/src/upstream_pool.rs
@@ -115,6 +115,8 @@
     connections: Option<ConnectionBudget>,
     latency_model: LatencyModel,
     entries: u32,
+    /// Oldest versions that upstreams of other regions may be sent requests for.
+    far_versions: Vec<(ModelId, WeightVersion)>,
     /// Preferred upstreams of prompt prefixes, as of the last assignment of owners. Indices
     /// that have changed since only cost a saving.
     affinity: AffinityTable,
@@ -135,6 +137,7 @@
             connections: None,
             latency_model: LatencyModel::new(None),
             entries: 1,
+            far_versions: Vec::new(),
             affinity: AffinityTable::default(),
         }
     }
@@ -188,6 +191,35 @@
         };
     }
 
+    /// Sets the oldest version of a model that upstreams of other regions may be sent requests
+    /// for. It comes into force earlier there, since requests and their cancellations take
+    /// longer.
+    pub fn set_far_version(&mut self, model: &str, version: Option<WeightVersion>) {
+        let known = self.far_versions.iter().position(|(m, _)| m == model);
+        match (known, version) {
+            (Some(index), Some(version)) => self.far_versions[index].1 = version,
+            (Some(index), None) => drop(self.far_versions.swap_remove(index)),
+            (None, Some(version)) => self.far_versions.push((model.into(), version)),
+            (None, None) => {}
+        }
+    }
+
+    /// Oldest version of a model that an upstream may be sent a request for.
+    fn required_version(
+        &self,
+        pooled: &PooledUpstream,
+        model: &str,
+        needs: &Requirements,
+    ) -> Option<WeightVersion> {
+        if pooled.region == self.region {
+            return needs.min_weight_version;
+        }
+        let far = self.far_versions.iter().find(|(m, _)| m == model);
+        needs
+            .min_weight_version
+            .max(far.map(|(_, version)| *version))
+    }
+
     /// Sets the latency model of the service.
     pub fn set_latency_model(&mut self, latency_model: LatencyModel) {
         self.latency_model = latency_model;
@@ -471,7 +503,8 @@
     fn meets_needs(&self, pooled: &PooledUpstream, needs: &Requirements) -> bool {
         let held = needs.model.as_ref().is_none_or(|m| {
             let held = pooled.upstream.models.iter().find(|h| h.model == *m);
-            held.is_some_and(|h| needs.min_weight_version.is_none_or(|w| h.version >= w))
+            let required = self.required_version(pooled, m, needs);
+            held.is_some_and(|h| required.is_none_or(|w| h.version >= w))
         });
         held && is_candidate(pooled, needs)
     }
--- a/components/dispatch/tests/upstream_pool.rs
+++ b/components/dispatch/tests/upstream_pool.rs
@@ -429,3 +429,27 @@
     assert!(!sends(u32::MAX, 160));
     assert!(sends(u32::MAX, 510));
 }
+
+/// On a link between regions that carries weights, a request and its cancellation took so long
+/// that the engine began it after the deadline of the newer version.
+#[test]
+fn older_weights_in_another_region_are_used_until_the_deadline() {
+    let near = upstream("near", "a", Some(1));
+    let far = upstream("far", "b", Some(1));
+    let needs = needs(start());
+    let mut only_far = pool(std::slice::from_ref(&far));
+    let mut both = pool(&[near, far]);
+    let before = only_far.choose(start(), &needs, no_evacuation);
+
+    only_far.set_far_version("m", Some(2));
+    both.set_far_version("m", Some(2));
+    let after = only_far.choose(start(), &needs, no_evacuation);
+    let of_both = both.choose(start(), &needs, no_evacuation);
+    only_far.set_far_version("m", None);
+    let again = only_far.choose(start(), &needs, no_evacuation);
+
+    assert_eq!(chosen(before).as_deref(), Some("far"));
+    assert_eq!(after, Choice::NoMatch);
+    assert_eq!(chosen(of_both).as_deref(), Some("near"));
+    assert_eq!(chosen(again).as_deref(), Some("far"));
+}
--- a/components/gateway/src/lease.rs
+++ b/components/gateway/src/lease.rs
@@ -37,6 +37,8 @@
     /// Latest moment for the upstream to begin the request: after it, the weights of
     /// the upstream are too old.
     pub begin_by: Option<domain::Moment>,
+    /// Time from that moment to the deadline of the newer weights.
+    pub begin_margin: Duration,
     /// Prompt tokens that the upstream has not processed yet.
     pub prefill_tokens: u32,
     /// What is assumed about the prompt until the upstream has processed it, if upstreams
@@ -56,7 +58,7 @@
             return pending().await;
         };
         loop {
-            let begin_by = self.scheduler.begin_by(held);
+            let begin_by = self.scheduler.begin_by(held, self.begin_margin);
             let left = begin_by.map(|by| by.saturating_sub(now()));
             match begin_by.filter(|_| left == Some(Duration::ZERO)) {
                 Some(begin_by) => return begin_by,
--- a/components/gateway/src/scheduler/mod.rs
+++ b/components/gateway/src/scheduler/mod.rs
@@ -16,7 +16,7 @@
 use dispatch::{
     Assignment, CrashWatch, Demand, FirstAttemptEstimator, FleetView, IncomingRequest,
     LatencyModel, NO_MATCH_RETRY, NoticeRounds, PeerLoads, Placement, PromptPrefix, Requirements,
-    SendGates, ViewChange, WindowBudget, upstream_start, upstream_tag,
+    SendGates, UpstreamPool, ViewChange, WindowBudget, upstream_start, upstream_tag,
 };
 use domain::{
     HeldModel, Moment, NodeSettings, Platform, SendGate, ServiceId, Target, UpstreamId,
@@ -38,6 +38,10 @@
 /// Time before the same deadline at which a request that has not begun is
 /// cancelled.
 const BEGIN_MARGIN: Duration = Duration::from_millis(150);
+/// Added to both for upstreams of other regions. While weights are distributed, a request or its
+/// cancellation takes up to 0.44 s on a link between regions: engines began requests after the
+/// deadline that had been cancelled before it.
+const FAR_DELAY: Duration = Duration::from_millis(500);
 
 /// Outcome of [`Scheduler::acquire`].
 pub enum AcquireOutcome<P: Platform> {
@@ -297,6 +301,15 @@
         view.in_force(now, model, bound.saturating_sub(WEIGHTS_MARGIN))
     }
 
+    /// Sets the oldest versions that upstreams of other regions may be sent requests for.
+    fn update_far_versions(&self, view: &FleetView, now: Moment, pool: &mut UpstreamPool) {
+        let margin = WEIGHTS_MARGIN + FAR_DELAY;
+        let bound = self.node.bounds.weight_rollout.saturating_sub(margin);
+        for (model, _) in view.all_declared() {
+            pool.set_far_version(model, view.in_force(now, model, bound));
+        }
+    }
+
     /// The lease for the slot that `assignment` has reserved.
     fn lease(
         self: &Arc<Self>,
@@ -325,6 +338,7 @@
             weight_version: None,
             held: None,
             begin_by: None,
+            begin_margin: BEGIN_MARGIN,
             prefill_tokens: prefill_tokens.unwrap_or(needs.prompt_tokens),
             guess,
             leased_at: now,
@@ -337,18 +351,22 @@
             lease.gate = upstream.gate.clone();
             let mut models = upstream.upstream.models.iter();
             let held = models.find(|h| Some(&h.model) == needs.model.as_ref());
+            if upstream.region != self.node.region {
+                lease.begin_margin += FAR_DELAY;
+            }
             if let Some(held) = held {
                 lease.weight_version = needs.min_weight_version.map(|_| held.version);
-                lease.begin_by = self.begin_by(held);
+                lease.begin_by = self.begin_by(held, lease.begin_margin);
                 lease.held = Some(held.clone());
             }
         }
         lease
     }
 
-    /// Latest moment to begin a request on weights, as far as newer ones are declared.
-    pub fn begin_by(&self, held: &HeldModel) -> Option<Moment> {
-        let bound = self.node.bounds.weight_rollout.saturating_sub(BEGIN_MARGIN);
+    /// Latest moment to begin a request on weights, `margin` before the deadline of newer ones,
+    /// as far as they are declared.
+    pub fn begin_by(&self, held: &HeldModel, margin: Duration) -> Option<Moment> {
+        let bound = self.node.bounds.weight_rollout.saturating_sub(margin);
         self.feed
             .view(|v| v.expires_at(&held.model, held.version, bound))
     }
@@ -397,6 +415,8 @@
             self.feed
                 .view(|v| state.update_owners(now, &self.node, |d| v.is_evacuated(d)));
             for service in state.services.values_mut() {
+                self.feed
+                    .view(|v| self.update_far_versions(v, now, &mut service.scheduler.upstreams));
                 let unmatched = self.feed.view(|v| {
                     let in_force = |model: &str| self.required_version(v, now, model);
                     let evacuated = |d: &str| v.is_evacuated(d);
