--- a/components/dispatch/src/request_queue.rs
+++ b/components/dispatch/src/request_queue.rs
@@ -63,8 +63,8 @@
 ///
 /// In a burst, more requests arrive than upstreams can start. A request that cannot
 /// be started by its latest moment is refused at once. Requests that can be on time
-/// go first, then by rank among priorities, then those whose response has begun, then by the level of
-/// their account, then by latest start.
+/// go first, then by rank among priorities, then those whose response has begun, then by the
+/// level of their account, then by latest start.
 #[derive(Debug)]
 pub struct RequestQueue {
     limits: QueueLimits,
--- a/components/dispatch/src/service_scheduler.rs
+++ b/components/dispatch/src/service_scheduler.rs
@@ -312,9 +312,9 @@
         expired.into_iter().map(|w| w.id).collect()
     }
 
-    /// Whether a request that has time waits after the one at `index`, has its rank and level and may use
-    /// the free slots. One that any upstream could serve counts even if it fits none now: a
-    /// small prompt would take the slot for which a large one waits.
+    /// Whether a request that has time waits after the one at `index`, has its rank and level
+    /// and may use the free slots. One that any upstream could serve counts even if it fits none
+    /// now: a small prompt would take the slot for which a large one waits.
     fn has_successor(
         &mut self,
         now: Moment,
--- a/components/dispatch/src/switch_plan.rs
+++ b/components/dispatch/src/switch_plan.rs
@@ -74,9 +74,9 @@
 /// An engine that switches serves no requests for some seconds, so the engines of a
 /// service switch at different times, evenly spread from when they hold all pieces to the
 /// bound. The less time is left, the shorter are the announcement and the margin before the
-/// bound; past the bound an engine serves nothing and switches at once. Of two versions in quick succession the first is skipped if the second leaves
-/// time to spread the switches, and loaded if it does not: engines that skip it all switch
-/// at the same moment otherwise.
+/// bound; past the bound an engine serves nothing and switches at once. Of two versions in
+/// quick succession the first is skipped if the second leaves time to spread the switches, and
+/// loaded if it does not: engines that skip it all switch at the same moment otherwise.
 #[derive(Debug, Clone, Copy)]
 pub struct SwitchPlan {
     /// Time from the declaration of a version to the last start of a request on an
