Review case 10: requests inside the limits are refused for the number of their fields

Promise tried: a single request inside the limits is served in calm, and no added limit is met by such a client. Order of events: requests with 120 short fields and a head of some 1,100 bytes come one after another to a calm gateway.

--- a/review/stand-2/src/crowd.rs
+++ b/review/stand-2/src/crowd.rs
@@ -112,6 +112,7 @@
             key: ORDINARY,
             attempt: format!("t-{number}"),
             deadline: Duration::from_millis(1500),
+            fields: 0,
         };
         let status = call(door, &request).await;
         statuses.lock().unwrap().push(status);
--- a/review/stand-2/src/fleet.rs
+++ b/review/stand-2/src/fleet.rs
@@ -77,6 +77,7 @@
                 key,
                 attempt: "start".to_owned(),
                 deadline: Duration::from_secs(1),
+                fields: 0,
             };
             while call(*door, &start).await != Some(200) {
                 if Instant::now() > end {
--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -6,6 +6,7 @@
 mod crowd;
 mod engine;
 mod fleet;
+mod many_fields;
 #[path = "../../../platform/tests/soak_parts/process.rs"]
 #[allow(dead_code)]
 mod process;
@@ -46,6 +47,7 @@
     let script = async {
         match case.as_str() {
             "cold-restart" => cold_restart::run(&record, trouble).await,
+            "many-fields" => many_fields::run(&record, trouble).await,
             "crowd" => crowd::run(&record, trouble).await,
             "restored-key" => restored_key::run(&record, trouble).await,
             "relisted-limit" => relisted_limit::run(&record, trouble).await,
--- a/review/stand-2/src/relisted_limit.rs
+++ b/review/stand-2/src/relisted_limit.rs
@@ -84,6 +84,7 @@
                 key: KEY,
                 attempt: format!("r-{door}-{number}"),
                 deadline: Duration::from_millis(1500),
+                fields: 0,
             };
             let status = call(addr, &request).await;
             statuses.lock().unwrap().push(status);
--- a/review/stand-2/src/restored_key.rs
+++ b/review/stand-2/src/restored_key.rs
@@ -99,6 +99,7 @@
             key: REVOKED,
             attempt: format!("u-{door}-{number}"),
             deadline: Duration::from_millis(1500),
+            fields: 0,
         };
         let at = Instant::now();
         let status = call(addr, &revoked).await;
