--- a/review/stand-2/src/cold_restart.rs
+++ b/review/stand-2/src/cold_restart.rs
@@ -26,9 +26,9 @@
 /// Time from the start of the requests until the new upstream starts.
 const ADDED_AT: Duration = Duration::from_secs(3);
 /// Time from then until the gateway is killed.
-const KILLED_AFTER: Duration = Duration::from_millis(1300);
+const KILLED_AFTER: Duration = Duration::from_millis(1040);
 /// Delay after which the platform starts it again.
-const RESTART_DELAY: Duration = Duration::from_millis(100);
+const RESTART_DELAY: Duration = Duration::from_millis(500);
 const END: Duration = Duration::from_secs(9);
 /// Time between two requests.
 const INTERVAL: Duration = Duration::from_micros(5000);
