--- a/review/stand-2/src/cold_restart.rs
+++ b/review/stand-2/src/cold_join.rs
@@ -1,4 +1,4 @@
-//! A gateway is killed and started again while an upstream is cold.
+//! Two gateways are added while an upstream is cold.
 
 use std::time::{Duration, Instant};
 
@@ -25,10 +25,8 @@
 const SLOTS: u32 = 16;
 /// Time from the start of the requests until the new upstream starts.
 const ADDED_AT: Duration = Duration::from_secs(3);
-/// Time from then until the gateway is killed.
-const KILLED_AFTER: Duration = Duration::from_millis(1040);
-/// Delay after which the platform starts it again.
-const RESTART_DELAY: Duration = Duration::from_millis(500);
+/// Time from then until two gateways are added.
+const GATEWAYS_AFTER: Duration = Duration::from_millis(1400);
 const END: Duration = Duration::from_secs(9);
 /// Time between two requests.
 const INTERVAL: Duration = Duration::from_micros(5000);
@@ -46,8 +44,7 @@
 
     let start = Instant::now();
     let mut tasks: Vec<Task<()>> = Vec::new();
-    let mut killed_at = None;
-    let (mut added, mut restarted) = (false, !trouble);
+    let (mut added, mut has_joined) = (false, !trouble);
     for number in 0_u32.. {
         Timer::at(start + INTERVAL * number).await;
         let elapsed = start.elapsed();
@@ -64,15 +61,11 @@
                 COLD_TIME.as_millis()
             ));
         }
-        if trouble && killed_at.is_none() && elapsed > ADDED_AT + KILLED_AFTER {
-            killed_at = Some(Instant::now());
-            fleet.gateways[0].kill();
-            record.note("gateway 1 is killed");
-        }
-        if !restarted && killed_at.is_some_and(|at| at.elapsed() > RESTART_DELAY) {
-            restarted = true;
-            fleet.gateways[0].restart();
-            record.note("gateway 1 is started again");
+        if !has_joined && elapsed > ADDED_AT + GATEWAYS_AFTER {
+            has_joined = true;
+            fleet.add()?;
+            fleet.add()?;
+            record.note("gateways 4 and 5 are added");
         }
         let addr = fleet.doors[number as usize % fleet.doors.len()];
         let door = number as usize % fleet.doors.len();
--- a/review/stand-2/src/fleet.rs
+++ b/review/stand-2/src/fleet.rs
@@ -19,6 +19,8 @@
 const FRONTEND: u16 = 20;
 const READY: u16 = 21;
 const CONTROL: u16 = 22;
+/// Gateways that may be added.
+const SPARE: u8 = 2;
 const START_TIME: Duration = Duration::from_secs(20);
 
 /// A deployment of one failure domain.
@@ -27,6 +29,11 @@
     pub gateways: Vec<Process>,
     pub doors: Vec<SocketAddr>,
     dir: PathBuf,
+    /// Addresses of the gateways, of which the last are spare.
+    ips: Vec<Ipv4Addr>,
+    /// First port of the gateways.
+    base: u16,
+    store_addr: SocketAddr,
 }
 
 impl Fleet {
@@ -44,32 +51,42 @@
             store.put("keyed.servers", id, Some(record.clone()));
         }
         let store_addr = stand_in::serve(store.clone()).await;
-        let program = program()?;
-        let (block, base) = free_block(count)?;
+        let (block, base) = free_block(count + SPARE)?;
         let name = format!("turmerichold-review-{}-{base}", std::process::id());
         let dir = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&dir).map_err(|e| e.to_string())?;
         let ip = |n: u8| Ipv4Addr::new(127, 0, block, n);
-        let ips: Vec<Ipv4Addr> = (1..=count).map(ip).collect();
+        let ips: Vec<Ipv4Addr> = (1..=count + SPARE).map(ip).collect();
         let mut fleet = Fleet {
             store,
             gateways: Vec::new(),
             doors: Vec::new(),
             dir,
+            ips,
+            base,
+            store_addr,
         };
-        for own in &ips {
-            let path = fleet.dir.join(format!("edge-{own}.toml"));
-            let log = fleet.dir.join(format!("edge-{own}.log"));
-            let text = settings(*own, &ips, base, store_addr);
-            std::fs::write(&path, text).map_err(|e| e.to_string())?;
-            let process = Process::start(program.clone(), "gateway", path, log);
-            fleet.gateways.push(process);
-            fleet.doors.push(SocketAddr::from((*own, base + FRONTEND)));
+        for _ in 0..count {
+            fleet.add()?;
         }
         fleet.until_served(key).await?;
         Ok(fleet)
     }
 
+    /// Starts the next gateway.
+    pub fn add(&mut self) -> Result<(), String> {
+        let own = self.ips[self.gateways.len()];
+        let path = self.dir.join(format!("edge-{own}.toml"));
+        let log = self.dir.join(format!("edge-{own}.log"));
+        let text = settings(own, &self.ips, self.base, self.store_addr);
+        std::fs::write(&path, text).map_err(|e| e.to_string())?;
+        let process = Process::start(program()?, "gateway", path, log);
+        self.gateways.push(process);
+        self.doors
+            .push(SocketAddr::from((own, self.base + FRONTEND)));
+        Ok(())
+    }
+
     async fn until_served(&self, key: &'static str) -> Result<(), String> {
         let end = Instant::now() + START_TIME;
         for door in &self.doors {
--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -2,7 +2,7 @@
 //! addresses, beside stand-ins of the platform's store, of upstreams and of clients.
 
 mod client;
-mod cold_restart;
+mod cold_join;
 mod crowd;
 mod engine;
 mod fleet;
@@ -46,7 +46,7 @@
     record.note(&format!("case {case}, disruption: {trouble}"));
     let script = async {
         match case.as_str() {
-            "cold-restart" => cold_restart::run(&record, trouble).await,
+            "cold-join" => cold_join::run(&record, trouble).await,
             "many-fields" => many_fields::run(&record, trouble).await,
             "crowd" => crowd::run(&record, trouble).await,
             "restored-key" => restored_key::run(&record, trouble).await,
